--- /dev/null
+++ b/src/tanagerfront/errors.py
@@ -0,0 +1,321 @@
+"""Exception tree; each class carries its HTTP status, exit code and whether the request ran."""
+
+from __future__ import annotations
+
+from typing import ClassVar, Literal
+
+__all__ = [
+    "BadRequestError",
+    "CanceledError",
+    "ConfigurationError",
+    "ConflictError",
+    "ConnectionLostError",
+    "DatabaseError",
+    "DeadlineExceededError",
+    "DrainingError",
+    "ForbiddenError",
+    "IdempotencyMismatchError",
+    "KeyRequiredError",
+    "KeyValueError",
+    "KeyValueTimeoutError",
+    "KeyValueUnavailableError",
+    "NotFoundError",
+    "NotPrimaryError",
+    "OutcomeUnknownError",
+    "OverloadedError",
+    "PeerUnreachableError",
+    "RateLimitedError",
+    "SessionLostError",
+    "SessionTokenError",
+    "SettingsError",
+    "SqlError",
+    "StaleTermError",
+    "TanagerfrontError",
+    "TooLargeError",
+    "TooManyConnectionsError",
+    "TransactionError",
+    "UnavailableError",
+    "error_for_type",
+]
+
+Executed = Literal["no", "unknown", "yes"]
+
+
+class TanagerfrontError(Exception):
+    """Base of every error that tanagerfront raises itself."""
+
+    problem_type: ClassVar[str] = "internal"
+    status: ClassVar[int] = 500
+    exit_code: ClassVar[int] = 1
+    default_executed: ClassVar[Executed] = "no"
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        executed: Executed | None = None,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(message)
+        self._message = message
+        self._executed = executed or self.default_executed
+        self._retry_after_s = retry_after_s
+
+    @property
+    def message(self) -> str:
+        """Return the text shown to a caller or operator."""
+        return self._message
+
+    @property
+    def executed(self) -> Executed:
+        """Return whether the request ran."""
+        return self._executed
+
+    @property
+    def retry_after_s(self) -> float | None:
+        """Return the delay in seconds after which a retry makes sense, if known."""
+        return self._retry_after_s
+
+    def __str__(self) -> str:
+        return self._message
+
+
+class SettingsError(TanagerfrontError):
+    """A settings file is missing, malformed or has a value that is not allowed."""
+
+    problem_type = "settings"
+    exit_code = 2
+
+
+class ConfigurationError(TanagerfrontError):
+    """A section of the configuration document is invalid."""
+
+    problem_type = "invalid-configuration"
+    status = 422
+    exit_code = 2
+
+
+class ConflictError(TanagerfrontError):
+    """Another edit of the same section was accepted first."""
+
+    problem_type = "conflict"
+    status = 409
+    exit_code = 3
+
+
+class BadRequestError(TanagerfrontError):
+    """The request is malformed."""
+
+    problem_type = "bad-request"
+    status = 400
+
+
+class TooLargeError(BadRequestError):
+    """The request's head or body exceeds the limit."""
+
+    problem_type = "too-large"
+    status = 413
+
+
+class NotFoundError(BadRequestError):
+    """No such route, group or path."""
+
+    problem_type = "not-found"
+    status = 404
+
+
+class KeyRequiredError(TanagerfrontError):
+    """No key came with the request, or it is unknown or withdrawn."""
+
+    problem_type = "key-required"
+    status = 401
+
+
+class ForbiddenError(TanagerfrontError):
+    """The key is valid but may not do this."""
+
+    problem_type = "forbidden"
+    status = 403
+
+
+class RateLimitedError(TanagerfrontError):
+    """The organisation's rate and burst are used up."""
+
+    problem_type = "rate-limited"
+    status = 429
+
+
+class UnavailableError(TanagerfrontError):
+    """The request could not be served now and did not run."""
+
+    problem_type = "unavailable"
+    status = 503
+
+
+class OverloadedError(UnavailableError):
+    """A queue is full, or the wait would exceed the deadline."""
+
+    problem_type = "overloaded"
+
+
+class DrainingError(UnavailableError):
+    """This VM is shutting down."""
+
+    problem_type = "draining"
+
+
+class PeerUnreachableError(UnavailableError):
+    """A peer VM cannot be reached."""
+
+    problem_type = "peer-unreachable"
+
+
+class DeadlineExceededError(TanagerfrontError):
+    """The caller's deadline passed."""
+
+    problem_type = "deadline-exceeded"
+    status = 504
+
+
+class CanceledError(TanagerfrontError):
+    """The caller went away before the request was done."""
+
+    problem_type = "canceled"
+    status = 499
+    default_executed = "unknown"
+
+
+class OutcomeUnknownError(TanagerfrontError):
+    """The request was sent and its outcome cannot be determined."""
+
+    problem_type = "outcome-unknown"
+    status = 502
+    default_executed = "unknown"
+
+
+class SessionTokenError(BadRequestError):
+    """The session token is malformed or was not issued by this deployment."""
+
+    problem_type = "bad-session-token"
+
+
+class SessionLostError(TanagerfrontError):
+    """A failover discarded an entry that this session has seen."""
+
+    problem_type = "session-lost"
+    status = 409
+
+
+class IdempotencyMismatchError(TanagerfrontError):
+    """The idempotency key was used before with another request."""
+
+    problem_type = "idempotency-mismatch"
+    status = 422
+
+
+class TransactionError(TanagerfrontError):
+    """The transaction is not open, or was rolled back."""
+
+    problem_type = "transaction"
+    status = 409
+
+
+class DatabaseError(TanagerfrontError):
+    """A database refused a statement."""
+
+    problem_type = "database"
+    status = 502
+
+
+class SqlError(DatabaseError):
+    """The database rejected the SQL; the batch was rolled back."""
+
+    problem_type = "sql"
+    status = 422
+
+    def __init__(self, message: str, *, code: str = "other", index: int = 0) -> None:
+        super().__init__(message)
+        self._code = code
+        self._index = index
+
+    @property
+    def code(self) -> str:
+        """Return the class of the error, such as `constraint` or `syntax`."""
+        return self._code
+
+    @property
+    def index(self) -> int:
+        """Return the index of the failing statement in its batch."""
+        return self._index
+
+
+class StaleTermError(DatabaseError):
+    """The database is in a later term than the statement; the statement did not run."""
+
+    problem_type = "stale-term"
+    status = 503
+
+    def __init__(self, message: str, *, term: int = 0) -> None:
+        super().__init__(message)
+        self._term = term
+
+    @property
+    def term(self) -> int:
+        """Return the term the database is in."""
+        return self._term
+
+
+class NotPrimaryError(DatabaseError):
+    """A write reached an instance that is not the primary of the term; it did not run."""
+
+    problem_type = "not-primary"
+    status = 503
+
+
+class TooManyConnectionsError(DatabaseError):
+    """The instance accepts no further connection."""
+
+    problem_type = "too-many-connections"
+    status = 503
+
+
+class ConnectionLostError(TanagerfrontError):
+    """A connection broke or timed out; `executed` tells whether the request may have run."""
+
+    problem_type = "connection-lost"
+    status = 502
+    default_executed = "unknown"
+
+
+class KeyValueError(TanagerfrontError):
+    """The key-value service refused a call."""
+
+    problem_type = "key-value"
+    status = 502
+    exit_code = 4
+
+
+class KeyValueUnavailableError(KeyValueError):
+    """The key-value service cannot be reached, so the call had no effect."""
+
+    status = 503
+
+
+class KeyValueTimeoutError(KeyValueError):
+    """No answer came in time; the call may have taken effect."""
+
+    status = 504
+    default_executed = "unknown"
+
+
+def _subclasses(base: type[TanagerfrontError]) -> list[type[TanagerfrontError]]:
+    direct = base.__subclasses__()
+    return direct + [further for cls in direct for further in _subclasses(cls)]
+
+
+def error_for_type(problem_type: str) -> type[TanagerfrontError]:
+    """Return the class with this problem type, or the base class if there is none."""
+    for cls in _subclasses(TanagerfrontError):
+        if cls.problem_type == problem_type:
+            return cls
+    return TanagerfrontError
--- /dev/null
+++ b/src/tanagerfront/http_client.py
@@ -0,0 +1,212 @@
+"""One keep-alive HTTP/1.1 client connection on trio with httptools."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Mapping, Sequence
+from typing import Any, NamedTuple
+
+import httptools
+import trio
+
+from .errors import ConnectionLostError
+
+__all__ = ["Address", "HttpConnection", "HttpReply", "parse_address"]
+
+RECEIVE_BYTES = 65536
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_INTERVAL_S = 2
+KEEPALIVE_PROBES = 3
+USER_TIMEOUT_MS = 10_000
+
+
+class Address(NamedTuple):
+    """A TCP address by IP number."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class HttpReply(NamedTuple):
+    """One response; header names are in lower case."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+def parse_address(text: str) -> Address:
+    """Return the address written as HOST:PORT; raises ValueError."""
+    host, separator, port = text.strip().rpartition(":")
+    if not separator or not host:
+        raise ValueError(f"{text!r} is not HOST:PORT")
+    number = int(port)
+    if not 0 <= number <= 65535:
+        raise ValueError(f"port {number} is not between 0 and 65535")
+    return Address(host.strip("[]"), number)
+
+
+def _enable_keepalive(stream: trio.SocketStream) -> None:
+    # A peer that vanished without a reset is noticed by the kernel also while nothing is sent.
+    options = (
+        (socket.SOL_SOCKET, "SO_KEEPALIVE", 1),
+        (socket.IPPROTO_TCP, "TCP_KEEPIDLE", KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, "TCP_KEEPINTVL", KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, "TCP_KEEPCNT", KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, "TCP_USER_TIMEOUT", USER_TIMEOUT_MS),
+    )
+    for level, name, value in options:
+        if hasattr(socket, name):
+            with contextlib.suppress(OSError):
+                stream.setsockopt(level, getattr(socket, name), value)
+
+
+class _ReplyParser:
+    """Collect the callbacks of httptools into one reply."""
+
+    def __init__(self) -> None:
+        self._parser: Any = httptools.HttpResponseParser(self)
+        self.headers: dict[str, str] = {}
+        self.chunks: list[bytes] = []
+        self.head_done = False
+        self.done = False
+        self.keep_alive = True
+
+    @property
+    def status(self) -> int:
+        return int(self._parser.get_status_code())
+
+    def feed(self, data: bytes | bytearray) -> None:
+        self._parser.feed_data(data)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        self.head_done = True
+
+    def on_body(self, body: bytes) -> None:
+        self.chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        self.done = True
+        self.keep_alive = self._parser.should_keep_alive()
+
+
+class HttpConnection:
+    """A connection that carries one exchange at a time; any failure closes it."""
+
+    def __init__(self, address: Address, stream: trio.abc.Stream) -> None:
+        self._address = address
+        self._stream = stream
+        self._usable = True
+        self._busy = False
+
+    @property
+    def address(self) -> Address:
+        """Return the address of the server."""
+        return self._address
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether a further exchange can be started."""
+        return self._usable and not self._busy
+
+    @classmethod
+    async def open(cls, address: Address, *, timeout_s: float = 5.0) -> HttpConnection:
+        """Connect within `timeout_s`; raises ConnectionLostError with executed `no`."""
+        try:
+            with trio.fail_after(timeout_s):
+                stream = await trio.open_tcp_stream(address.host, address.port)
+        except (OSError, trio.TooSlowError) as error:
+            raise ConnectionLostError(f"cannot connect to {address}", executed="no") from error
+        _enable_keepalive(stream)
+        return cls(address, stream)
+
+    def _encode(
+        self, method: str, path: str, body: bytes, headers: Sequence[tuple[str, str]]
+    ) -> bytes:
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            f"host: {self._address}",
+            f"content-length: {len(body)}",
+            "content-type: application/json",
+        ]
+        lines += [f"{name}: {value}" for name, value in headers]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+
+    async def _exchange(self, data: bytes, parser: _ReplyParser) -> None:
+        try:
+            await self._stream.send_all(data)
+            while not parser.done:
+                received = await self._stream.receive_some(RECEIVE_BYTES)
+                if not received:
+                    raise ConnectionLostError(f"{self._address} closed the connection")
+                parser.feed(received)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionLostError(f"connection to {self._address} broke") from error
+        except httptools.HttpParserError as error:
+            raise ConnectionLostError(f"{self._address} sent a malformed answer") from error
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        headers: Sequence[tuple[str, str]] = (),
+        timeout_s: float,
+    ) -> HttpReply:
+        """Return the whole answer within `timeout_s`; raises ConnectionLostError."""
+        if not self.usable:
+            raise ConnectionLostError(f"connection to {self._address} is closed", executed="no")
+        parser = _ReplyParser()
+        self._busy = True
+        complete = False
+        try:
+            with trio.fail_after(timeout_s):
+                await self._exchange(self._encode(method, path, body, headers), parser)
+            complete = parser.keep_alive
+        except trio.TooSlowError as error:
+            message = f"{self._address} did not answer within {timeout_s:.3f} s"
+            raise ConnectionLostError(message) from error
+        finally:
+            self._busy = False
+            if not complete:
+                await self.close()
+        return HttpReply(parser.status, parser.headers, b"".join(parser.chunks))
+
+    async def stream(
+        self, method: str, path: str, body: bytes = b"", *, idle_timeout_s: float
+    ) -> AsyncIterator[bytes]:
+        """Yield the body of one answer as it arrives; raises ConnectionLostError when silent."""
+        parser = _ReplyParser()
+        self._busy = True
+        try:
+            await self._stream.send_all(self._encode(method, path, body, ()))
+            while not parser.done:
+                with trio.fail_after(idle_timeout_s):
+                    received = await self._stream.receive_some(RECEIVE_BYTES)
+                if not received:
+                    raise ConnectionLostError(f"{self._address} closed the connection")
+                parser.feed(received)
+                chunks, parser.chunks = parser.chunks, []
+                for chunk in chunks:
+                    yield chunk
+        except trio.TooSlowError as error:
+            raise ConnectionLostError(f"{self._address} went silent") from error
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionLostError(f"connection to {self._address} broke") from error
+        except httptools.HttpParserError as error:
+            raise ConnectionLostError(f"{self._address} sent a malformed answer") from error
+        finally:
+            await self.close()
+
+    async def close(self) -> None:
+        """Close the connection without waiting for the peer."""
+        self._usable = False
+        await trio.aclose_forcefully(self._stream)
--- /dev/null
+++ b/src/tanagerfront/http_server.py
@@ -0,0 +1,262 @@
+"""HTTP/1.1 server on trio with httptools: one task per connection."""
+
+from __future__ import annotations
+
+import contextlib
+import http
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import Any, NamedTuple
+from urllib.parse import parse_qsl, unquote
+
+import httptools
+import trio
+
+from .errors import BadRequestError, TooLargeError
+
+__all__ = ["ConnectionHandler", "HttpLimits", "Request", "Response", "StreamBody", "serve_http"]
+
+RECEIVE_BYTES = 65536
+EMPTY_HEADERS: Sequence[tuple[str, str]] = ()
+StreamBody = Callable[[Callable[[bytes], Awaitable[None]]], Awaitable[None]]
+
+
+class HttpLimits(NamedTuple):
+    """Limits of one server."""
+
+    max_head_bytes: int = 16 * 1024
+    max_body_bytes: int = 1024 * 1024
+    # An idle caller may stay connected; a request that has begun must arrive within this time.
+    request_read_timeout_s: float = 30.0
+    write_timeout_s: float = 30.0
+    idle_timeout_s: float = 3600.0
+
+
+class Request(NamedTuple):
+    """One parsed request; header names are in lower case."""
+
+    method: str
+    path: str
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class Response(NamedTuple):
+    """One response; `stream` writes the body in chunks in place of `body`."""
+
+    status: int
+    body: bytes = b""
+    headers: Sequence[tuple[str, str]] = EMPTY_HEADERS
+    content_type: str = "application/json"
+    close: bool = False
+    stream: StreamBody | None = None
+
+
+class ConnectionHandler:
+    """Serve the requests of one connection in order; subclass and override."""
+
+    async def handle(self, request: Request) -> Response:
+        """Return the response to one request."""
+        raise NotImplementedError
+
+    def handle_bad_request(self, error: BadRequestError) -> Response:
+        """Return the response to a request that could not be parsed."""
+        return Response(error.status, close=True)
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether the connection has to close after the current request."""
+        return False
+
+    async def close(self) -> None:
+        """Release what the connection holds; called once, shielded from cancellation."""
+
+
+class _RequestParser:
+    """Collect the callbacks of httptools into requests within the limits."""
+
+    def __init__(self, limits: HttpLimits) -> None:
+        self._limits = limits
+        self._parser: Any = httptools.HttpRequestParser(self)
+        self._ready: list[Request] = []
+        self._keep_alive = True
+        self._reset()
+
+    @property
+    def keep_alive(self) -> bool:
+        return self._keep_alive
+
+    @property
+    def started(self) -> bool:
+        return self._started
+
+    def _reset(self) -> None:
+        self._started = False
+        self._url = b""
+        self._headers: dict[str, str] = {}
+        self._body: list[bytes] = []
+        self._head_bytes = 0
+        self._body_bytes = 0
+
+    def feed(self, data: bytes | bytearray) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise BadRequestError("protocol upgrades are not supported") from error
+        except httptools.HttpParserCallbackError as error:
+            if isinstance(error.__context__, BadRequestError):
+                raise error.__context__ from None
+            raise BadRequestError("malformed HTTP request") from error
+        except httptools.HttpParserError as error:
+            raise BadRequestError("malformed HTTP request") from error
+
+    def next_request(self) -> Request | None:
+        return self._ready.pop(0) if self._ready else None
+
+    def on_message_begin(self) -> None:
+        self._reset()
+        self._started = True
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._count_head(len(name) + len(value))
+        key = name.decode("latin-1").lower()
+        # A repeated header could show two servers two different requests.
+        if key in self._headers and key in ("authorization", "content-length", "host"):
+            raise BadRequestError(f"header {key} is given twice")
+        self._headers[key] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        self._body_bytes += len(body)
+        if self._body_bytes > self._limits.max_body_bytes:
+            raise TooLargeError(f"body exceeds {self._limits.max_body_bytes} bytes")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        url = httptools.parse_url(self._url)
+        path = unquote((url.path or b"/").decode("latin-1"))
+        query = dict(parse_qsl((url.query or b"").decode("latin-1")))
+        method = self._parser.get_method().decode("ascii")
+        self._keep_alive = self._parser.should_keep_alive()
+        self._ready.append(Request(method, path, query, self._headers, b"".join(self._body)))
+        self._started = False
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self._limits.max_head_bytes:
+            raise TooLargeError(f"request head exceeds {self._limits.max_head_bytes} bytes")
+
+
+def _reason(status: int) -> str:
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return "Status"
+
+
+def _head(response: Response, *, keep_alive: bool) -> bytes:
+    lines = [
+        f"HTTP/1.1 {response.status} {_reason(response.status)}",
+        f"content-type: {response.content_type}",
+        "connection: " + ("keep-alive" if keep_alive else "close"),
+    ]
+    if response.stream is None:
+        lines.append(f"content-length: {len(response.body)}")
+    else:
+        lines.append("transfer-encoding: chunked")
+    lines += [f"{name}: {value}" for name, value in response.headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+async def _write_stream(stream: trio.abc.Stream, body: StreamBody) -> None:
+    async def write(chunk: bytes) -> None:
+        if chunk:
+            await stream.send_all(b"%x\r\n" % len(chunk) + chunk + b"\r\n")
+
+    await body(write)
+    await stream.send_all(b"0\r\n\r\n")
+
+
+async def _read_request(
+    stream: trio.abc.Stream, parser: _RequestParser, limits: HttpLimits
+) -> Request | None:
+    """Return the next request, or None at the end of the connection; raises BadRequestError."""
+    request = parser.next_request()
+    with trio.CancelScope(deadline=trio.current_time() + limits.idle_timeout_s) as scope:
+        while request is None:
+            data = await stream.receive_some(RECEIVE_BYTES)
+            if not data:
+                return None
+            was_started = parser.started
+            parser.feed(data)
+            request = parser.next_request()
+            if parser.started and not was_started:
+                scope.deadline = trio.current_time() + limits.request_read_timeout_s
+    return request
+
+
+async def _serve_connection(
+    stream: trio.abc.Stream, handler: ConnectionHandler, limits: HttpLimits
+) -> None:
+    parser = _RequestParser(limits)
+    while True:
+        try:
+            request = await _read_request(stream, parser, limits)
+        except BadRequestError as error:
+            response = handler.handle_bad_request(error)
+            with trio.move_on_after(limits.write_timeout_s):
+                await stream.send_all(_head(response, keep_alive=False) + response.body)
+            return
+        if request is None:
+            return
+        response = await handler.handle(request)
+        keep_alive = parser.keep_alive and not response.close and not handler.draining
+        head = _head(response, keep_alive=keep_alive)
+        if response.stream is not None:
+            await stream.send_all(head)
+            await _write_stream(stream, response.stream)
+        else:
+            with trio.move_on_after(limits.write_timeout_s) as scope:
+                await stream.send_all(head + response.body)
+            if scope.cancelled_caught:
+                return
+        if not keep_alive:
+            return
+
+
+async def serve_http(
+    listeners: Sequence[trio.abc.Listener[Any]],
+    handler_factory: Callable[[trio.abc.Stream], ConnectionHandler],
+    limits: HttpLimits | None = None,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve connections until cancelled; a broken connection ends only its own task."""
+    in_force = limits or HttpLimits()
+
+    async def serve_one(stream: trio.abc.Stream) -> None:
+        handler = handler_factory(stream)
+        try:
+            with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                await _serve_connection(stream, handler, in_force)
+        finally:
+            with trio.CancelScope(shield=True):
+                await handler.close()
+                with trio.move_on_after(1):
+                    await stream.aclose()
+
+    async with trio.open_nursery() as nursery:
+        for listener in listeners:
+            nursery.start_soon(_accept, listener, nursery, serve_one)
+        task_status.started()
+
+
+async def _accept(
+    listener: trio.abc.Listener[Any],
+    nursery: trio.Nursery,
+    serve_one: Callable[[trio.abc.Stream], Awaitable[None]],
+) -> None:
+    await trio.serve_listeners(serve_one, [listener], handler_nursery=nursery)
--- /dev/null
+++ b/src/tanagerfront_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/src/tanagerfront_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the databases, for tests and the demonstration."""
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,84 @@
+"""The HTTP server and client: framing, limits and silent peers."""
+
+from __future__ import annotations
+
+import trio
+
+from support import TestCase, trio_test
+from tanagerfront.errors import BadRequestError, ConnectionLostError
+from tanagerfront.http_client import Address, HttpConnection
+from tanagerfront.http_server import ConnectionHandler, HttpLimits, Request, Response, serve_http
+
+
+class EchoHandler(ConnectionHandler):
+    async def handle(self, request: Request) -> Response:
+        if request.path == "/slow":
+            await trio.sleep(60)
+        return Response(200, request.body)
+
+    def handle_bad_request(self, error: BadRequestError) -> Response:
+        return Response(error.status, error.message.encode(), close=True)
+
+
+async def start_server(nursery: trio.Nursery, limits: HttpLimits) -> Address:
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    await nursery.start(serve_http, listeners, lambda _stream: EchoHandler(), limits)
+    return Address("127.0.0.1", listeners[0].socket.getsockname()[1])
+
+
+class HttpTest(TestCase):
+    @trio_test
+    async def test_keep_alive_exchanges(self) -> None:
+        # Guards against state of one request leaking into the next on a connection.
+        async with trio.open_nursery() as nursery:
+            address = await start_server(nursery, HttpLimits())
+            connection = await HttpConnection.open(address)
+            for number in range(3):
+                body = b"x" * number * 70000
+                reply = await connection.request("POST", "/", body, timeout_s=5)
+                self.assertEqual((200, body), (reply.status, reply.body))
+            nursery.cancel_scope.cancel()
+
+    @trio_test
+    async def test_oversized_body_is_refused(self) -> None:
+        # Guards against a caller that exhausts the VM's memory with one body.
+        async with trio.open_nursery() as nursery:
+            address = await start_server(nursery, HttpLimits(max_body_bytes=10))
+            connection = await HttpConnection.open(address)
+            reply = await connection.request("POST", "/", b"x" * 11, timeout_s=5)
+            self.assertEqual(413, reply.status)
+            nursery.cancel_scope.cancel()
+
+    @trio_test
+    async def test_malformed_request_gets_an_answer(self) -> None:
+        # Guards against a parser error that ends the process or leaves the caller waiting.
+        async with trio.open_nursery() as nursery:
+            address = await start_server(nursery, HttpLimits())
+            stream = await trio.open_tcp_stream(*address)
+            await stream.send_all(b"\x00\x01 nonsense\r\n\r\n")
+            answer = await stream.receive_some(1000)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 400"))
+            nursery.cancel_scope.cancel()
+
+    @trio_test
+    async def test_repeated_authorization_header_is_refused(self) -> None:
+        # Guards against two keys in one request, of which two readers could pick different ones.
+        async with trio.open_nursery() as nursery:
+            address = await start_server(nursery, HttpLimits())
+            connection = await HttpConnection.open(address)
+            headers = [("authorization", "Bearer a"), ("authorization", "Bearer b")]
+            reply = await connection.request("GET", "/", headers=headers, timeout_s=5)
+            self.assertEqual(400, reply.status)
+            nursery.cancel_scope.cancel()
+
+    @trio_test
+    async def test_timeout_closes_the_connection(self) -> None:
+        # Guards against reuse of a connection whose late answer would reach another caller.
+        async with trio.open_nursery() as nursery:
+            address = await start_server(nursery, HttpLimits())
+            connection = await HttpConnection.open(address)
+            with self.assertRaises(ConnectionLostError) as caught:
+                await connection.request("GET", "/slow", timeout_s=0.05)
+            self.assertEqual("unknown", caught.exception.executed)
+            self.assertFalse(connection.usable)
+            nursery.cancel_scope.cancel()
