--- /dev/null
+++ b/src/tanagerfront/entry_id.py
@@ -0,0 +1,26 @@
+"""Name of one log entry of a group of databases."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+__all__ = ["ZERO", "EntryId", "term_at"]
+
+
+class EntryId(NamedTuple):
+    """A log entry; ids of one history are ordered by term, then position."""
+
+    term: int
+    position: int
+
+
+ZERO = EntryId(0, 0)
+
+
+def term_at(position: int, term_starts: tuple[tuple[int, int], ...]) -> int:
+    """Return the term of the entry at `position`; `term_starts` holds (term, first position)."""
+    found = 0
+    for term, first in term_starts:
+        if first <= position:
+            found = term
+    return found
