--- /dev/null
+++ b/src/tanagerfront_lab/checker.py
@@ -0,0 +1,105 @@
+"""Check a recorded history against the guarantees."""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+from .history import History, Operation
+
+__all__ = ["Violation", "check_history", "check_rate"]
+
+# Two VMs stamp nothing here: all times come from the one recorder, so no clock margin is needed.
+TOKEN_EPSILON = 1e-6
+
+
+class Violation(NamedTuple):
+    """One broken guarantee."""
+
+    guarantee: str
+    detail: str
+
+
+def check_history(history: History) -> list[Violation]:
+    """Return all violations of sessions, at-most-once, acknowledgement and isolation."""
+    checks = (_sessions, _isolation, _doubled, _lost, _refused_but_ran)
+    return [violation for check in checks for violation in check(history)]
+
+
+def _by_session(operations: Iterable[Operation]) -> Iterator[list[Operation]]:
+    sessions: defaultdict[tuple[str, str], list[Operation]] = defaultdict(list)
+    for operation in operations:
+        sessions[operation.group, operation.session].append(operation)
+    yield from sessions.values()
+
+
+def _sessions(history: History) -> Iterator[Violation]:
+    """Check read-your-writes and that what a session saw stays visible to it."""
+    for operations in _by_session(history.operations):
+        for read in (op for op in operations if op.kind == "read" and op.acknowledged):
+            earlier = [op for op in operations if op.acknowledged and op.ended <= read.started]
+            written = {op.seq for op in earlier if op.kind == "write"}
+            seen = {seq for op in earlier if op.kind == "read" for seq in op.seen}
+            missing = (written | seen) - set(read.seen)
+            if missing:
+                detail = f"{read.session} on {read.vm} misses {sorted(missing)[:5]}"
+                yield Violation("read-your-writes", detail)
+
+
+def _isolation(history: History) -> Iterator[Violation]:
+    """Check that a read returns only rows that its own session asked to write."""
+    for operations in _by_session(history.operations):
+        asked = {op.seq for op in operations if op.kind == "write"}
+        for read in (op for op in operations if op.kind == "read" and op.acknowledged):
+            foreign = set(read.seen) - asked
+            if foreign:
+                yield Violation("isolation", f"{read.session} read {sorted(foreign)[:5]}")
+
+
+def _doubled(history: History) -> Iterator[Violation]:
+    """Check that no row stands twice, at the end or in any read."""
+    counts = Counter((row.group, row.ref) for row in history.rows)
+    for (group, ref), count in counts.items():
+        if count > 1:
+            yield Violation("at-most-once", f"{ref} stands {count} times in {group}")
+    for read in (op for op in history.operations if op.kind == "read"):
+        if len(set(read.seen)) != len(read.seen):
+            yield Violation("at-most-once", f"{read.session} read a row twice")
+
+
+def _lost(history: History) -> Iterator[Violation]:
+    """Check that every acknowledged write is there at the end."""
+    present = {(row.group, row.ref) for row in history.rows}
+    for write in (op for op in history.operations if op.kind == "write" and op.acknowledged):
+        if (write.group, write.ref) not in present:
+            yield Violation("lost-write", f"{write.ref} acknowledged by {write.vm} is gone")
+
+
+def _refused_but_ran(history: History) -> Iterator[Violation]:
+    """Check that no write whose every answer said "not run" is there."""
+    present = {(row.group, row.ref) for row in history.rows}
+    writes = sorted((op for op in history.operations if op.kind == "write"), key=lambda op: op.ref)
+    for ref, attempts in itertools.groupby(writes, key=lambda op: op.ref):
+        answers = list(attempts)
+        ran = (answers[0].group, ref) in present
+        if ran and all(op.executed == "no" for op in answers):
+            yield Violation("false-not-run", f"{ref} was refused as not run and is there")
+
+
+def check_rate(
+    times: Iterable[float], rate: float, burst: float, organisation: str
+) -> list[Violation]:
+    """Check executions against a token bucket of `rate` per second and `burst`."""
+    level, last, violations = burst, None, []
+    for moment in sorted(times):
+        if last is not None:
+            level = min(burst, level + (moment - last) * rate)
+        last = moment
+        level -= 1
+        if level < -TOKEN_EPSILON:
+            detail = f"{organisation} is {-level:.2f} tokens over at {moment:.3f} s"
+            violations.append(Violation("rate", detail))
+            level = 0
+    return violations
