--- /dev/null
+++ b/src/tanagerfront/__main__.py
@@ -0,0 +1,5 @@
+"""Run tanagerfront from the command line."""
+
+from .cli import main
+
+main()
--- a/src/tanagerfront_lab/deployments.py
+++ b/src/tanagerfront_lab/deployments.py
@@ -11,7 +11,9 @@
     "SCHEMA_SQL",
     "Deployment",
     "Tenant",
+    "TEAM",
     "caller_key",
+    "digest",
     "document",
     "owner_key",
 ]
--- /dev/null
+++ b/src/tanagerfront_lab/measures.py
@@ -0,0 +1,94 @@
+"""The four measures of a recorded run."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from .history import Operation
+
+__all__ = ["Measures", "TenantMeasure", "failover_gaps", "latency_histogram", "measure"]
+
+HIGHEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 3
+
+
+class TenantMeasure(NamedTuple):
+    """One organisation: acknowledged calls per second and latencies in milliseconds."""
+
+    organisation: str
+    calls: int
+    throughput: float
+    refused: int
+    failed: int
+    median_ms: float
+    p99_ms: float
+
+
+class Measures(NamedTuple):
+    """All measures of one run; shares are between 0 and 1."""
+
+    calls: int
+    replica_share: float
+    gaps_s: Mapping[str, float]
+    refused_share: float
+    unknown: int
+    failed: int
+    tenants: tuple[TenantMeasure, ...]
+
+
+def latency_histogram(operations: Iterable[Operation]) -> HdrHistogram:
+    """Return the latencies of acknowledged calls in microseconds."""
+    histogram = HdrHistogram(1, HIGHEST_US, SIGNIFICANT_DIGITS)
+    for operation in operations:
+        if operation.acknowledged:
+            histogram.record_value(max(1, int((operation.ended - operation.started) * 1e6)))
+    return histogram
+
+
+def failover_gaps(operations: Sequence[Operation], since: float) -> Mapping[str, float]:
+    """Return for each group the longest time in seconds without an acknowledged write."""
+    gaps: dict[str, float] = {}
+    last: dict[str, float] = {}
+    writes = (op for op in operations if op.kind == "write" and op.acknowledged)
+    for write in sorted(writes, key=lambda op: op.ended):
+        if write.ended >= since:
+            previous = max(last.get(write.group, since), since)
+            gaps[write.group] = max(gaps.get(write.group, 0.0), write.ended - previous)
+        last[write.group] = write.ended
+    return gaps
+
+
+def _tenant(organisation: str, operations: Sequence[Operation], seconds: float) -> TenantMeasure:
+    histogram = latency_histogram(operations)
+    good = sum(1 for op in operations if op.acknowledged)
+    refused = sum(1 for op in operations if op.status == 429)
+    return TenantMeasure(
+        organisation=organisation,
+        calls=len(operations),
+        throughput=good / seconds,
+        refused=refused,
+        failed=len(operations) - good - refused,
+        median_ms=histogram.get_value_at_percentile(50) / 1000,
+        p99_ms=histogram.get_value_at_percentile(99) / 1000,
+    )
+
+
+def measure(operations: Sequence[Operation], seconds: float, since: float = 0.0) -> Measures:
+    """Return the measures of a run of `seconds`; gaps are counted from `since`."""
+    eligible = [op for op in operations if op.eligible and op.acknowledged]
+    by_replica = sum(1 for op in eligible if op.by_replica)
+    names = sorted({op.organisation for op in operations})
+    by_name = {name: [op for op in operations if op.organisation == name] for name in names}
+    refused = sum(1 for op in operations if op.status == 429)
+    return Measures(
+        calls=len(operations),
+        replica_share=by_replica / len(eligible) if eligible else 0.0,
+        gaps_s=failover_gaps(operations, since),
+        refused_share=refused / len(operations) if operations else 0.0,
+        unknown=sum(1 for op in operations if op.executed == "unknown"),
+        failed=sum(1 for op in operations if not op.acknowledged),
+        tenants=tuple(_tenant(name, by_name[name], seconds) for name in names),
+    )
--- /dev/null
+++ b/src/tanagerfront_standin/__main__.py
@@ -0,0 +1,5 @@
+"""Run the stand-ins from the command line."""
+
+from .cli import main
+
+main()
