--- /dev/null
+++ b/src/tanagerfront_standin/database_sql.py
@@ -0,0 +1,222 @@
+"""SQL storage of the stand-in database on the standard library's sqlite3.
+
+Only statements are logged and replayed, so a statement of a write transaction must have the same
+effect on every instance: functions of the clock, of randomness and of connection state are denied
+there. Transaction control, ATTACH and PRAGMA are denied everywhere.
+"""
+
+from __future__ import annotations
+
+import sqlite3
+import tempfile
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+from typing import Any
+
+from tanagerfront.databases import Statement, StatementResult
+
+__all__ = ["SqlConnection", "SqlFailure", "SqlStore"]
+
+NON_DETERMINISTIC = frozenset(
+    (
+        "random",
+        "randomblob",
+        "current_timestamp",
+        "current_time",
+        "current_date",
+        "date",
+        "time",
+        "datetime",
+        "julianday",
+        "unixepoch",
+        "strftime",
+        "timediff",
+        "last_insert_rowid",
+        "changes",
+        "total_changes",
+    )
+)
+DENIED_ACTIONS = frozenset(
+    (
+        sqlite3.SQLITE_TRANSACTION,
+        sqlite3.SQLITE_SAVEPOINT,
+        sqlite3.SQLITE_ATTACH,
+        sqlite3.SQLITE_DETACH,
+        sqlite3.SQLITE_PRAGMA,
+    )
+)
+# sqlite3 caches prepared statements by their text, and a cached one skips the authorizer.
+DENIED_WORDS = frozenset(
+    (
+        "begin",
+        "commit",
+        "end",
+        "rollback",
+        "savepoint",
+        "release",
+        "attach",
+        "detach",
+        "pragma",
+        "vacuum",
+    )
+)
+
+
+class SqlFailure(Exception):  # noqa: N818
+    """A statement failed; `code` classes the error and `index` is its place in the batch."""
+
+    def __init__(self, code: str, message: str, index: int = 0) -> None:
+        super().__init__(message)
+        self.code = code
+        self.message = message
+        self.index = index
+
+
+def _code_of(error: sqlite3.Error) -> str:
+    text = str(error)
+    match error:
+        case sqlite3.IntegrityError():
+            return "constraint"
+        case _ if "syntax error" in text or "incomplete input" in text:
+            return "syntax"
+        case _ if "no such" in text:
+            return "missing"
+        case _ if "readonly" in text:
+            return "read-only"
+        case _ if "not authorized" in text or "prohibited" in text:
+            return "denied"
+        case _:
+            return "other"
+
+
+class SqlConnection:
+    """One sqlite3 connection with one transaction at a time."""
+
+    def __init__(self, path: Path, *, writable: bool) -> None:
+        self._writable = writable
+        self._internal = True
+        self._raw = sqlite3.connect(path, isolation_level=None)
+        self._raw.execute("PRAGMA journal_mode=WAL")
+        self._raw.execute("PRAGMA synchronous=OFF")
+        if not writable:
+            self._raw.execute("PRAGMA query_only=ON")
+        self._raw.set_authorizer(self._authorize)
+        self._internal = False
+
+    @property
+    def open_transaction(self) -> bool:
+        """Tell whether a transaction is open."""
+        return self._raw.in_transaction
+
+    def begin(self) -> None:
+        """Begin a transaction; a reader's snapshot is taken here, not at its first statement."""
+        self._control("BEGIN IMMEDIATE" if self._writable else "BEGIN")
+        if not self._writable:
+            self._raw.execute("SELECT 1 FROM sqlite_master").fetchone()
+
+    def commit(self) -> None:
+        """Commit the open transaction."""
+        self._control("COMMIT")
+
+    def rollback(self) -> None:
+        """Roll back the transaction if one is open."""
+        if self._raw.in_transaction:
+            self._control("ROLLBACK")
+
+    def run(self, statement: Statement, index: int) -> tuple[StatementResult, bool]:
+        """Return the result of a statement and whether it must be logged; raises SqlFailure."""
+        words = statement.sql.split(None, 1)
+        if words and words[0].rstrip(";").lower() in DENIED_WORDS:
+            raise SqlFailure("denied", f"{words[0]} is not allowed", index)
+        params: Any = statement.params
+        before = self._raw.total_changes
+        try:
+            cursor = self._raw.execute(statement.sql, params)
+            rows = tuple(cursor.fetchall())
+        except sqlite3.Error as error:
+            raise SqlFailure(_code_of(error), str(error), index) from error
+        except (OverflowError, TypeError, ValueError) as error:
+            raise SqlFailure("type", str(error), index) from error
+        changes = self._raw.total_changes - before
+        columns = tuple(column[0] for column in cursor.description or ())
+        return StatementResult(columns, rows, changes), cursor.description is None or changes > 0
+
+    def script(self, sql: str) -> None:
+        """Run a trusted script."""
+        self._raw.executescript(sql)
+
+    def close(self) -> None:
+        """Close the connection, which rolls back its transaction."""
+        self._raw.close()
+
+    def _control(self, sql: str) -> None:
+        self._internal = True
+        try:
+            self._raw.execute(sql)
+        finally:
+            self._internal = False
+
+    def _authorize(self, action: int, _first: Any, second: Any, _db: Any, _trigger: Any) -> int:
+        if self._internal:
+            return sqlite3.SQLITE_OK
+        if action in DENIED_ACTIONS:
+            return sqlite3.SQLITE_DENY
+        if self._writable and action == sqlite3.SQLITE_FUNCTION and second in NON_DETERMINISTIC:
+            return sqlite3.SQLITE_DENY
+        return sqlite3.SQLITE_OK
+
+
+class SqlStore:
+    """The applied data of one instance: one writer and any number of snapshot readers.
+
+    The data is a temporary file in WAL mode, so that readers see a snapshot while a write
+    transaction is open; sqlite's in-memory databases would block them.
+    """
+
+    def __init__(self, seed_sql: str) -> None:
+        self._seed_sql = seed_sql
+        self._directory = tempfile.TemporaryDirectory(prefix="tanagerfront-standin-")
+        self._generation = 0
+        self._writer = self._create()
+
+    @property
+    def generation(self) -> int:
+        """Return a number that changes when the data is rebuilt; older readers are invalid."""
+        return self._generation
+
+    @property
+    def writer(self) -> SqlConnection:
+        """Return the only connection that writes."""
+        return self._writer
+
+    def open_reader(self) -> SqlConnection:
+        """Return a connection that cannot write."""
+        return SqlConnection(self._path(), writable=False)
+
+    def apply(self, entries: Iterable[Sequence[Statement]]) -> None:
+        """Replay the statements of log entries in one transaction."""
+        self._writer.begin()
+        for statements in entries:
+            for statement in statements:
+                self._writer.run(statement, 0)
+        self._writer.commit()
+
+    def rebuild(self, entries: Iterable[Sequence[Statement]]) -> None:
+        """Replace the data by the seed and these entries."""
+        self._writer.close()
+        self._generation += 1
+        self._writer = self._create()
+        self.apply(entries)
+
+    def close(self) -> None:
+        """Remove the data."""
+        self._writer.close()
+        self._directory.cleanup()
+
+    def _path(self) -> Path:
+        return Path(self._directory.name) / f"data-{self._generation}.sqlite"
+
+    def _create(self) -> SqlConnection:
+        writer = SqlConnection(self._path(), writable=True)
+        writer.script(self._seed_sql)
+        return writer
--- /dev/null
+++ b/src/tanagerfront_standin/database_state.py
@@ -0,0 +1,304 @@
+"""Log, term and role of one stand-in database instance, and the data applied from the log."""
+
+from __future__ import annotations
+
+import bisect
+from collections.abc import Sequence
+from typing import Literal, NamedTuple
+
+import trio
+
+from tanagerfront.databases import InstanceStatus, Statement
+from tanagerfront.entry_id import EntryId
+
+from .database_sql import SqlStore
+
+__all__ = ["Delays", "InstanceState", "LogEntry", "Refusal"]
+
+# A replica that is caught up reports age 0 for this long after its primary last answered a pull;
+# it covers the wait of one pull, during which the primary would answer at once if it had more.
+CONTACT_GRACE_S = 0.25
+
+RefusalName = Literal["stale-term", "not-primary", "not-fenced", "diverged"]
+
+
+class Refusal(Exception):  # noqa: N818
+    """A call that the instance's term or role does not allow."""
+
+    def __init__(self, name: RefusalName, term: int) -> None:
+        super().__init__(f"{name} at term {term}")
+        self.name = name
+        self.term = term
+
+
+class LogEntry(NamedTuple):
+    """One committed write transaction; `statements` is empty for the first entry of a term."""
+
+    id: EntryId
+    statements: tuple[Statement, ...]
+
+
+class Delays(NamedTuple):
+    """Simulated delays in seconds."""
+
+    open_s: float = 0.012
+    receive_s: float = 0.0
+    apply_s: float = 0.0
+    statement_s: float = 0.0
+
+
+class InstanceState:
+    """The aggregate of one instance: every change of term, role, log and applied data."""
+
+    def __init__(self, name: str, store: SqlStore, delays: Delays, *, primary: bool) -> None:
+        self._name = name
+        self._store = store
+        self._delays = delays
+        self._term = 0
+        self._role: Literal["primary", "replica"] = "replica"
+        self._primary: str | None = None
+        self._log: list[LogEntry] = []
+        self._held_at: list[float] = []
+        self._term_starts: list[tuple[int, int]] = []
+        self._applied = 0
+        self._changed = trio.Event()
+        # (time, held) of the primary as far as the answers to pulls told, beyond `applied`.
+        self._missing_since: list[tuple[float, int]] = []
+        self._contact_at = trio.current_time()
+        self._synced_term = 0
+        self._discarded = 0
+        if primary:
+            self.fence(1)
+            self.promote(1)
+
+    @property
+    def name(self) -> str:
+        """Return the instance's name."""
+        return self._name
+
+    @property
+    def store(self) -> SqlStore:
+        """Return the applied data."""
+        return self._store
+
+    @property
+    def delays(self) -> Delays:
+        """Return the simulated delays."""
+        return self._delays
+
+    @property
+    def term(self) -> int:
+        """Return the highest term the instance has been told."""
+        return self._term
+
+    @property
+    def is_primary(self) -> bool:
+        """Tell whether the instance is the primary of its term."""
+        return self._role == "primary"
+
+    @property
+    def primary(self) -> str | None:
+        """Return the name of the primary of the term, if known."""
+        return self._primary
+
+    @property
+    def held(self) -> int:
+        """Return the position of the last stored entry."""
+        return len(self._log)
+
+    @property
+    def applied(self) -> int:
+        """Return the position of the last entry visible to readers."""
+        return self._applied
+
+    @property
+    def term_starts(self) -> tuple[tuple[int, int], ...]:
+        """Return the first position of each term in the log."""
+        return tuple(self._term_starts)
+
+    @property
+    def synced_term(self) -> int:
+        """Return the last term in which the log was found to continue its primary's."""
+        return self._synced_term
+
+    @property
+    def discarded(self) -> int:
+        """Return how many entries were discarded since the term was raised."""
+        return self._discarded
+
+    def entry_id(self, position: int) -> EntryId:
+        """Return the id of a stored entry."""
+        return self._log[position - 1].id if position else EntryId(0, 0)
+
+    def entries_after(self, position: int, limit: int) -> Sequence[LogEntry]:
+        """Return up to `limit` entries after a position."""
+        return self._log[position : position + limit]
+
+    def status(self) -> InstanceStatus:
+        """Return the status reported to clients."""
+        return InstanceStatus(
+            self._name,
+            self._role,
+            self._term,
+            self.entry_id(self.held).term,
+            self.held,
+            self._applied,
+            self.age_s() * 1000,
+            self.term_starts,
+            self._primary,
+        )
+
+    def age_s(self) -> float:
+        """Return the age of the applied data, 0 when caught up with the primary as known."""
+        now = trio.current_time()
+        if self.is_primary:
+            return 0.0
+        if self._missing_since:
+            return now - self._missing_since[0][0]
+        silent_s = now - self._contact_at
+        return silent_s if silent_s > CONTACT_GRACE_S or self._primary is None else 0.0
+
+    async def wait_change(self) -> None:
+        """Wait until anything that status reports has changed."""
+        await self._changed.wait()
+
+    def check_term(self, term: int) -> None:
+        """Raise Refusal unless `term` is the instance's term."""
+        if term < self._term:
+            raise Refusal("stale-term", self._term)
+        if term > self._term:
+            raise Refusal("not-fenced", self._term)
+
+    def check_primary(self) -> None:
+        """Raise Refusal unless the instance is the primary of its term."""
+        if not self.is_primary:
+            raise Refusal("not-primary", self._term)
+
+    def fence(self, term: int) -> None:
+        """Raise the term; lower ones are refused from now on."""
+        if term < self._term:
+            raise Refusal("stale-term", self._term)
+        if term == self._term:
+            return
+        # A transaction of the lower term can no longer commit.
+        self._store.writer.rollback()
+        self._term = term
+        self._role = "replica"
+        self._primary = None
+        self._discarded = 0
+        self._notify()
+
+    def promote(self, term: int) -> None:
+        """Become primary of a term the instance was fenced at."""
+        self.check_term(term)
+        if self.is_primary:
+            return
+        if self._primary is not None:
+            # The instance already follows another primary of this term.
+            raise Refusal("not-fenced", self._term)
+        self._apply_until(self.held)
+        self._role = "primary"
+        self._primary = self._name
+        self._synced_term = term
+        # The entries of earlier terms count as replicated once this one is.
+        self.append_own(())
+
+    def follow(self, term: int, primary: str) -> None:
+        """Become a replica of another instance."""
+        self.fence(term)
+        if self.is_primary or primary == self._name:
+            raise Refusal("not-fenced", self._term)
+        self._primary = primary
+        self._contact_at = trio.current_time()
+        self._notify()
+
+    def append_own(self, statements: tuple[Statement, ...]) -> EntryId:
+        """Log a transaction that the writer is about to commit or has committed."""
+        entry = LogEntry(EntryId(self._term, self.held + 1), statements)
+        self._store_entry(entry)
+        self._applied = self.held
+        self._notify()
+        return entry.id
+
+    def note_primary(self, term: int, held: int) -> None:
+        """Note that the primary of `term` answered and how much it holds."""
+        if term != self._term:
+            return
+        now = trio.current_time()
+        self._contact_at = now
+        self._synced_term = term
+        last = self._missing_since[-1][1] if self._missing_since else self._applied
+        if held > last:
+            self._missing_since.append((now, held))
+        self._notify()
+
+    def append_received(self, term: int, entries: Sequence[LogEntry]) -> None:
+        """Store entries pulled from the primary of `term`, unless the term has ended."""
+        if term != self._term or self.is_primary:
+            return
+        for entry in entries:
+            if entry.id.position == self.held + 1:
+                self._store_entry(entry)
+        self._notify()
+
+    def discard_divergent(
+        self, term: int, term_starts: Sequence[tuple[int, int]], held: int
+    ) -> int:
+        """Drop the tail that the primary of `term` does not have; return the entries dropped."""
+        if term != self._term or self.is_primary:
+            return 0
+        keep = self._common_prefix(term_starts, held)
+        dropped = self.held - keep
+        if dropped:
+            del self._log[keep:]
+            del self._held_at[keep:]
+            self._term_starts = [start for start in self._term_starts if start[1] <= keep]
+            self._discarded += dropped
+            if self._applied > keep:
+                self._store.rebuild([entry.statements for entry in self._log])
+                self._applied = keep
+            self._missing_since = []
+            self._notify()
+        return dropped
+
+    def apply_due(self) -> float | None:
+        """Apply entries whose delay has passed; return the time the next is due, if any."""
+        if self.is_primary:
+            return None
+        due_before = trio.current_time() - self._delays.apply_s
+        until = bisect.bisect_right(self._held_at, due_before)
+        if until > self._applied:
+            self._apply_until(until)
+            self._notify()
+        if self._applied < self.held:
+            return self._held_at[self._applied] + self._delays.apply_s
+        return None
+
+    def _common_prefix(self, term_starts: Sequence[tuple[int, int]], held: int) -> int:
+        """Return the last position at which both logs have the same term."""
+        starts = [*term_starts, (0, held + 1)]
+        ends = {starts[at][0]: starts[at + 1][1] - 1 for at in range(len(term_starts))}
+        position = min(self.held, held)
+        while position and ends.get(self.entry_id(position).term, 0) < position:
+            position = max(ends.get(self.entry_id(position).term, 0), self._start_before(position))
+        return position
+
+    def _start_before(self, position: int) -> int:
+        """Return the last position of the term before the one at `position`."""
+        return max(first for _term, first in self._term_starts if first <= position) - 1
+
+    def _store_entry(self, entry: LogEntry) -> None:
+        if entry.id.term != self.entry_id(self.held).term:
+            self._term_starts.append((entry.id.term, entry.id.position))
+        self._log.append(entry)
+        self._held_at.append(trio.current_time())
+
+    def _apply_until(self, position: int) -> None:
+        if position > self._applied:
+            self._store.apply(entry.statements for entry in self._log[self._applied : position])
+            self._applied = position
+        self._missing_since = [seen for seen in self._missing_since if seen[1] > position]
+
+    def _notify(self) -> None:
+        event, self._changed = self._changed, trio.Event()
+        event.set()
--- /dev/null
+++ b/src/tanagerfront_standin/database_transaction.py
@@ -0,0 +1,179 @@
+"""Options, counters and transactions that the connections of one stand-in database share."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import trio
+
+from tanagerfront.databases import Statement, encode_value
+from tanagerfront.entry_id import EntryId
+from tanagerfront.http_client import Address
+
+from .database_sql import SqlConnection, SqlStore
+from .database_state import Delays, InstanceState
+
+__all__ = ["DatabaseOptions", "SharedState", "Transaction"]
+
+MAX_EXECUTIONS = 200_000
+
+
+class DatabaseOptions(NamedTuple):
+    """Options of one instance; `connections` and `slots` are its limits."""
+
+    name: str
+    listen: Address
+    peers: Mapping[str, Address]
+    primary: bool = False
+    connections: int = 16
+    slots: int = 2
+    delays: Delays = Delays()
+    seed_sql: str = ""
+
+
+class Execution(NamedTuple):
+    """One step of a transaction; times are of the machine's monotonic clock, in seconds."""
+
+    number: int
+    kind: str
+    transaction: int
+    term: int
+    began: float
+    ended: float
+    sql: str = ""
+    params: Any = ()
+    position: int = 0
+
+
+class ConnectionCount:
+    """Count open connections against the limit."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self.open = 0
+        self.peak = 0
+        self.refused = 0
+        self.uncounted = 0
+
+    def enter(self) -> None:
+        """Count a connection that was opened."""
+        self.open += 1
+
+    def leave(self) -> None:
+        """Stop counting a connection."""
+        self.open -= 1
+
+    def admit(self) -> bool:
+        """Decide on a connection at its first request."""
+        self.peak = max(self.peak, self.open)
+        if self.open <= self._limit:
+            return True
+        self.refused += 1
+        return False
+
+
+class SharedState:
+    """What the connections of one instance share."""
+
+    def __init__(self, options: DatabaseOptions) -> None:
+        self.options = options
+        store = SqlStore(options.seed_sql)
+        self.state = InstanceState(options.name, store, options.delays, primary=options.primary)
+        self.slots = trio.Semaphore(options.slots)
+        self.connections = ConnectionCount(options.connections)
+        self.executions: deque[Execution] = deque(maxlen=MAX_EXECUTIONS)
+        self._write_lock = trio.Lock()
+        self._lock_term = 0
+        self._transactions = 0
+        self._execution_count = 0
+
+    def write_lock(self) -> trio.Lock:
+        """Return the lock of the current term; fencing ends the transactions of lower ones."""
+        if self._lock_term != self.state.term:
+            self._lock_term = self.state.term
+            self._write_lock = trio.Lock()
+        return self._write_lock
+
+    def next_transaction(self) -> int:
+        """Return a new transaction number."""
+        self._transactions += 1
+        return self._transactions
+
+    def record(self, kind: str, transaction: Transaction, began: float, **detail: Any) -> None:
+        """Record a step that ends now."""
+        self._execution_count += 1
+        number, term = transaction.number, transaction.term
+        ended = time.monotonic()
+        self.executions.append(
+            Execution(self._execution_count, kind, number, term, began, ended, **detail)
+        )
+
+
+class Transaction:
+    """An open transaction of one connection."""
+
+    def __init__(
+        self, server: SharedState, connection: SqlConnection, lock: trio.Lock | None
+    ) -> None:
+        self._server = server
+        self._connection = connection
+        self._lock = lock
+        self._logged: list[Statement] = []
+        self._generation = server.state.store.generation
+        self.term = server.state.term
+        self.number = server.next_transaction()
+        self.snapshot = server.state.entry_id(server.state.applied)
+        connection.begin()
+
+    @property
+    def write(self) -> bool:
+        """Tell whether the transaction may write."""
+        return self._lock is not None
+
+    @property
+    def valid(self) -> bool:
+        """Tell whether no fence and no rebuild has ended the transaction."""
+        state = self._server.state
+        if self.write:
+            return self.term == state.term
+        return self._generation == state.store.generation
+
+    def run(self, statement: Statement, index: int) -> dict[str, Any]:
+        """Run one statement and return its wire form; raises SqlFailure."""
+        began = time.monotonic()
+        result, logged = self._connection.run(statement, index)
+        if self.write and logged:
+            self._logged.append(statement)
+        self._server.record("statement", self, began, sql=statement.sql, params=statement.params)
+        return {
+            "columns": result.columns,
+            "rows": [[encode_value(value) for value in row] for row in result.rows],
+            "changes": result.changes,
+        }
+
+    def commit(self) -> EntryId:
+        """Commit and log the statements that had an effect."""
+        began = time.monotonic()
+        self._connection.commit()
+        reached = self.snapshot
+        if self._logged:
+            reached = self._server.state.append_own(tuple(self._logged))
+            self._server.record("commit", self, began, position=reached.position)
+        self._release()
+        return reached
+
+    def rollback(self) -> None:
+        """Discard the transaction's effects."""
+        if self.valid:
+            # After a fence the writer belongs to the transactions of the new term.
+            self._connection.rollback()
+        if self.write:
+            self._server.record("rollback", self, time.monotonic())
+        self._release()
+
+    def _release(self) -> None:
+        if self._lock is not None:
+            self._lock.release()
