--- /dev/null
+++ b/src/tanagerfront/group_record.py
@@ -0,0 +1,168 @@
+"""Record of a group's term and primary in the key-value service."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, TypeVar
+
+import msgspec
+import structlog
+import trio
+
+from .errors import KeyValueError, KeyValueTimeoutError
+from .kv import KeyValueStore
+
+__all__ = ["GroupRecord", "GroupRecords", "Reservation", "record_key"]
+
+_log = structlog.get_logger(__name__)
+_Result = TypeVar("_Result")
+
+# A swap and the read that settles it must leave room for the rest of a promotion within 7 s.
+SWAP_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 2.0
+WATCH_RETRY_S = 1.0
+
+
+class Reservation(NamedTuple):
+    """A term that only one VM may use, while the service is unreachable."""
+
+    term: int
+    vm: str
+
+
+class GroupRecord(NamedTuple):
+    """The group's last known term; `primary` is None until the promotion is complete."""
+
+    term: int
+    primary: str | None
+    promoter: str
+    nonce: str
+    reserved: Reservation | None
+
+    @property
+    def highest_term(self) -> int:
+        """Return the highest term that may be in use or reserved."""
+        return max(self.term, self.reserved.term if self.reserved else 0)
+
+
+class _ReservationBody(msgspec.Struct):
+    term: int
+    vm: str
+
+
+class _RecordBody(msgspec.Struct):
+    term: int
+    primary: str | None
+    promoter: str
+    nonce: str
+    reserved: _ReservationBody | None = None
+
+
+def record_key(group: str) -> str:
+    """Return the key of a group's record."""
+    return f"tanagerfront/group/{group}"
+
+
+def encode_record(record: GroupRecord) -> bytes:
+    """Return the record as JSON."""
+    reserved = _ReservationBody(*record.reserved) if record.reserved else None
+    return msgspec.json.encode(_RecordBody(*record[:4], reserved))
+
+
+def decode_record(value: bytes) -> GroupRecord:
+    """Return the record from JSON; raises KeyValueError."""
+    try:
+        body = msgspec.json.decode(value, type=_RecordBody)
+    except msgspec.DecodeError as error:
+        raise KeyValueError("malformed group record") from error
+    reserved = Reservation(body.reserved.term, body.reserved.vm) if body.reserved else None
+    return GroupRecord(body.term, body.primary, body.promoter, body.nonce, reserved)
+
+
+async def _bounded(call: Callable[[], Awaitable[_Result]], timeout_s: float) -> _Result:
+    """Run a call with a deadline; raises KeyValueTimeoutError, as it may have taken effect."""
+    with trio.move_on_after(timeout_s):
+        return await call()
+    raise KeyValueTimeoutError(f"no answer within {timeout_s} s")
+
+
+class GroupRecords:
+    """One VM's copy of a group's record, kept current by a watch."""
+
+    def __init__(self, store: KeyValueStore, group: str, vm: str) -> None:
+        self._store = store
+        self._key = record_key(group)
+        self._vm = vm
+        self._record: GroupRecord | None = None
+        self._revision = 0
+        self._loaded = False
+
+    @property
+    def key(self) -> str:
+        """Return the record's key."""
+        return self._key
+
+    @property
+    def record(self) -> GroupRecord | None:
+        """Return the record as last read."""
+        return self._record
+
+    @property
+    def loaded(self) -> bool:
+        """Tell whether the record, or its absence, was read since the start."""
+        return self._loaded
+
+    async def follow(self) -> None:
+        """Keep the copy current until cancelled."""
+        while True:
+            try:
+                await self.refresh()
+                async for event in self._store.watch(self._key, self._revision + 1):
+                    if event.key == self._key:
+                        self._adopt(event.value, event.revision)
+            except KeyValueError as error:
+                _log.info("watch of the group record ended", key=self._key, reason=str(error))
+            await trio.sleep(WATCH_RETRY_S)
+
+    async def refresh(self) -> None:
+        """Read the record; raises KeyValueError."""
+        found = await _bounded(lambda: self._store.get(self._key), READ_TIMEOUT_S)
+        if found is None:
+            self._adopt(None, self._revision)
+        else:
+            self._adopt(found.value, found.revision)
+
+    async def swap(
+        self, *, term: int, primary: str | None, reserved: Reservation | None
+    ) -> GroupRecord | None:
+        """Write a record if the copy is current; return it, or None if another VM was first.
+
+        Raises KeyValueError when the outcome stays unknown.
+        """
+        if not self._loaded:
+            await self.refresh()
+        record = GroupRecord(term, primary, self._vm, secrets.token_hex(8), reserved)
+        value, revision = encode_record(record), self._revision if self._record else 0
+        try:
+            won = await _bounded(
+                lambda: self._store.put_if(self._key, value, revision), SWAP_TIMEOUT_S
+            )
+        except KeyValueTimeoutError:
+            # The nonce tells whether the swap took effect; a later effect leaves an unused term.
+            await self.refresh()
+            return record if self._record == record else None
+        if won:
+            # The new revision is not known, so the next swap reads it unless the watch was faster.
+            self._record = record
+            self._loaded = False
+            return record
+        await self.refresh()
+        return None
+
+    def _adopt(self, value: bytes | None, revision: int) -> None:
+        if revision < self._revision:
+            return
+        self._record = decode_record(value) if value is not None else None
+        self._revision = revision
+        self._loaded = True
--- /dev/null
+++ b/src/tanagerfront/promotion.py
@@ -0,0 +1,305 @@
+"""Promotion of a database when a group's primary fails or leaves."""
+
+from __future__ import annotations
+
+import functools
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, Protocol
+
+import structlog
+import trio
+
+from .acknowledgement import majority_of
+from .databases import DatabaseSession
+from .errors import ConnectionLostError, DatabaseError
+from .group_record import GroupRecords
+from .groups import GroupView, InstanceView, OpenSession
+from .kv import KeyValueStore
+from .promotion_attempt import Attempt, AttemptSettings, redirect
+from .term_allocation import TermAllocator
+
+__all__ = ["Confirm", "PromotionMonitor", "PromotionSettings", "Promoter"]
+
+_log = structlog.get_logger(__name__)
+
+# Asks the other homes whether they, too, do not reach the primary (None: no primary is known) of
+# the term; true only if VMs in two failure domains agree, as far as the group has so many homes.
+Confirm = Callable[[int, str | None], Awaitable[bool]]
+
+
+class PromotionMonitor(Protocol):
+    """What a promoter needs of the group's monitor."""
+
+    @property
+    def view(self) -> GroupView:
+        """Return the current view."""
+
+    async def wait_change(self) -> GroupView:
+        """Wait for the next change of the view."""
+
+    def observe_term(self, term: int) -> None:
+        """Note a term that an instance answered with."""
+
+    def set_handing_over(self, handing_over: bool) -> None:
+        """Hold new work back while the primary hands over, or let it continue."""
+
+
+class PromotionSettings(NamedTuple):
+    """Times of a promoter in seconds."""
+
+    # A primary must be unreachable for this long; shorter times promote on brief stalls.
+    suspicion_s: float = 0.6
+    # Each rank waits this much longer; it exceeds the usual time of a complete attempt.
+    turn_s: float = 0.4
+    confirm_limit_s: float = 1.0
+    retry_s: float = 0.3
+    maintenance_s: float = 0.25
+    # A misplaced instance is repaired after this time, which a running attempt normally needs
+    # to redirect it itself.
+    repair_after_s: float = 0.5
+    # New work waits at most this long for a leaving primary's replica to catch up.
+    hand_over_limit_s: float = 2.0
+    hand_over_retry_s: float = 5.0
+    attempt: AttemptSettings = AttemptSettings()
+
+
+def _has_primary(view: GroupView) -> bool:
+    return view.primary is not None and view.primary.reachable
+
+
+def _reaches_majority(view: GroupView) -> bool:
+    reachable = sum(1 for instance in view.instances if instance.reachable)
+    return reachable >= majority_of(len(view.instances))
+
+
+def _caught_up(view: GroupView) -> bool:
+    """Tell whether a replica that stays holds everything a leaving primary holds."""
+    primary = view.primary.status if view.primary else None
+    return primary is not None and any(
+        at.status.term == primary.term and at.status.held >= primary.held
+        for at in view.instances
+        if at.status and at.reachable and not at.instance.leaving and at.status.role == "replica"
+    )
+
+
+def _is_leaving(view: GroupView) -> bool:
+    """Tell whether the primary is leaving and an instance that stays could replace it."""
+    return (
+        view.primary is not None
+        and view.primary.reachable
+        and view.primary.instance.leaving
+        and any(at.reachable and not at.instance.leaving for at in view.instances)
+    )
+
+
+def _is_misplaced(at: InstanceView, view: GroupView) -> bool:
+    """Tell whether a reachable instance does not follow the primary of the group's term."""
+    if view.primary is None or not view.primary.reachable or at.status is None:
+        return False
+    name = view.primary.instance.name
+    if not at.reachable or at.instance.name == name:
+        return False
+    return at.status.term < view.term or at.status.primary != name
+
+
+class Promoter:
+    """Watch one group at a home and promote when needed.
+
+    `vm` must be unique to this start of the process: a restarted VM must not use a term that its
+    predecessor reserved and may have used. `rank` is the VM's place among the group's homes.
+    """
+
+    def __init__(
+        self,
+        monitor: PromotionMonitor,
+        store: KeyValueStore,
+        vm: str,
+        confirm: Confirm,
+        rank: Callable[[], int],
+        settings: PromotionSettings | None = None,
+        *,
+        open_session: OpenSession = DatabaseSession.open,
+        on_discard: Callable[[str, int], None] | None = None,
+    ) -> None:
+        self._monitor = monitor
+        self._confirm = confirm
+        self._rank = rank
+        self._settings = settings or PromotionSettings()
+        self._open_session = open_session
+        self._on_discard = on_discard
+        self._group_name = monitor.view.group.name
+        self._records = GroupRecords(store, self._group_name, vm)
+        self._terms = TermAllocator(self._records, vm)
+        self._attempting = trio.Lock()
+        self._discarded: dict[tuple[str, int], int] = {}
+        self._misplaced_since: dict[str, float] = {}
+        self._promotions = 0
+
+    @property
+    def discarded_entries(self) -> int:
+        """Return how many log entries replicas discarded on this promoter's instruction."""
+        return sum(self._discarded.values())
+
+    @property
+    def promotions(self) -> int:
+        """Return how many promotions this promoter completed."""
+        return self._promotions
+
+    async def run(self) -> None:
+        """Promote, repair and record until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._records.follow)
+            nursery.start_soon(self._replace_failed_primaries)
+            nursery.start_soon(self._hand_over_leaving_primaries)
+            nursery.start_soon(self._maintain)
+
+    async def _replace_failed_primaries(self) -> None:
+        while True:
+            view = await self._wait_suspicion()
+            if await self._is_confirmed(view) and await self._wait_turn(view.term):
+                await self._attempt()
+            await trio.sleep(self._settings.retry_s)
+
+    async def _wait_suspicion(self) -> GroupView:
+        """Wait until no primary was reachable for a time while a majority is."""
+        since, term = trio.current_time(), -1
+        while True:
+            view = self._monitor.view
+            if _has_primary(view) or view.term != term:
+                # A new term means that another promoter is at work.
+                since, term = trio.current_time(), view.term
+            waited_s = trio.current_time() - since
+            if waited_s >= self._settings.suspicion_s and _reaches_majority(view):
+                return view
+            with trio.move_on_after(max(self._settings.suspicion_s - waited_s, 0.05)):
+                await self._monitor.wait_change()
+
+    async def _is_confirmed(self, view: GroupView) -> bool:
+        primary = view.primary.instance.name if view.primary else None
+        with trio.move_on_after(self._settings.confirm_limit_s):
+            confirmed = await self._confirm(view.term, primary)
+            _log.info(
+                "primary suspected", group=self._group_name, primary=primary, confirmed=confirmed
+            )
+            return confirmed
+        return False
+
+    async def _wait_turn(self, term: int) -> bool:
+        """Wait for this VM's turn; return whether a promotion is still needed."""
+
+        def needed() -> bool:
+            return not _has_primary(self._monitor.view) and self._monitor.view.term == term
+
+        with trio.move_on_after(self._rank() * self._settings.turn_s):
+            while needed():
+                await self._monitor.wait_change()
+        return needed()
+
+    async def _attempt(self) -> None:
+        """Take a term and try to promote in it."""
+        async with self._attempting:
+            term = await self._terms.take(self._monitor.view.term)
+            if term is None:
+                return
+            attempt = Attempt(
+                self._monitor.view.group,
+                term,
+                self._open_session,
+                self._settings.attempt,
+                self._note_discard,
+            )
+            try:
+                primary = await attempt.promote()
+                self._monitor.observe_term(attempt.overtaken_by)
+                if primary is not None:
+                    await self._complete(attempt, term, primary)
+            finally:
+                with trio.CancelScope(shield=True):
+                    await attempt.close()
+
+    async def _complete(self, attempt: Attempt, term: int, primary: str) -> None:
+        self._promotions += 1
+        self._monitor.observe_term(term)
+        _log.warning("promoted", group=self._group_name, primary=primary, term=term)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(attempt.redirect_others, primary)
+            nursery.start_soon(functools.partial(self._terms.update, term, primary, renew=False))
+
+    async def _hand_over_leaving_primaries(self) -> None:
+        while True:
+            while not _is_leaving(self._monitor.view):
+                await self._monitor.wait_change()
+            await self._hand_over()
+            await trio.sleep(self._settings.hand_over_retry_s)
+
+    async def _hand_over(self) -> None:
+        """Hold new work back until a replica has everything, then promote it."""
+        self._monitor.set_handing_over(True)
+        try:
+            if await self._wait_caught_up():
+                await self._attempt()
+        finally:
+            self._monitor.set_handing_over(False)
+
+    async def _wait_caught_up(self) -> bool:
+        """Wait until it is this VM's turn and a replica has caught up; false at the limit."""
+        with trio.move_on_after(self._settings.hand_over_limit_s):
+            await trio.sleep(self._rank() * self._settings.turn_s)
+            while _is_leaving(self._monitor.view):
+                if _caught_up(self._monitor.view):
+                    return True
+                await self._monitor.wait_change()
+        return False
+
+    async def _maintain(self) -> None:
+        """Repair misplaced instances and keep the record current."""
+        while True:
+            await trio.sleep(self._settings.maintenance_s)
+            async with trio.open_nursery() as nursery:
+                for instance in self._due_for_repair():
+                    nursery.start_soon(self._repair, instance)
+            if self._records.loaded and not self._attempting.locked():
+                await self._update_record()
+
+    def _due_for_repair(self) -> list[InstanceView]:
+        view, now = self._monitor.view, trio.current_time()
+        misplaced = [at for at in view.instances if _is_misplaced(at, view)]
+        names = {at.instance.name for at in misplaced}
+        since = self._misplaced_since
+        self._misplaced_since = {name: since.get(name, now) for name in names}
+        delay_s = self._settings.repair_after_s + self._rank() * self._settings.turn_s
+        due = now - delay_s
+        return [at for at in misplaced if self._misplaced_since[at.instance.name] <= due]
+
+    async def _repair(self, at: InstanceView) -> None:
+        """Fence an old primary or a diverging replica and make it follow the primary."""
+        view, settings = self._monitor.view, self._settings.attempt
+        if view.primary is None:
+            return
+        primary, name = view.primary.instance.name, at.instance.name
+        try:
+            session = await self._open_session(at.instance.address, settings.open_timeout_s)
+            try:
+                await session.fence(view.term, settings.call_timeout_s)
+                discarded = await redirect(session, name, view.term, primary, settings)
+            finally:
+                await session.close()
+        except (ConnectionLostError, DatabaseError) as error:
+            _log.info("cannot repair", instance=name, reason=str(error))
+        else:
+            self._note_discard(name, view.term, discarded)
+
+    def _note_discard(self, instance: str, term: int, discarded: int) -> None:
+        """Count discarded entries; an instance answers with its total of the term."""
+        before = self._discarded.get((instance, term), 0)
+        if discarded > before:
+            self._discarded[(instance, term)] = discarded
+            if self._on_discard is not None:
+                self._on_discard(instance, discarded - before)
+
+    async def _update_record(self) -> None:
+        """Record the group's primary, and keep a term reserved for the first home."""
+        view = self._monitor.view
+        if view.primary is not None and view.primary.reachable and self._rank() == 0:
+            name = view.primary.instance.name
+            await self._terms.update(view.term, name, renew=True)
--- a/src/tanagerfront_standin/database.py
+++ b/src/tanagerfront_standin/database.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -35,8 +37,9 @@
 class _DatabaseHandler(ConnectionHandler):
     """One database session."""
 
-    def __init__(self, server: SharedState) -> None:
+    def __init__(self, server: SharedState, stream: trio.abc.Stream) -> None:
         self._server = server
+        self._stream = stream
         self._state = server.state
         self._opened_at = trio.current_time()
         self._admitted: bool | None = None
@@ -215,9 +218,23 @@
 
     async def _wait_while(self, holds: Callable[[], bool], query: Mapping[str, str]) -> None:
         wait_s = min(int(query.get("wait", "0")) / 1000, MAX_WAIT_S)
-        with trio.move_on_after(wait_s):
+        if wait_s <= 0 or not holds():
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.cancel_scope.deadline = trio.current_time() + wait_s
+            nursery.start_soon(self._cancel_when_closed, nursery.cancel_scope)
             while holds():
                 await self._state.wait_change()
+            nursery.cancel_scope.cancel()
+
+    async def _cancel_when_closed(self, scope: trio.CancelScope) -> None:
+        """End a wait whose client has gone, so that its connection stops counting at once."""
+        if isinstance(self._stream, trio.SocketStream):
+            connection = self._stream.socket
+            with contextlib.suppress(OSError):
+                await trio.lowlevel.wait_readable(connection)
+                if not await connection.recv(1, socket.MSG_PEEK):
+                    scope.cancel()
 
     def _executions(self, after: int) -> dict[str, Any]:
         recent = (entry for entry in self._server.executions if entry.number > after)
@@ -244,7 +261,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(replicate, server.state, options.peers)
             await nursery.start(
-                serve_http, listeners, lambda _stream: _DatabaseHandler(server), HTTP_LIMITS
+                serve_http, listeners, lambda stream: _DatabaseHandler(server, stream), HTTP_LIMITS
             )
             task_status.started(Address(*listeners[0].socket.getsockname()[:2]))
     finally:
