Add calls between VMs over batched grpclib streams

One stream per peer and direction, run by trio-asyncio; replies reach only the waiter of their id, and a cancelled caller cancels the handler.

Additive changes to shared interfaces: the message Cancel, executed and retry_after_s on SqlError and StaleTermError so that they survive the way to the caller. WireValue is Any at run time, since msgspec refuses to build a decoder for a union of str and bytes.

--- /dev/null
+++ b/src/tanagerfront/_peers_impl.py
@@ -0,0 +1,141 @@
+"""What both sides of a peer stream share: codec, bounded queue and waiters."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Coroutine
+from typing import Any
+
+import msgspec
+import trio
+from grpclib.config import Configuration
+from grpclib.encoding.base import CodecBase
+
+from .errors import OverloadedError, TanagerfrontError
+from .messages import Frame, Message
+
+__all__ = [
+    "CONFIGURATION",
+    "IDLE_CLOSE_S",
+    "MAX_QUEUED_FRAMES",
+    "METHOD",
+    "NO_REPLY_ID",
+    "VM_METADATA",
+    "FrameCodec",
+    "Outbox",
+    "Waiter",
+    "first_to_end",
+]
+
+METHOD = "/tanagerfront.Peers/Exchange"
+VM_METADATA = "vm"
+NO_REPLY_ID = 0
+# Bounds the memory of one stream; a caller above it is refused instead of queued.
+MAX_QUEUED_FRAMES = 4096
+# Keeps a long batch from delaying the frames behind it at the receiver.
+MAX_BATCH_FRAMES = 256
+# The calling side closes a stream that was unused for this long.
+IDLE_CLOSE_S = 60.0
+CONFIGURATION = Configuration(
+    http2_connection_window_size=16 * 1024 * 1024, http2_stream_window_size=16 * 1024 * 1024
+)
+
+
+class FrameCodec(CodecBase):
+    """Encode a list of frames as msgpack; an empty list is a ping."""
+
+    __content_subtype__ = "msgpack"
+
+    def __init__(self) -> None:
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(list[Frame])
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """Return the bytes of one item."""
+        return self._encoder.encode(message)
+
+    def decode(self, data: bytes, message_type: Any) -> list[Frame]:
+        """Return the frames of one item; raises msgspec.MsgspecError."""
+        return self._decoder.decode(data)
+
+
+class Waiter:
+    """One call that waits for its reply."""
+
+    __slots__ = ("abandoned", "done", "error", "reply", "sent")
+
+    def __init__(self) -> None:
+        self.done = trio.Event()
+        self.reply: Message | None = None
+        self.error: TanagerfrontError | None = None
+        # Set when the frame has been handed to a stream, after which the peer may have run it.
+        self.sent = False
+        self.abandoned = False
+
+    def fail(self, error: TanagerfrontError) -> None:
+        """End the call with an error."""
+        self.error = error
+        self.done.set()
+
+
+class Outbox:
+    """Bounded queue of frames that are sent together."""
+
+    def __init__(self) -> None:
+        self._entries: collections.deque[tuple[Frame, Waiter | None]] = collections.deque()
+        self._filled = asyncio.Event()
+        self._ping = False
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def put(self, frame: Frame, waiter: Waiter | None = None) -> None:
+        if len(self._entries) >= MAX_QUEUED_FRAMES:
+            raise OverloadedError("the queue to the peer is full")
+        self.put_reply(frame, waiter)
+
+    def put_reply(self, frame: Frame, waiter: Waiter | None = None) -> None:
+        """Queue a frame whose number the reader of requests already bounds."""
+        self._entries.append((frame, waiter))
+        self._filled.set()
+
+    def request_ping(self) -> None:
+        self._ping = True
+        self._filled.set()
+
+    def clear(self) -> None:
+        self._entries.clear()
+        self._ping = False
+        self._filled.clear()
+
+    async def wait(self) -> None:
+        await self._filled.wait()
+
+    def take(self) -> list[Frame] | None:
+        """Return the next batch and mark it as sent; None if everything was abandoned."""
+        batch: list[Frame] = []
+        while self._entries and len(batch) < MAX_BATCH_FRAMES:
+            frame, waiter = self._entries.popleft()
+            if waiter is not None:
+                if waiter.abandoned:
+                    continue
+                waiter.sent = True
+            batch.append(frame)
+        ping, self._ping = self._ping, False
+        if not self._entries:
+            self._filled.clear()
+        return batch if batch or ping else None
+
+
+async def first_to_end(*coroutines: Coroutine[Any, Any, None]) -> None:
+    """Run all until one ends, cancel the others and raise the error of the first."""
+    tasks = [asyncio.ensure_future(coroutine) for coroutine in coroutines]
+    try:
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    for task in done:
+        task.result()
--- a/src/tanagerfront/errors.py
+++ b/src/tanagerfront/errors.py
@@ -233,8 +233,16 @@
     problem_type = "sql"
     status = 422
 
-    def __init__(self, message: str, *, code: str = "other", index: int = 0) -> None:
-        super().__init__(message)
+    def __init__(
+        self,
+        message: str,
+        *,
+        code: str = "other",
+        index: int = 0,
+        executed: Executed | None = None,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(message, executed=executed, retry_after_s=retry_after_s)
         self._code = code
         self._index = index
 
@@ -255,8 +263,15 @@
     problem_type = "stale-term"
     status = 503
 
-    def __init__(self, message: str, *, term: int = 0) -> None:
-        super().__init__(message)
+    def __init__(
+        self,
+        message: str,
+        *,
+        term: int = 0,
+        executed: Executed | None = None,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(message, executed=executed, retry_after_s=retry_after_s)
         self._term = term
 
     @property
--- a/src/tanagerfront/messages.py
+++ b/src/tanagerfront/messages.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any
+
 import msgspec
 
 from .entry_id import EntryId
 
 __all__ = [
+    "Cancel",
     "ConfigOffer",
     "ConfigRequest",
     "ErrorReply",
@@ -29,7 +32,11 @@
     "WireStatement",
 ]
 
-WireValue = str | int | float | bytes | None
+if TYPE_CHECKING:
+    WireValue = str | int | float | bytes | None
+else:
+    # msgspec refuses to decode a union of str and bytes, although msgpack tells them apart.
+    WireValue = Any
 
 
 class WireStatement(msgspec.Struct, frozen=True, array_like=True):
@@ -213,6 +220,12 @@
     term: int = 0
 
 
+class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Tell the peer that the caller of the request with this frame id no longer waits."""
+
+    request: int
+
+
 Message = (
     Heartbeat
     | HeartbeatReply
@@ -230,12 +243,14 @@
     | PrimaryReport
     | PrimaryReply
     | ErrorReply
+    | Cancel
 )
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
     """One message on a stream; a reply carries the id of its request in `reply_to`."""
 
+    # 0 for a message that expects no reply.
     id: int
     reply_to: int | None
     message: Message
