--- a/src/tanagerfront/messages.py
+++ b/src/tanagerfront/messages.py
@@ -77,6 +77,8 @@
     config_version: int
     draining: bool
     service_age_s: float
+    # The smallest such age that a peer of the answering VM has told it directly, grown since.
+    peer_service_age_s: float = float("inf")
 
 
 class ServiceProbe(msgspec.Struct, frozen=True, array_like=True, tag=True):
