--- /dev/null
+++ b/src/tanagerfront/adaptive_limit.py
@@ -0,0 +1,51 @@
+"""Limit of work in flight that follows the latency of the instance."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Hashable
+
+__all__ = ["AdaptiveLimit"]
+
+# The limit grows while latency is below this multiple of its minimum and shrinks above it.
+LATENCY_TOLERANCE = 1.5
+RATIO_SMOOTHING = 0.1
+# The remembered minimum rises slowly, so that it follows statements that became slower.
+BASELINE_DRIFT = 1.002
+MIN_BASELINE_S = 1e-5
+GROWTH_STEP = 0.05
+SHRINK_FACTOR = 0.95
+
+
+class AdaptiveLimit:
+    """Between this VM's share of the slots, at least 1, and twice that share."""
+
+    def __init__(self, share: float) -> None:
+        self._baseline_s: dict[Hashable, float] = {}
+        self._ratio = 1.0
+        self._current = 1.0
+        self.set_share(share)
+
+    @property
+    def value(self) -> int:
+        """Return the number of requests that may be in flight."""
+        return int(self._current)
+
+    def set_share(self, share: float) -> None:
+        """Change the share of the slots and keep the limit within the new bounds."""
+        self._lower = max(1, math.floor(share))
+        self._upper = max(self._lower, math.ceil(2 * share))
+        self._current = min(max(self._current, float(self._lower)), float(self._upper))
+
+    def observe(self, key: Hashable, elapsed_s: float, *, saturated: bool) -> None:
+        """Note one measured time; `key` groups statements of similar cost."""
+        elapsed_s = max(elapsed_s, MIN_BASELINE_S)
+        baseline_s = min(self._baseline_s.get(key, elapsed_s) * BASELINE_DRIFT, elapsed_s)
+        self._baseline_s[key] = baseline_s
+        ratio = elapsed_s / baseline_s
+        self._ratio += RATIO_SMOOTHING * (ratio - self._ratio)
+        if self._ratio > LATENCY_TOLERANCE:
+            self._current = max(self._lower, self._current * SHRINK_FACTOR)
+        elif saturated:
+            # A limit that is not reached says nothing about a higher one.
+            self._current = min(self._upper, self._current + GROWTH_STEP)
--- /dev/null
+++ b/src/tanagerfront/instance_access.py
@@ -0,0 +1,205 @@
+"""Access of a home to the instances of one group: selection, slot, session, statement."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import NamedTuple
+
+import trio
+
+from .configuration import Mode, RequestClass
+from .databases import ExecuteResult, Statement
+from .entry_id import EntryId
+from .errors import (
+    ConnectionLostError,
+    DeadlineExceededError,
+    NotPrimaryError,
+    OutcomeUnknownError,
+    StaleTermError,
+    TanagerfrontError,
+    UnavailableError,
+)
+from .groups import GroupMonitor, GroupView
+from .pool import ConnectionPool, PooledSession
+from .routing import Choice, choose_instance, reflects
+from .scheduler import FairScheduler, Slot
+
+__all__ = ["InstanceAccess", "Lease", "Work"]
+
+POLL_INTERVAL_S = 0.005
+# A wait for a primary is interrupted this often, as a replica may become able to serve.
+WAIT_STEP_S = 0.1
+ROLLBACK_TIMEOUT_S = 0.5
+
+
+class Work(NamedTuple):
+    """Who needs an instance and until when; `deadline` is in trio's clock."""
+
+    organisation: str
+    request_class: RequestClass
+    session: EntryId
+    deadline: float
+
+
+class Lease(NamedTuple):
+    """A slot and a session that belong together."""
+
+    choice: Choice
+    slot: Slot
+    session: PooledSession
+    scheduler: FairScheduler
+    pool: ConnectionPool
+
+
+class InstanceAccess:
+    """The pools and schedulers of one group, by name of the instance."""
+
+    def __init__(
+        self,
+        monitor: GroupMonitor,
+        pools: Mapping[str, ConnectionPool],
+        schedulers: Mapping[str, FairScheduler],
+        weight_of: Callable[[str], float],
+        failure_domain: str,
+    ) -> None:
+        self._monitor = monitor
+        self._pools = pools
+        self._schedulers = schedulers
+        self._weight_of = weight_of
+        self._failure_domain = failure_domain
+
+    @property
+    def monitor(self) -> GroupMonitor:
+        """Return the monitor of the group."""
+        return self._monitor
+
+    async def choose(
+        self,
+        work: Work,
+        mode: Mode,
+        max_staleness_s: float | None = None,
+        avoid: frozenset[str] = frozenset(),
+    ) -> Choice:
+        """Wait for an instance; raises UnavailableError at the deadline and SessionLostError."""
+        while True:
+            choice = self._try_choose(work, mode, max_staleness_s, avoid)
+            if choice is not None:
+                return choice
+            if work.session.term > self._monitor.view.term:
+                self._monitor.observe_term(work.session.term)
+            await self._wait_step(work.deadline)
+
+    async def lease(self, choice: Choice, work: Work) -> Lease:
+        """Acquire a slot and a session; raises OverloadedError or an error of opening."""
+        name = choice.instance.instance.name
+        scheduler, pool = self._schedulers.get(name), self._pools.get(name)
+        if scheduler is None or pool is None:
+            raise UnavailableError(f"instance {name} is not in use here")
+        weight = self._weight_of(work.organisation)
+        slot = await scheduler.acquire(work.organisation, weight, work.request_class, work.deadline)
+        try:
+            session = await pool.acquire(work.deadline)
+        except BaseException as error:
+            scheduler.release(slot, observe_latency=False)
+            if isinstance(error, ConnectionLostError):
+                self._monitor.report_failure(name)
+            raise
+        return Lease(choice, slot, session, scheduler, pool)
+
+    async def release(self, lease: Lease, *, observe_latency: bool = True) -> None:
+        """Return the session, which is closed unless its state is known, and the slot."""
+        try:
+            await lease.pool.release(lease.session)
+        finally:
+            lease.scheduler.release(lease.slot, observe_latency=observe_latency)
+
+    async def run(
+        self,
+        lease: Lease,
+        statements: Sequence[Statement],
+        *,
+        begin: bool,
+        commit: bool,
+        read_only: bool = False,
+        timeout_s: float,
+    ) -> ExecuteResult:
+        """Run statements at the lease's term, reporting what a failure says of the instance."""
+        if timeout_s <= 0:
+            raise DeadlineExceededError("the deadline passed before the statement was sent")
+        name = lease.choice.instance.instance.name
+        try:
+            result = await lease.session.execute(
+                statements,
+                term=lease.choice.term,
+                begin=begin,
+                commit=commit,
+                read_only=read_only,
+                timeout_s=timeout_s,
+            )
+        except StaleTermError as error:
+            self._monitor.observe_term(error.term)
+            raise
+        except (ConnectionLostError, NotPrimaryError):
+            self._monitor.report_failure(name)
+            raise
+        if result.term > lease.choice.term:
+            self._monitor.observe_term(result.term)
+        return result
+
+    async def roll_back(self, lease: Lease) -> None:
+        """Roll back; a session on which that fails is closed on release."""
+        try:
+            await lease.session.rollback(timeout_s=ROLLBACK_TIMEOUT_S)
+        except TanagerfrontError:
+            self._monitor.report_failure(lease.choice.instance.instance.name)
+
+    async def acknowledge(self, entry: EntryId, deadline: float) -> None:
+        """Wait until data at `entry` may be shown; raises OutcomeUnknownError."""
+        try:
+            await self._monitor.wait_acknowledged(entry, deadline)
+        except TanagerfrontError as error:
+            if error.executed != "no":
+                raise
+            # The statement has run, whatever the wait reports.
+            raise OutcomeUnknownError(error.message) from error
+
+    def reflects_session(self, reached: EntryId, session: EntryId) -> bool:
+        """Tell whether an answer includes the session's entry, by any known history."""
+        statuses = (each.status for each in self._monitor.view.instances)
+        starts = [status.term_starts for status in statuses if status is not None]
+        return any(reflects(reached, session, each) for each in [(), *starts])
+
+    def _try_choose(
+        self, work: Work, mode: Mode, max_staleness_s: float | None, avoid: frozenset[str]
+    ) -> Choice | None:
+        return choose_instance(
+            _without(self._monitor.view, avoid),
+            mode,
+            work.session,
+            max_staleness_s,
+            self._failure_domain,
+            self._load,
+            trio.current_time(),
+        )
+
+    def _load(self, name: str) -> float:
+        scheduler = self._schedulers.get(name)
+        return scheduler.load if scheduler else float("inf")
+
+    async def _wait_step(self, deadline: float) -> None:
+        now = trio.current_time()
+        if now >= deadline:
+            raise UnavailableError("no instance can take the request")
+        try:
+            await self._monitor.wait_primary(min(deadline, now + WAIT_STEP_S))
+        except UnavailableError:
+            return
+        # The view names a primary that the selection did not accept yet.
+        await trio.sleep_until(min(deadline, trio.current_time() + POLL_INTERVAL_S))
+
+
+def _without(view: GroupView, avoid: frozenset[str]) -> GroupView:
+    if not avoid:
+        return view
+    kept = tuple(each for each in view.instances if each.instance.name not in avoid)
+    return view._replace(instances=kept)
--- /dev/null
+++ b/src/tanagerfront/pool.py
@@ -0,0 +1,334 @@
+"""Connections of one VM to one instance, within its share of the instance's budget."""
+
+from __future__ import annotations
+
+import contextlib
+from collections import deque
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from typing import NamedTuple, Protocol
+
+import trio
+
+from .databases import ExecuteResult, Statement
+from .errors import (
+    ConnectionLostError,
+    DatabaseError,
+    OverloadedError,
+    TanagerfrontError,
+    UnavailableError,
+)
+
+__all__ = ["ConnectionPool", "PoolSettings", "PooledSession", "Session", "SessionFactory"]
+
+CHECK_STATEMENTS = (Statement("SELECT 1"),)
+# No instance is in a term below 0, so the check is either answered or refused as stale; both
+# answers show that the connection works.
+CHECK_TERM = 0
+CLOSE_TIMEOUT_S = 1.0
+RETRY_AFTER_S = 0.1
+
+
+class Session(Protocol):
+    """One open database session."""
+
+    async def execute(
+        self,
+        statements: Sequence[Statement],
+        *,
+        term: int,
+        begin: bool,
+        commit: bool,
+        read_only: bool,
+        timeout_s: float,
+    ) -> ExecuteResult:
+        """Run statements; raises DatabaseError for refusals, else ConnectionLostError."""
+
+    async def rollback(self, *, timeout_s: float) -> None:
+        """Roll the open transaction back; raises ConnectionLostError."""
+
+    async def close(self) -> None:
+        """Close the connection."""
+
+
+SessionFactory = Callable[[float], Awaitable[Session]]
+"""Open a session within the given number of seconds."""
+
+
+class PoolSettings(NamedTuple):
+    """Settings of one pool; times in seconds."""
+
+    # A session that was idle for longer is checked before it is used again.
+    check_after_idle_s: float = 5.0
+    check_timeout_s: float = 0.25
+    open_timeout_s: float = 1.0
+    # Sessions kept open without demand, because opening one costs about 12 ms.
+    warm_sessions: int = 2
+
+
+class PooledSession:
+    """A database session of a pool that records whether its state is known."""
+
+    def __init__(self, session: Session, opened_at: float) -> None:
+        self._session = session
+        self._in_doubt = False
+        self._in_transaction = False
+        self.last_used_at = opened_at
+        self.suspect = False
+
+    @property
+    def reusable(self) -> bool:
+        """Tell whether every answer was read and no transaction is open."""
+        return not self._in_doubt and not self._in_transaction
+
+    @property
+    def in_doubt(self) -> bool:
+        """Tell whether an exchange ended without a complete answer."""
+        return self._in_doubt
+
+    async def execute(
+        self,
+        statements: Sequence[Statement],
+        *,
+        term: int,
+        begin: bool,
+        commit: bool,
+        read_only: bool,
+        timeout_s: float,
+    ) -> ExecuteResult:
+        """Run statements; raises DatabaseError for refusals, else ConnectionLostError."""
+        if self._in_doubt:
+            raise ConnectionLostError("the session is in doubt", executed="no")
+        self._in_doubt = True
+        self._in_transaction = self._in_transaction or begin
+        try:
+            result = await self._session.execute(
+                statements,
+                term=term,
+                begin=begin,
+                commit=commit,
+                read_only=read_only,
+                timeout_s=timeout_s,
+            )
+        except DatabaseError:
+            # A refusal is a complete answer. An atomic batch is rolled back by the database; in
+            # every other case the caller has to roll back.
+            self._in_doubt = False
+            if begin and commit:
+                self._in_transaction = False
+            raise
+        self._in_doubt = False
+        if commit:
+            self._in_transaction = False
+        return result
+
+    async def rollback(self, *, timeout_s: float) -> None:
+        """Roll the open transaction back; raises ConnectionLostError."""
+        if self._in_doubt:
+            raise ConnectionLostError("the session is in doubt", executed="no")
+        self._in_doubt = True
+        await self._session.rollback(timeout_s=timeout_s)
+        self._in_doubt = False
+        self._in_transaction = False
+
+    async def close(self) -> None:
+        """Close the connection within CLOSE_TIMEOUT_S, also when the caller is cancelled."""
+        with trio.CancelScope(shield=True, deadline=trio.current_time() + CLOSE_TIMEOUT_S):
+            await self._session.close()
+
+
+class ConnectionPool:
+    """Sessions to one instance; never more than `share`, opening and closing ones included."""
+
+    def __init__(
+        self, open_session: SessionFactory, share: int, settings: PoolSettings | None = None
+    ) -> None:
+        self._open_session = open_session
+        self._share = share
+        self._settings = settings or PoolSettings()
+        self._idle: list[PooledSession] = []
+        self._size = 0
+        self._waiters: deque[trio.Event] = deque()
+        self._closed = False
+
+    @property
+    def share(self) -> int:
+        """Return the number of sessions allowed."""
+        return self._share
+
+    @property
+    def size(self) -> int:
+        """Return the number of sessions that are idle, in use, being opened or being closed."""
+        return self._size
+
+    @property
+    def idle(self) -> int:
+        """Return the number of idle sessions."""
+        return len(self._idle)
+
+    async def set_share(self, share: int) -> None:
+        """Change the share; idle sessions above it are closed now, others on release."""
+        self._share = share
+        while self._idle and self._size > self._share:
+            await self._close(self._idle.pop(0))
+        self._wake()
+
+    async def acquire(self, deadline: float) -> PooledSession:
+        """Return a session; raises OverloadedError, ConnectionLostError or DatabaseError."""
+        if self._waiters or not self._available():
+            await self._wait_turn(deadline)
+        while True:
+            if self._closed:
+                raise UnavailableError("the pool is closed")
+            if self._idle:
+                session = self._idle.pop()
+                self._wake()
+                if await self._usable(session):
+                    return session
+                continue
+            if self._size < self._share:
+                return await self._open(deadline)
+            await self._wait_turn(deadline)
+
+    async def release(self, session: PooledSession) -> None:
+        """Take a session back; closes it when its state is not known or the share shrank."""
+        if session.in_doubt:
+            self.suspect_idle()
+        if self._closed or not session.reusable or self._size > self._share:
+            await self._close(session)
+            return
+        session.last_used_at = trio.current_time()
+        self._idle.append(session)
+        self._wake()
+
+    async def discard(self, session: PooledSession) -> None:
+        """Close a session that is in use."""
+        if session.in_doubt:
+            self.suspect_idle()
+        await self._close(session)
+
+    @contextlib.asynccontextmanager
+    async def session(self, deadline: float) -> AsyncIterator[PooledSession]:
+        """Lend a session for a block; one in doubt or in a transaction at its end is closed."""
+        session = await self.acquire(deadline)
+        try:
+            yield session
+        finally:
+            await self.release(session)
+
+    def suspect_idle(self) -> None:
+        """Have every idle session checked before reuse, as the path may have gone silent."""
+        for session in self._idle:
+            session.suspect = True
+
+    async def run(self) -> None:
+        """Keep warm sessions open and check idle ones before a request has to."""
+        while not self._closed:
+            # After a failure the next round tries again; requests see their own errors.
+            with contextlib.suppress(TanagerfrontError):
+                await self._maintain()
+            await trio.sleep(self._settings.check_after_idle_s / 2)
+
+    async def close(self) -> None:
+        """Close all idle sessions; those in use are closed on release."""
+        self._closed = True
+        while self._idle:
+            await self._close(self._idle.pop())
+        while self._waiters:
+            self._waiters.popleft().set()
+
+    async def _maintain(self) -> None:
+        # Leave the most recently used ones alone: requests keep them checked.
+        stale = [session for session in self._idle if self._needs_check(session, margin=0.5)]
+        for session in stale:
+            if session in self._idle:
+                self._idle.remove(session)
+                if await self._usable(session, margin=0.5):
+                    self._idle.insert(0, session)
+                    self._wake()
+        while self._size < min(self._settings.warm_sessions, self._share) and not self._waiters:
+            deadline = trio.current_time() + self._settings.open_timeout_s
+            await self.release(await self._open(deadline))
+
+    def _available(self) -> bool:
+        return bool(self._idle) or self._size < self._share
+
+    def _needs_check(self, session: PooledSession, margin: float = 1.0) -> bool:
+        idle_s = trio.current_time() - session.last_used_at
+        return session.suspect or idle_s > self._settings.check_after_idle_s * margin
+
+    async def _usable(self, session: PooledSession, margin: float = 1.0) -> bool:
+        """Check the session if that is due; closes it and returns False when it fails."""
+        if not self._needs_check(session, margin):
+            return True
+        try:
+            await session.execute(
+                CHECK_STATEMENTS,
+                term=CHECK_TERM,
+                begin=False,
+                commit=False,
+                read_only=True,
+                timeout_s=self._settings.check_timeout_s,
+            )
+        except DatabaseError:
+            pass
+        except ConnectionLostError:
+            self.suspect_idle()
+            await self._close(session)
+            return False
+        except BaseException:
+            await self._close(session)
+            raise
+        session.suspect = False
+        session.last_used_at = trio.current_time()
+        return True
+
+    async def _open(self, deadline: float) -> PooledSession:
+        self._size += 1
+        self._wake()
+        opened = False
+        try:
+            remaining_s = deadline - trio.current_time()
+            timeout_s = max(0.0, min(remaining_s, self._settings.open_timeout_s))
+            session = await self._open_session(timeout_s)
+            opened = True
+            return PooledSession(session, trio.current_time())
+        except ConnectionLostError as error:
+            # No statement was sent, so nothing can have run.
+            raise ConnectionLostError(error.message, executed="no") from error
+        finally:
+            if not opened:
+                self._size -= 1
+                self._wake()
+
+    async def _close(self, session: PooledSession) -> None:
+        try:
+            await session.close()
+        finally:
+            self._size -= 1
+            self._wake()
+
+    def _wake(self) -> None:
+        if self._waiters and self._available():
+            self._waiters.popleft().set()
+
+    async def _wait_turn(self, deadline: float) -> None:
+        event = trio.Event()
+        self._waiters.append(event)
+        try:
+            with trio.move_on_at(deadline) as scope:
+                await event.wait()
+        except trio.Cancelled:
+            self._give_up(event)
+            raise
+        if scope.cancelled_caught:
+            self._give_up(event)
+            raise OverloadedError(
+                "no connection to the database became free in time", retry_after_s=RETRY_AFTER_S
+            )
+
+    def _give_up(self, event: trio.Event) -> None:
+        """Leave the queue; a wake-up that came too late goes to the next one waiting."""
+        if event.is_set():
+            self._wake()
+        else:
+            self._waiters.remove(event)
--- /dev/null
+++ b/src/tanagerfront/routing.py
@@ -0,0 +1,146 @@
+"""Selection of the instance for a read or write."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from .configuration import Mode
+from .databases import InstanceStatus
+from .entry_id import ZERO, EntryId, term_at
+from .errors import SessionLostError
+from .groups import GroupView, InstanceView
+
+__all__ = ["Choice", "choose_instance", "reflects", "replica_serves"]
+
+# A replica in another failure domain is taken only if it is less loaded by this much.
+OTHER_FAILURE_DOMAIN_LOAD = 0.25
+
+
+class Choice(NamedTuple):
+    """The selected instance."""
+
+    instance: InstanceView
+    by_replica: bool
+    term: int
+
+
+def choose_instance(
+    view: GroupView,
+    mode: Mode,
+    session_entry: EntryId,
+    max_staleness_s: float | None,
+    own_failure_domain: str,
+    load: Callable[[str], float],
+    now: float,
+) -> Choice | None:
+    """Return the instance to use, or None while there is none; raises SessionLostError.
+
+    Writes and reads without a stated age go to the primary. A read without a stated age has not
+    accepted older data, also when a replica is past its session's entry: G1 would hold, but a
+    caller without a token would see replicas go back in time. A read with a stated age goes to a
+    replica that passes `replica_serves`; these are the eligible reads of the replica target. If
+    no replica passes, the primary serves it.
+    """
+    _check_session(view, session_entry)
+    if mode == "read" and max_staleness_s is not None:
+        able = [
+            each
+            for each in view.instances
+            if replica_serves(view, each, session_entry, max_staleness_s, now)
+        ]
+        if able:
+
+            def cost(each: InstanceView) -> float:
+                near = each.instance.failure_domain == own_failure_domain
+                return load(each.instance.name) + (0.0 if near else OTHER_FAILURE_DOMAIN_LOAD)
+
+            return Choice(min(able, key=cost), True, view.term)
+    return _primary_choice(view, session_entry)
+
+
+def replica_serves(
+    view: GroupView, replica: InstanceView, session: EntryId, max_staleness_s: float, now: float
+) -> bool:
+    """Tell whether a replica's data is young enough and at or past the session's entry.
+
+    The replica must be in the group's term or a later one: one that was not fenced may still
+    follow a replaced primary. Its last applied entry must be in the primary's history, so that
+    no entry is served that a failover has discarded.
+    """
+    status = replica.status
+    if status is None or status.role != "replica" or status.term < view.term:
+        return False
+    if not replica.reachable or replica.instance.leaving:
+        return False
+    if status.age_ms / 1000 + (now - replica.observed_at) > max_staleness_s:
+        return False
+    if not _in_primary_history(view, status):
+        return False
+    return session == ZERO or reflects(applied_entry(status), session, status.term_starts)
+
+
+def applied_entry(status: InstanceStatus) -> EntryId:
+    """Return the last entry visible to readers of an instance."""
+    return EntryId(term_at(status.applied, status.term_starts), status.applied)
+
+
+def reflects(reached: EntryId, session: EntryId, term_starts: tuple[tuple[int, int], ...]) -> bool:
+    """Tell whether data at `reached` includes the session's entry.
+
+    Entries of one term form one sequence. Across terms, `term_starts` has to know both entries.
+    """
+    if session == ZERO:
+        return True
+    if reached.position < session.position or reached.term < session.term:
+        return False
+    if reached.term == session.term:
+        return True
+    return (
+        term_at(reached.position, term_starts) == reached.term
+        and term_at(session.position, term_starts) == session.term
+    )
+
+
+def _in_primary_history(view: GroupView, replica: InstanceStatus) -> bool:
+    primary = view.primary.status if view.primary else None
+    if primary is None or replica.applied > primary.held:
+        # The view of the primary is older than the replica's, or there is none: the term decides.
+        return applied_entry(replica).term >= (primary.last_term if primary else 0)
+    return term_at(replica.applied, primary.term_starts) == applied_entry(replica).term
+
+
+def _check_session(view: GroupView, session: EntryId) -> None:
+    """Raise SessionLostError if the primary's history does not have the session's entry.
+
+    A primary adds no entries of earlier terms, so a missing entry of an earlier term is lost.
+    One of the current or a later term is newer than the view, which says nothing about it.
+    """
+    status = view.primary.status if view.primary else None
+    if status is None or status.role != "primary" or session == ZERO:
+        return
+    if session.term >= status.term:
+        return
+    held = session.position <= status.held
+    if not held or term_at(session.position, status.term_starts) != session.term:
+        raise SessionLostError(
+            f"a failover discarded entry {session.position} of term {session.term}"
+        )
+
+
+def _primary_choice(view: GroupView, session: EntryId) -> Choice | None:
+    primary = view.primary
+    if primary is None or view.handing_over or primary.instance.leaving or not primary.reachable:
+        return None
+    if session.term > view.term:
+        # The session has seen a later primary than this VM.
+        return None
+    if session != ZERO and session.term < view.term and not _status_is_current(view, primary):
+        # Whether the session's entry survived is only known from a status of this term.
+        return None
+    return Choice(primary, False, view.term)
+
+
+def _status_is_current(view: GroupView, primary: InstanceView) -> bool:
+    status = primary.status
+    return status is not None and status.role == "primary" and status.term >= view.term
--- /dev/null
+++ b/src/tanagerfront/sessions.py
@@ -0,0 +1,104 @@
+"""Session tokens: the log entry reached in each group, authenticated with HMAC-SHA256."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import hashlib
+import hmac
+from collections.abc import Mapping
+
+import msgspec
+
+from .entry_id import ZERO, EntryId
+from .errors import SessionTokenError
+
+__all__ = ["MAX_GROUPS", "MAX_TOKEN_CHARS", "SessionToken"]
+
+VERSION = b"\x01"
+MAC_BYTES = 16
+MIN_SECRET_BYTES = 16
+MAX_GROUPS = 128
+# A request head is limited to 16 KB in total.
+MAX_TOKEN_CHARS = 8192
+MAX_COUNTER = 2**63 - 1
+
+_Body = dict[str, tuple[int, int]]
+
+
+class SessionToken:
+    """Immutable mapping of group to the log entry that the session has reached there."""
+
+    __slots__ = ("_entries",)
+
+    def __init__(self, entries: Mapping[str, EntryId] | None = None) -> None:
+        self._entries = dict(entries or {})
+
+    @property
+    def entries(self) -> Mapping[str, EntryId]:
+        """Return the entries by group."""
+        return dict(self._entries)
+
+    def entry(self, group: str) -> EntryId:
+        """Return the entry reached in a group, ZERO if none."""
+        return self._entries.get(group, ZERO)
+
+    def advance(self, group: str, entry: EntryId) -> SessionToken:
+        """Return a token that has reached `entry` too; an earlier entry changes nothing."""
+        if entry <= self.entry(group):
+            return self
+        return SessionToken({**self._entries, group: entry})
+
+    def encode(self, secret: bytes, organisation: str) -> str:
+        """Return the text for the header; raises SessionTokenError when it would be too large."""
+        if len(self._entries) > MAX_GROUPS:
+            raise SessionTokenError(f"a session is limited to {MAX_GROUPS} groups", executed="yes")
+        body = msgspec.msgpack.encode({name: tuple(at) for name, at in self._entries.items()})
+        token = VERSION + _mac(secret, organisation, body) + body
+        text = base64.urlsafe_b64encode(token).rstrip(b"=").decode("ascii")
+        if len(text) > MAX_TOKEN_CHARS:
+            raise SessionTokenError("the session token is too large", executed="yes")
+        return text
+
+    @classmethod
+    def decode(cls, text: str, secret: bytes, organisation: str) -> SessionToken:
+        """Return the token; raises SessionTokenError unless this deployment issued it."""
+        raw = _unpack(text)
+        version, mac, body = raw[:1], raw[1 : 1 + MAC_BYTES], raw[1 + MAC_BYTES :]
+        if version != VERSION:
+            raise SessionTokenError("the session token has an unknown version")
+        if not hmac.compare_digest(mac, _mac(secret, organisation, body)):
+            raise SessionTokenError("the session token was not issued for this organisation here")
+        return cls(_parse(body))
+
+
+def _mac(secret: bytes, organisation: str, body: bytes) -> bytes:
+    """Return the truncated MAC; the length prefix keeps name and body apart."""
+    if len(secret) < MIN_SECRET_BYTES:
+        raise ValueError(f"the session secret has fewer than {MIN_SECRET_BYTES} bytes")
+    name = organisation.encode()
+    message = VERSION + len(name).to_bytes(4, "big") + name + body
+    return hmac.new(secret, message, hashlib.sha256).digest()[:MAC_BYTES]
+
+
+def _unpack(text: str) -> bytes:
+    if len(text) > MAX_TOKEN_CHARS:
+        raise SessionTokenError("the session token is too large")
+    try:
+        padded = text.encode("ascii") + b"=" * (-len(text) % 4)
+        return base64.b64decode(padded, altchars=b"-_", validate=True)
+    except (UnicodeEncodeError, binascii.Error) as error:
+        raise SessionTokenError("the session token is not base64url") from error
+
+
+def _parse(body: bytes) -> dict[str, EntryId]:
+    try:
+        parsed = msgspec.msgpack.decode(body, type=_Body)
+    except msgspec.MsgspecError as error:
+        raise SessionTokenError("the session token is malformed") from error
+    if len(parsed) > MAX_GROUPS:
+        raise SessionTokenError("the session token has too many groups")
+    entries = {name: EntryId(*pair) for name, pair in parsed.items()}
+    if any(not 0 <= number <= MAX_COUNTER for entry in entries.values() for number in entry):
+        raise SessionTokenError("the session token is malformed")
+    return entries
