--- a/src/tanagerfront/pool.py
+++ b/src/tanagerfront/pool.py
@@ -85,6 +85,11 @@
         """Tell whether an exchange ended without a complete answer."""
         return self._in_doubt
 
+    @property
+    def in_transaction(self) -> bool:
+        """Tell whether a transaction may be open."""
+        return self._in_transaction
+
     async def execute(
         self,
         statements: Sequence[Statement],
