--- /dev/null
+++ b/src/tanagerfront/caller_requests.py
@@ -0,0 +1,159 @@
+"""Bodies and headers of the caller's interface, decoded and checked."""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from collections.abc import Mapping
+from typing import Literal, NamedTuple, TypeVar
+
+import msgspec
+
+from .errors import BadRequestError
+from .http_server import Request
+from .messages import WireResult, WireValue
+
+__all__ = [
+    "BatchBody",
+    "CallHeaders",
+    "EmptyBody",
+    "RouteBody",
+    "StatementsBody",
+    "decode_body",
+    "encode_results",
+    "parse_headers",
+    "request_digest",
+]
+
+MAX_IDEMPOTENCY_KEY = 128
+MAX_STATEMENTS = 1000
+# Headers that other interfaces use for keys; here a key in them would pass unchecked into logs of
+# components on the way.
+MISPLACED_KEY_HEADERS = ("api-key", "apikey", "x-access-token", "x-api-key", "x-auth-token")
+_SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+_IDEMPOTENCY_KEY = re.compile(r"[!-~]{1,128}")
+Param = str | int | float | None
+_Body = TypeVar("_Body")
+
+
+class StatementBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One statement of a batch or transaction."""
+
+    sql: str
+    params: list[Param] | dict[str, Param] = []
+
+
+class RouteBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a route call."""
+
+    params: dict[str, Param] = {}
+
+
+class BatchBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a batch."""
+
+    statements: list[StatementBody]
+    mode: Literal["read", "write"] = "write"
+
+
+class StatementsBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a step of a transaction."""
+
+    statements: list[StatementBody]
+
+
+class EmptyBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a call that takes none."""
+
+
+class ResultBody(msgspec.Struct, frozen=True):
+    """Result of one statement as JSON; bytes become base64."""
+
+    columns: tuple[str, ...]
+    rows: list[list[WireValue]]
+    changes: int
+
+
+class CallHeaders(NamedTuple):
+    """The checked headers of one call; times in seconds."""
+
+    timeout_s: float | None
+    max_staleness_s: float | None
+    idempotency_key: str | None
+    session_text: str | None
+
+
+_decoders: dict[type, msgspec.json.Decoder[object]] = {}
+_encoder = msgspec.json.Encoder()
+
+
+def decode_body(body: bytes, kind: type[_Body]) -> _Body:
+    """Return the decoded body; raises BadRequestError that names the faulty member."""
+    decoder = _decoders.get(kind)
+    if decoder is None:
+        decoder = _decoders[kind] = msgspec.json.Decoder(kind)
+    try:
+        decoded = decoder.decode(body or b"{}")
+    except msgspec.ValidationError as error:
+        raise BadRequestError(f"body: {error}") from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise BadRequestError("body is not JSON in UTF-8") from error
+    except RecursionError as error:
+        raise BadRequestError("body is nested too deeply") from error
+    statements = getattr(decoded, "statements", None)
+    if statements is not None and not 1 <= len(statements) <= MAX_STATEMENTS:
+        raise BadRequestError(f"statements must hold 1 to {MAX_STATEMENTS} entries")
+    return decoded  # type: ignore[return-value]
+
+
+def parse_headers(request: Request, max_timeout_s: float) -> CallHeaders:
+    """Return the call's headers; raises BadRequestError for one that is malformed."""
+    headers = request.headers
+    if request.query:
+        raise BadRequestError(
+            "this interface takes no query parameters; a key belongs in the Authorization header"
+        )
+    for name in MISPLACED_KEY_HEADERS:
+        if name in headers:
+            raise BadRequestError(f"a key belongs in the Authorization header, not in {name}")
+    timeout_s = _seconds(headers, "request-timeout")
+    if timeout_s is not None and not 0 < timeout_s <= max_timeout_s:
+        raise BadRequestError(f"request-timeout must be above 0 and at most {max_timeout_s:g}")
+    return CallHeaders(
+        timeout_s=timeout_s,
+        max_staleness_s=_seconds(headers, "max-staleness"),
+        idempotency_key=_idempotency_key(headers),
+        session_text=headers.get("session-token"),
+    )
+
+
+def _seconds(headers: Mapping[str, str], name: str) -> float | None:
+    text = headers.get(name)
+    if text is None:
+        return None
+    if not _SECONDS.fullmatch(text):
+        raise BadRequestError(f"{name} must be a number of seconds, such as 2 or 0.5")
+    return float(text)
+
+
+def _idempotency_key(headers: Mapping[str, str]) -> str | None:
+    text = headers.get("idempotency-key")
+    if text is None:
+        return None
+    if not _IDEMPOTENCY_KEY.fullmatch(text):
+        raise BadRequestError(
+            f"idempotency-key must be 1 to {MAX_IDEMPOTENCY_KEY} visible ASCII characters"
+        )
+    return text
+
+
+def request_digest(path: str, body: object) -> str:
+    """Return a digest that is equal for equal calls, whatever the order of their members."""
+    canonical = msgspec.json.encode([path, body], order="sorted")
+    return hashlib.sha256(canonical).hexdigest()
+
+
+def encode_results(results: tuple[WireResult, ...]) -> bytes:
+    """Return the JSON body of a response."""
+    bodies = [ResultBody(result.columns, result.rows, result.changes) for result in results]
+    return _encoder.encode({"results": bodies})
--- /dev/null
+++ b/src/tanagerfront/entry.py
@@ -0,0 +1,228 @@
+"""The caller's HTTP interface: one handler per caller connection."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+import msgspec
+import structlog
+import trio
+
+from .caller_requests import EmptyBody, StatementsBody, decode_body, encode_results
+from .entry_id import ZERO, EntryId
+from .entry_services import OPEN_ORGANISATION, Call, EntryServices, new_request_id
+from .entry_work import Work, batch_work, checked_statements, require_group, route_work
+from .errors import (
+    BadRequestError,
+    DeadlineExceededError,
+    DrainingError,
+    ForbiddenError,
+    NotFoundError,
+    TanagerfrontError,
+    TransactionError,
+)
+from .http_server import ConnectionHandler, Request, Response
+from .logs import request_context
+from .messages import ExecuteReply, TransactionReply
+from .metering import run_metered
+from .problems import internal_problem, problem_response
+from .transactions import StepTerms, Transaction
+
+__all__ = ["CallerHandler"]
+
+# The parts below keep the deadline themselves; this cuts off one that does not.
+DEADLINE_GRACE_S = 0.25
+_log = structlog.get_logger()
+_Session = Mapping[str, EntryId]
+
+
+class CallerHandler(ConnectionHandler):
+    """Serve the requests of one caller connection."""
+
+    def __init__(self, services: EntryServices, close_requested: Callable[[], bool]) -> None:
+        self._services = services
+        self._close_requested = close_requested
+        self._transaction: Transaction | None = None
+        self._in_progress = False
+        self._closed = False
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether a request is in progress or a transaction is open."""
+        return self._in_progress or self._transaction_open
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether the connection has to close after the current request."""
+        return self._close_requested() and not self._transaction_open
+
+    @property
+    def _transaction_open(self) -> bool:
+        return self._transaction is not None and self._transaction.open
+
+    def refuse_further(self) -> None:
+        """Run no further request: the connection is about to be closed."""
+        self._closed = True
+
+    async def handle(self, request: Request) -> Response:
+        """Return the response to one request; raises no error."""
+        if request.method == "GET" and request.path in ("/healthz", "/readyz"):
+            return self._probe(request.path)
+        call = Call(request)
+        headers = request.headers
+        hidden = (headers.get("authorization", ""), headers.get("session-token", ""))
+        self._in_progress = True
+        try:
+            with request_context(call.id, OPEN_ORGANISATION, *hidden):
+                return await self._answer(call)
+        finally:
+            self._in_progress = False
+
+    def handle_bad_request(self, error: BadRequestError) -> Response:
+        """Return the response to a request that could not be parsed; it did not run."""
+        self._services.metrics.count_refusal(error.problem_type, OPEN_ORGANISATION)
+        return problem_response(error, new_request_id(), close=True)
+
+    async def close(self) -> None:
+        """Roll back a transaction that the caller left open."""
+        if self._transaction is not None:
+            await self._transaction.rollback()
+
+    def _probe(self, path: str) -> Response:
+        reason = None if path == "/healthz" else self._services.readiness.not_ready_reason
+        return Response(503 if reason else 200, msgspec.json.encode({"status": reason or "ok"}))
+
+    async def _answer(self, call: Call) -> Response:
+        metrics = self._services.metrics
+        try:
+            return await self._serve(call)
+        except TanagerfrontError as error:
+            metrics.count_refusal(error.problem_type, call.organisation)
+            _log.debug("request_refused", reason=error.problem_type, executed=error.executed)
+            return problem_response(error, call.id)
+        except Exception:
+            metrics.count_refusal("internal", call.organisation)
+            _log.exception("request_failed", executed=call.executed)
+            return internal_problem(call.executed, call.id)
+
+    async def _serve(self, call: Call) -> Response:
+        if self._closed:
+            raise DrainingError("this connection is closing")
+        call.read_headers(self._services)
+        with (
+            request_context(call.id, call.organisation, call.key or ""),
+            trio.move_on_at(call.deadline + DEADLINE_GRACE_S),
+        ):
+            body, session = await self._dispatch(call)
+            return self._success(call, body, session)
+        raise DeadlineExceededError("the deadline passed", executed=call.executed)
+
+    def _success(self, call: Call, body: bytes, session: _Session) -> Response:
+        seconds = trio.current_time() - call.started_at
+        self._services.metrics.observe_request(call.organisation, call.request_class, seconds)
+        headers = [("request-id", call.id)]
+        if session:
+            headers.append(("session-token", self._services.sessions.encode(session)))
+        return Response(200, body, headers)
+
+    async def _dispatch(self, call: Call) -> tuple[bytes, _Session]:
+        method, path = call.request.method, call.request.path
+        if method != "POST":
+            raise NotFoundError("no such path, or it takes POST")
+        match path.split("/"):
+            case ["", "v1", "routes", name]:
+                return await self._run(call, route_work(self._services, call, name))
+            case ["", "v1", "groups", group, "batch"]:
+                return await self._run(call, batch_work(self._services, call, group))
+            case ["", "v1", "groups", group, "transaction"]:
+                return await self._begin(call, group)
+            case ["", "v1", "transaction", "execute"]:
+                return await self._execute(call)
+            case ["", "v1", "transaction", "commit"]:
+                return await self._commit(call)
+            case ["", "v1", "transaction", "rollback"]:
+                return await self._rollback(call)
+        raise NotFoundError("no such path")
+
+    async def _run(self, call: Call, work: Work) -> tuple[bytes, _Session]:
+        if self._transaction_open:
+            raise TransactionError(
+                "a transaction is open on this connection; end it or use another connection"
+            )
+        services = self._services
+        request = work.request(call, services.authenticator.configuration().version)
+
+        async def execute(lifetime_s: float | None) -> ExecuteReply:
+            return await services.execution.execute(
+                msgspec.structs.replace(request, timeout_s=call.left_s, token_lifetime_s=lifetime_s)
+            )
+
+        reply = await run_metered(services.limiter, call, len(work.statements), execute)
+        return encode_results(reply.results), _advanced(call.session, work.group, reply.reached)
+
+    async def _begin(self, call: Call, group: str) -> tuple[bytes, _Session]:
+        caller = require_group(self._services, call, group)
+        _check_step(call)
+        if self._transaction_open:
+            raise TransactionError("a transaction is already open on this connection")
+        session = call.session.get(group, ZERO)
+
+        async def begin(lifetime_s: float | None) -> Transaction:
+            terms = StepTerms(call.left_s, lifetime_s)
+            return await self._services.transactions.begin(caller, group, session, terms)
+
+        self._transaction = await run_metered(self._services.limiter, call, 1, begin)
+        return _transaction_body("open"), call.session
+
+    async def _execute(self, call: Call) -> tuple[bytes, _Session]:
+        transaction = self._current(call)
+        body = decode_body(call.request.body, StatementsBody)
+        statements = checked_statements(call, body.statements)
+
+        async def execute(lifetime_s: float | None) -> TransactionReply:
+            return await transaction.execute(statements, StepTerms(call.left_s, lifetime_s))
+
+        reply = await run_metered(self._services.limiter, call, len(statements), execute)
+        return encode_results(reply.results), call.session
+
+    async def _commit(self, call: Call) -> tuple[bytes, _Session]:
+        transaction = self._current(call)
+        _check_step(call)
+        call.executed = "unknown"
+        reply = await transaction.commit(StepTerms(call.left_s))
+        call.executed = "yes"
+        session = _advanced(call.session, transaction.group, reply.reached)
+        return _transaction_body("committed"), session
+
+    async def _rollback(self, call: Call) -> tuple[bytes, _Session]:
+        transaction = self._current(call)
+        _check_step(call)
+        await transaction.rollback()
+        return _transaction_body("rolled back"), call.session
+
+    def _current(self, call: Call) -> Transaction:
+        """Return the connection's transaction for its next step; raises TanagerfrontError."""
+        caller = call.require_caller()
+        if self._transaction is None:
+            raise TransactionError("no transaction was begun on this connection")
+        if caller.organisation.name != self._transaction.caller.organisation.name:
+            raise ForbiddenError("the transaction belongs to another organisation")
+        if call.headers.idempotency_key is not None:
+            raise BadRequestError("idempotency-key has no meaning inside a transaction")
+        return self._transaction
+
+
+def _check_step(call: Call) -> None:
+    if call.headers.idempotency_key is not None:
+        raise BadRequestError("idempotency-key has no meaning for a transaction")
+    decode_body(call.request.body, EmptyBody)
+
+
+def _advanced(session: _Session, group: str, reached: EntryId) -> _Session:
+    """Return the session's entries with those that the response reflects."""
+    known = session.get(group, ZERO)
+    return {**session, group: max(known, reached)} if reached > ZERO else session
+
+
+def _transaction_body(state: str) -> bytes:
+    return msgspec.json.encode({"transaction": state})
--- /dev/null
+++ b/src/tanagerfront/entry_work.py
@@ -0,0 +1,118 @@
+"""From a call to the batch it asks for."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .authentication import Caller, check_group
+from .caller_requests import BatchBody, RouteBody, StatementBody, decode_body, request_digest
+from .configuration import Mode
+from .entry_id import ZERO
+from .entry_services import Call, EntryServices
+from .errors import BadRequestError, NotFoundError
+from .messages import ExecuteRequest, WireStatement
+from .statements import bind_route, check_statement, text_values
+
+__all__ = ["Work", "batch_work", "checked_statements", "require_group", "route_work"]
+
+# Shorter keys occur in ordinary text by chance.
+MIN_SEARCHED_KEY = 8
+
+
+class Work(NamedTuple):
+    """A batch to run, as the configuration or the caller describes it."""
+
+    group: str
+    mode: Mode
+    statements: tuple[WireStatement, ...]
+    repeatable: bool
+    digest: str
+
+    def request(self, call: Call, config_version: int) -> ExecuteRequest:
+        """Return the message to a home; raises BadRequestError."""
+        idempotency_key = call.headers.idempotency_key
+        if idempotency_key is not None:
+            _check_idempotency_key(call, idempotency_key)
+        is_read = self.mode == "read"
+        return ExecuteRequest(
+            group=self.group,
+            organisation=call.organisation,
+            request_class=call.request_class,
+            mode=self.mode,
+            statements=self.statements,
+            repeatable=self.repeatable,
+            timeout_s=call.left_s,
+            session=call.session.get(self.group, ZERO),
+            max_staleness_s=call.headers.max_staleness_s if is_read else None,
+            # A read has no effect to protect, so it needs no entry in the ledger.
+            idempotency_key=None if is_read else idempotency_key,
+            request_digest=self.digest,
+            config_version=config_version,
+            key_digest=call.caller.key_digest if call.caller else "",
+        )
+
+
+def route_work(services: EntryServices, call: Call, name: str) -> Work:
+    """Return the work of a route call; raises TanagerfrontError."""
+    route = services.authenticator.configuration().routes.get(name)
+    if route is None:
+        # A caller without a key learns nothing about which routes exist.
+        if call.caller is None:
+            call.require_caller()
+        raise NotFoundError("no route of this name")
+    if not route.open_to_all:
+        check_group(call.require_caller(), route.group)
+    call.request_class = route.request_class
+    body = decode_body(call.request.body, RouteBody)
+    statements = bind_route(route.statements, body.params)
+    _check_key_absent(call, statements)
+    digest = request_digest(call.request.path, body)
+    return Work(route.group, route.mode, statements, route.repeatable, digest)
+
+
+def batch_work(services: EntryServices, call: Call, group: str) -> Work:
+    """Return the work of a batch; raises TanagerfrontError."""
+    require_group(services, call, group)
+    body = decode_body(call.request.body, BatchBody)
+    statements = checked_statements(call, body.statements)
+    digest = request_digest(call.request.path, body)
+    return Work(group, body.mode, statements, body.mode == "read", digest)
+
+
+def require_group(services: EntryServices, call: Call, group: str) -> Caller:
+    """Return the caller if it may use the group; raises TanagerfrontError."""
+    caller = call.require_caller()
+    check_group(caller, group)
+    if group not in services.authenticator.configuration().groups:
+        raise NotFoundError("no group of this name")
+    return caller
+
+
+def checked_statements(
+    call: Call, statements: Iterable[StatementBody]
+) -> tuple[WireStatement, ...]:
+    """Return the caller's own statements for forwarding; raises BadRequestError."""
+    checked = tuple(
+        check_statement(statement.sql, statement.params, index)
+        for index, statement in enumerate(statements)
+    )
+    _check_key_absent(call, checked)
+    return checked
+
+
+def _check_key_absent(call: Call, statements: tuple[WireStatement, ...]) -> None:
+    """Refuse a request that would show the caller's key to a database."""
+    key = call.key
+    if key is None or len(key) < MIN_SEARCHED_KEY:
+        return
+    if any(key in text for text in text_values(statements)):
+        raise BadRequestError("the body contains the key, which belongs in Authorization only")
+
+
+def _check_idempotency_key(call: Call, text: str) -> None:
+    # Anonymous callers would share one name space and could read each other's responses.
+    if call.caller is None:
+        raise BadRequestError("idempotency-key needs an organisation's key")
+    if call.key and call.key in text:
+        raise BadRequestError("idempotency-key contains the key, which belongs in Authorization")
--- /dev/null
+++ b/src/tanagerfront/forwarding.py
@@ -0,0 +1,192 @@
+"""Forwarding of a request to a home of its group, with retries that never repeat a write."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+import trio
+
+from .errors import (
+    ConnectionLostError,
+    DatabaseError,
+    DeadlineExceededError,
+    DrainingError,
+    OutcomeUnknownError,
+    RateLimitedError,
+    SqlError,
+    TanagerfrontError,
+    UnavailableError,
+)
+from .home_calls import HomeCalls, HomeDirectory, HomeVm
+from .home_choice import HomeChoice
+from .messages import ExecuteReply, ExecuteRequest
+
+__all__ = ["Forwarder", "ForwardingMetrics", "RetryBudget"]
+
+MAX_ATTEMPTS = 6
+BACKOFF_FIRST_S = 0.01
+BACKOFF_LIMIT_S = 0.25
+# While a home seat moves no home is known; looking again costs no message.
+NO_HOME_POLL_S = 0.05
+# Retries may add this share to the traffic, so that a fault does not multiply the load.
+RETRY_SHARE = 0.2
+RETRY_RESERVE = 20.0
+
+
+class ForwardingMetrics(Protocol):
+    """The counters that forwarding feeds."""
+
+    def count_read(self, *, by_replica: bool) -> None:
+        """Count one read."""
+
+    def count_retry(self, cause: str) -> None:
+        """Count one further attempt."""
+
+
+class RetryBudget:
+    """Allow retries up to a share of the requests, plus a reserve for quiet times."""
+
+    def __init__(self, share: float = RETRY_SHARE, reserve: float = RETRY_RESERVE) -> None:
+        self._share = share
+        self._reserve = reserve
+        self._available = reserve
+
+    def note_request(self) -> None:
+        """Credit one request."""
+        self._available = min(self._reserve, self._available + self._share)
+
+    def take(self) -> bool:
+        """Take one retry from the budget, if there is one."""
+        if self._available < 1:
+            return False
+        self._available -= 1
+        return True
+
+
+class _Attempts:
+    """What has happened to one request so far."""
+
+    def __init__(self, request: ExecuteRequest) -> None:
+        self.request = request
+        self.started_at = trio.current_time()
+        self.deadline = self.started_at + request.timeout_s
+        self.count = 0
+        self.failed: set[str] = set()
+        self.uncertain = False
+
+    @property
+    def repeat_is_safe(self) -> bool:
+        request = self.request
+        return request.mode == "read" or request.repeatable or request.idempotency_key is not None
+
+    def current_request(self) -> ExecuteRequest:
+        """Return the request with the time and token lifetime that are left; raises."""
+        elapsed = trio.current_time() - self.started_at
+        left = self.deadline - trio.current_time()
+        if left <= 0:
+            raise DeadlineExceededError("the deadline passed before the request could run")
+        lifetime = self.request.token_lifetime_s
+        if lifetime is None:
+            return msgspec.structs.replace(self.request, timeout_s=left)
+        if lifetime <= elapsed:
+            raise RateLimitedError("the rate token expired before the request could run")
+        return msgspec.structs.replace(
+            self.request, timeout_s=left, token_lifetime_s=lifetime - elapsed
+        )
+
+    def note(self, home: HomeVm, error: TanagerfrontError) -> None:
+        self.failed.add(home.vm)
+        self.uncertain = self.uncertain or error.executed == "unknown"
+
+    def final(self, error: TanagerfrontError) -> TanagerfrontError:
+        """Return the error to report; an earlier attempt may have run although the last did not."""
+        if self.uncertain and error.executed == "no" and self.request.mode != "read":
+            message = f"an earlier attempt may have run; the last one failed: {error.message}"
+            return OutcomeUnknownError(message)
+        return error
+
+
+class Forwarder:
+    """Run requests at homes; `random_source` returns numbers from 0 to 1."""
+
+    def __init__(
+        self,
+        directory: HomeDirectory,
+        calls: HomeCalls,
+        choice: HomeChoice,
+        metrics: ForwardingMetrics,
+        *,
+        budget: RetryBudget | None = None,
+        random_source: Callable[[], float] = random.random,
+    ) -> None:
+        self._directory = directory
+        self._calls = calls
+        self._choice = choice
+        self._metrics = metrics
+        self._budget = budget or RetryBudget()
+        self._random = random_source
+
+    async def execute(self, request: ExecuteRequest) -> ExecuteReply:
+        """Return the reply of a home; raises TanagerfrontError with the true `executed`."""
+        self._budget.note_request()
+        attempts = _Attempts(request)
+        while True:
+            try:
+                reply = await self._attempt(attempts)
+            except TanagerfrontError as error:
+                if not self._may_retry(attempts, error):
+                    raise attempts.final(error) from error
+                self._metrics.count_retry(error.problem_type)
+                await self._back_off(attempts)
+            else:
+                if request.mode == "read":
+                    self._metrics.count_read(by_replica=reply.by_replica)
+                return reply
+
+    async def _attempt(self, attempts: _Attempts) -> ExecuteReply:
+        home = await self._find_home(attempts)
+        request = attempts.current_request()
+        attempts.count += 1
+        try:
+            with self._choice.observe(home.vm):
+                return await self._calls.execute(home, request)
+        except TanagerfrontError as error:
+            attempts.note(home, error)
+            raise
+
+    async def _find_home(self, attempts: _Attempts) -> HomeVm:
+        """Wait until the group has a home; raises UnavailableError at the deadline."""
+        while True:
+            homes = self._directory.homes(attempts.request.group)
+            if homes:
+                return self._choice.best(homes, attempts.failed)
+            if trio.current_time() + NO_HOME_POLL_S >= attempts.deadline:
+                raise UnavailableError(f"group {attempts.request.group} has no home at present")
+            await trio.sleep(NO_HOME_POLL_S)
+
+    def _may_retry(self, attempts: _Attempts, error: TanagerfrontError) -> bool:
+        if not attempts.count or attempts.count >= MAX_ATTEMPTS:
+            return False
+        if trio.current_time() >= attempts.deadline or not _is_transient(error):
+            return False
+        if error.executed != "no" and not (attempts.repeat_is_safe and error.executed == "unknown"):
+            return False
+        # A draining home refuses at once and only until its seat has moved.
+        return isinstance(error, DrainingError) or self._budget.take()
+
+    async def _back_off(self, attempts: _Attempts) -> None:
+        longest = min(BACKOFF_LIMIT_S, BACKOFF_FIRST_S * 2 ** (attempts.count - 1))
+        left = attempts.deadline - trio.current_time()
+        await trio.sleep(max(0.0, min(longest * self._random(), left)))
+
+
+def _is_transient(error: TanagerfrontError) -> bool:
+    """Tell whether another home, or the same one later, may succeed."""
+    if isinstance(error, SqlError):
+        return False
+    return isinstance(
+        error, UnavailableError | ConnectionLostError | DatabaseError | OutcomeUnknownError
+    )
--- /dev/null
+++ b/src/tanagerfront/logs.py
@@ -0,0 +1,121 @@
+"""Structured log: JSON or console, with keys and session tokens redacted."""
+
+from __future__ import annotations
+
+import contextlib
+import contextvars
+import logging
+import re
+import sys
+from collections.abc import Iterator, Mapping
+from typing import Any, TextIO
+
+import structlog
+from structlog.typing import EventDict, Processor, WrappedLogger
+
+from .settings import LogSettings
+
+__all__ = ["configure_logging", "redact", "request_context"]
+
+REDACTED = "[redacted]"
+# Fields that carry a secret by their name, whatever the value looks like.
+SECRET_FIELDS = frozenset(
+    {"authorization", "key", "api_key", "bearer", "password", "secret", "session_token", "token"}
+)
+_BEARER = re.compile(r"(?i)\bbearer\s+[^\s'\",}]+")
+# Secrets of the request that the current task serves.
+_secrets: contextvars.ContextVar[tuple[str, ...]] = contextvars.ContextVar("secrets", default=())
+
+
+def configure_logging(settings: LogSettings, stream: TextIO | None = None) -> None:
+    """Set up structlog and the standard library's logging to write to `stream`."""
+    target = stream or sys.stderr
+    threshold = logging.getLevelNamesMapping()[settings.level.upper()]
+    shared = _shared_processors()
+    renderer = _renderer(settings)
+    structlog.configure(
+        processors=[*shared, renderer],
+        wrapper_class=structlog.make_filtering_bound_logger(threshold),
+        logger_factory=structlog.PrintLoggerFactory(target),
+        cache_logger_on_first_use=False,
+    )
+    handler = logging.StreamHandler(target)
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(
+            foreign_pre_chain=shared,
+            processors=[structlog.stdlib.ProcessorFormatter.remove_processors_meta, renderer],
+        )
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(max(threshold, logging.WARNING))
+
+
+def _shared_processors() -> list[Processor]:
+    return [
+        structlog.contextvars.merge_contextvars,
+        structlog.processors.add_log_level,
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+        # Tracebacks become text before redaction, because an error's message may quote a header.
+        structlog.processors.format_exc_info,
+        redact,
+    ]
+
+
+def _renderer(settings: LogSettings) -> Processor:
+    if settings.format == "json":
+        return structlog.processors.JSONRenderer(default=str)
+    return structlog.dev.ConsoleRenderer(colors=False)
+
+
+@contextlib.contextmanager
+def request_context(request_id: str, organisation: str, *secrets: str) -> Iterator[None]:
+    """Bind the request's id and organisation to log lines and redact its secrets in them."""
+    token = _secrets.set(_secrets.get() + tuple(secret for secret in secrets if secret))
+    try:
+        with structlog.contextvars.bound_contextvars(
+            request_id=request_id, organisation=organisation
+        ):
+            yield
+    finally:
+        _secrets.reset(token)
+
+
+def redact(logger: WrappedLogger, method: str, event: EventDict) -> EventDict:
+    """Replace keys and session tokens in the names, values and text of an event."""
+    secrets = _secrets.get()
+    return {
+        _redact_text(str(name), secrets): _redact_field(str(name), value, secrets)
+        for name, value in event.items()
+    }
+
+
+def _redact_field(name: str, value: Any, secrets: tuple[str, ...]) -> Any:
+    if name.lower().replace("-", "_") in SECRET_FIELDS:
+        return REDACTED
+    return _redact_value(value, secrets)
+
+
+def _redact_value(value: Any, secrets: tuple[str, ...]) -> Any:
+    match value:
+        case None | bool() | int() | float():
+            return value
+        case str():
+            return _redact_text(value, secrets)
+        case bytes():
+            return _redact_text(value.decode("utf-8", "replace"), secrets)
+        case Mapping():
+            return {
+                _redact_text(str(name), secrets): _redact_field(str(name), item, secrets)
+                for name, item in value.items()
+            }
+        case list() | tuple() | set() | frozenset():
+            return [_redact_value(item, secrets) for item in value]
+        case _:
+            return _redact_text(str(value), secrets)
+
+
+def _redact_text(text: str, secrets: tuple[str, ...]) -> str:
+    for secret in secrets:
+        text = text.replace(secret, REDACTED)
+    return _BEARER.sub(f"Bearer {REDACTED}", text)
--- /dev/null
+++ b/src/tanagerfront/metrics.py
@@ -0,0 +1,122 @@
+"""Metrics of one VM in the Prometheus text format."""
+
+from __future__ import annotations
+
+import math
+import re
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.formats import text
+
+from .configuration import RequestClass
+
+__all__ = ["LabelBound", "Metrics"]
+
+REQUEST_SECONDS_BUCKETS = (
+    *(0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0),
+    math.inf,
+)
+# A histogram takes about 17 series; 200 organisations in 3 classes stay near 10,000 series.
+MAX_LABEL_VALUES = 200
+OTHER = "other"
+_UNSAFE = re.compile(r"[^A-Za-z0-9 ._:@()/-]")
+
+
+class LabelBound:
+    """Let through the first `limit` values of a label and replace further ones by `other`."""
+
+    def __init__(self, limit: int = MAX_LABEL_VALUES) -> None:
+        self._limit = limit
+        self._known: dict[str, str] = {}
+
+    def value(self, raw: str) -> str:
+        """Return the value to use, with characters that the text format would break replaced."""
+        known = self._known.get(raw)
+        if known is not None:
+            return known
+        if len(self._known) >= self._limit:
+            return OTHER
+        return self._known.setdefault(raw, _UNSAFE.sub("_", raw))
+
+
+class Metrics:
+    """Counters, gauges and histograms of one VM."""
+
+    def __init__(self, max_label_values: int = MAX_LABEL_VALUES) -> None:
+        self._registry = Registry()
+        self._organisations = LabelBound(max_label_values)
+        self._reasons = LabelBound(max_label_values)
+        self._groups = LabelBound(max_label_values)
+        self._instances = LabelBound(max_label_values)
+        self._request_seconds = Histogram(
+            "tanagerfront_request_seconds",
+            "Time to serve a request, by organisation and request class",
+            registry=self._registry,
+            buckets=REQUEST_SECONDS_BUCKETS,
+        )
+        self._refusals = self._counter("refusals_total", "Requests refused, by problem type")
+        self._reads = self._counter("reads_total", "Reads, by the role of the instance")
+        self._retries = self._counter("retries_total", "Further attempts of requests, by cause")
+        self._promotions = self._counter("promotions_total", "Changes of primary made by this VM")
+        self._discarded = self._counter(
+            "discarded_entries_total", "Log entries discarded when a former primary rejoined"
+        )
+        self._connections = self._gauge("connections", "Open connections, by kind")
+        self._queues = self._gauge("queue_length", "Requests waiting for a slot, by instance")
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(f"tanagerfront_{name}", doc, registry=self._registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(f"tanagerfront_{name}", doc, registry=self._registry)
+
+    @property
+    def registry(self) -> Registry:
+        """Return the registry, to which other modules may add collectors."""
+        return self._registry
+
+    def observe_request(
+        self, organisation: str, request_class: RequestClass, seconds: float
+    ) -> None:
+        """Record one request that was served."""
+        labels = {
+            "organisation": self._organisations.value(organisation),
+            "class": request_class.name.lower(),
+        }
+        self._request_seconds.observe(labels, float(seconds))
+
+    def count_refusal(self, reason: str, organisation: str) -> None:
+        """Count one request that was refused with a problem type."""
+        labels = {
+            "reason": self._reasons.value(reason),
+            "organisation": self._organisations.value(organisation),
+        }
+        self._refusals.inc(labels)
+
+    def count_read(self, *, by_replica: bool) -> None:
+        """Count one read by the role of the instance that served it."""
+        self._reads.inc({"role": "replica" if by_replica else "primary"})
+
+    def count_retry(self, cause: str) -> None:
+        """Count one further attempt; `cause` is a problem type."""
+        self._retries.inc({"cause": self._reasons.value(cause)})
+
+    def count_promotion(self, group: str) -> None:
+        """Count one change of primary that this VM made."""
+        self._promotions.inc({"group": self._groups.value(group)})
+
+    def count_discarded(self, group: str, entries: int) -> None:
+        """Count log entries that a former primary had and the group's history has not."""
+        self._discarded.add({"group": self._groups.value(group)}, entries)
+
+    def set_connections(self, kind: str, count: int) -> None:
+        """Set the number of open connections of a kind, such as `callers` or `databases`."""
+        self._connections.set({"kind": kind}, count)
+
+    def set_queue_length(self, instance: str, count: int) -> None:
+        """Set the number of requests that wait for a slot of an instance."""
+        self._queues.set({"instance": self._instances.value(instance)}, count)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        return bytes(text.TextFormatter().marshall(self._registry))
--- /dev/null
+++ b/tests/entry_fakes.py
@@ -0,0 +1,248 @@
+"""Fakes of the parts that the caller's interface stands on."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import msgspec
+import trio
+
+from tanagerfront.authentication import Authenticator
+from tanagerfront.configuration import (
+    Configuration,
+    Group,
+    KeyDigest,
+    Organisation,
+    RequestClass,
+    Route,
+)
+from tanagerfront.entry import CallerHandler
+from tanagerfront.entry_id import EntryId
+from tanagerfront.entry_services import CallerTimeouts, EntryServices
+from tanagerfront.errors import SessionTokenError, TanagerfrontError
+from tanagerfront.home_calls import HomeCalls, HomeVm
+from tanagerfront.home_choice import HomeChoice
+from tanagerfront.http_server import Request, Response
+from tanagerfront.messages import (
+    ExecuteReply,
+    ExecuteRequest,
+    Message,
+    TransactionReply,
+    TransactionRequest,
+    WireResult,
+)
+from tanagerfront.transactions import TransactionLimits, Transactions
+
+KEY = "foremen-key-0001"
+OTHER_KEY = "brewers-key-0002"
+REACHED = EntryId(1, 7)
+RESULT = WireResult(("n",), [[1]], 0)
+
+
+def digest(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def organisation(name: str, *keys: KeyDigest) -> Organisation:
+    return Organisation(name, keys, 200, 400, 1, frozenset({"orders-1"}))
+
+
+def configuration(version: int = 1, keys: Sequence[KeyDigest] | None = None) -> Configuration:
+    foremen_keys = (KeyDigest(digest(KEY)),) if keys is None else tuple(keys)
+    organisations = {
+        "foremen": organisation("foremen", *foremen_keys),
+        "brewers": organisation("brewers", KeyDigest(digest(OTHER_KEY))),
+    }
+    groups = {name: Group(name, (), 16, 2) for name in ("orders-1", "orders-2")}
+    orders, browsing = RequestClass.ORDERS, RequestClass.BROWSING
+    place = ("INSERT INTO orders (ref, item) VALUES (:ref, :item)",)
+    routes = {
+        "place-order": Route("place-order", "orders-1", "write", orders, False, False, place),
+        "list": Route("list", "orders-1", "read", browsing, True, True, ("SELECT 1",)),
+        "away": Route("away", "orders-2", "read", browsing, True, False, ("SELECT 1",)),
+    }
+    return Configuration(version, {}, organisations, groups, routes, {})
+
+
+class FakeSource:
+    def __init__(self) -> None:
+        self.current: Configuration | None = configuration()
+        self.fresh = True
+
+
+class FakeSessions:
+    def decode(self, text: str) -> Mapping[str, EntryId]:
+        try:
+            return {name: EntryId(*entry) for name, entry in json.loads(text).items()}
+        except (ValueError, TypeError, AttributeError) as error:
+            raise SessionTokenError("the session token is malformed") from error
+
+    def encode(self, entries: Mapping[str, EntryId]) -> str:
+        return json.dumps(entries)
+
+
+class FakeToken:
+    def __init__(self, lifetime_s: float) -> None:
+        self.ends_at = trio.current_time() + lifetime_s
+
+    @property
+    def remaining_s(self) -> float:
+        return self.ends_at - trio.current_time()
+
+
+class FakeLimiter:
+    def __init__(self) -> None:
+        self.lifetime_s = 2.0
+        self.error: TanagerfrontError | None = None
+        self.acquired: list[tuple[str, float]] = []
+        self.spent = 0
+        self.returned = 0
+
+    async def acquire(self, organisation: str, count: float, deadline: float) -> FakeToken:
+        if self.error:
+            raise self.error
+        self.acquired.append((organisation, count))
+        return FakeToken(self.lifetime_s)
+
+    def confirm(self, token: Any) -> None:
+        self.spent += 1
+
+    def give_back(self, token: Any) -> None:
+        self.returned += 1
+
+
+class FakeHome:
+    """A home that answers from a list of outcomes, then with success."""
+
+    def __init__(self, *outcomes: BaseException | float) -> None:
+        self.outcomes = list(outcomes)
+        self.requests: list[ExecuteRequest] = []
+        self.steps: list[TransactionRequest] = []
+
+    @property
+    def actions(self) -> list[str]:
+        return [step.action for step in self.steps]
+
+    async def _outcome(self) -> None:
+        outcome = self.outcomes.pop(0) if self.outcomes else 0.0
+        if isinstance(outcome, BaseException):
+            raise outcome
+        await trio.sleep(outcome)
+
+    async def execute(self, request: ExecuteRequest) -> ExecuteReply:
+        self.requests.append(request)
+        await self._outcome()
+        return ExecuteReply((RESULT,), REACHED, "db-1", by_replica=request.mode == "read")
+
+    async def transact(self, request: TransactionRequest) -> TransactionReply:
+        self.steps.append(request)
+        if request.action != "rollback":
+            await self._outcome()
+        return TransactionReply(request.transaction, (RESULT,), REACHED)
+
+
+class FakePeers:
+    """The peer network to some homes; encodes each message as the real one does."""
+
+    def __init__(self, homes: Mapping[str, FakeHome]) -> None:
+        self.homes = homes
+
+    async def call(self, vm: str, message: Message, timeout_s: float) -> Message:
+        packed = msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=type(message))
+        home = self.homes[vm]
+        match packed:
+            case ExecuteRequest():
+                return await home.execute(packed)
+            case TransactionRequest():
+                return await home.transact(packed)
+        raise AssertionError(f"unexpected message {message}")
+
+
+class FakeDirectory:
+    def __init__(self, *homes: HomeVm) -> None:
+        self.known: Sequence[HomeVm] = homes
+
+    def homes(self, group: str) -> Sequence[HomeVm]:
+        return self.known
+
+
+class FakeMetrics:
+    def __init__(self) -> None:
+        self.served: list[tuple[str, RequestClass]] = []
+        self.refused: list[tuple[str, str]] = []
+        self.reads: list[bool] = []
+        self.retries: list[str] = []
+
+    def observe_request(self, organisation: str, request_class: Any, seconds: float) -> None:
+        self.served.append((organisation, request_class))
+
+    def count_refusal(self, reason: str, organisation: str) -> None:
+        self.refused.append((reason, organisation))
+
+    def count_read(self, *, by_replica: bool) -> None:
+        self.reads.append(by_replica)
+
+    def count_retry(self, cause: str) -> None:
+        self.retries.append(cause)
+
+
+class FakeReadiness:
+    not_ready_reason: str | None = None
+
+
+class EntryBench:
+    """A caller's handler on fakes; `home` is where both batches and transactions run."""
+
+    def __init__(self, limits: TransactionLimits | None = None) -> None:
+        self.source = FakeSource()
+        self.limiter = FakeLimiter()
+        self.home = FakeHome()
+        self.metrics = FakeMetrics()
+        self.readiness = FakeReadiness()
+        self.closing = False
+        self.wall_time = 1000.0
+        authenticator = Authenticator(self.source, wall_clock=lambda: self.wall_time)
+        calls = HomeCalls("vm-1", self.home, FakePeers({}))
+        choice = HomeChoice("vm-1", "suame")
+        directory = FakeDirectory(HomeVm("vm-1", "suame"))
+        self.transactions = Transactions(directory, calls, choice, authenticator.is_valid, limits)
+        self.services = EntryServices(
+            authenticator=authenticator,
+            sessions=FakeSessions(),
+            limiter=self.limiter,
+            execution=self.home,
+            transactions=self.transactions,
+            metrics=self.metrics,
+            readiness=self.readiness,
+            timeouts=CallerTimeouts(10, 60),
+        )
+        self.handler = self.connect()
+
+    def connect(self) -> CallerHandler:
+        return CallerHandler(self.services, lambda: self.closing)
+
+    async def post(
+        self,
+        path: str,
+        body: Any = None,
+        *,
+        key: str | None = KEY,
+        query: Mapping[str, str] | None = None,
+        handler: CallerHandler | None = None,
+        **headers: str,
+    ) -> Response:
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        if key is not None:
+            names.setdefault("authorization", f"Bearer {key}")
+        data = body if isinstance(body, bytes) else msgspec.json.encode(body) if body else b""
+        request = Request("POST", path, query or {}, names, data)
+        return await (handler or self.handler).handle(request)
+
+
+def problem(response: Response) -> tuple[int, str, str]:
+    """Return status, problem type and `executed` of a refusal."""
+    members = json.loads(response.body)
+    return response.status, members["type"].rpartition(":")[2], members["executed"]
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,322 @@
+"""The caller's interface: authentication, validation, and the truth about what ran."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from entry_fakes import KEY, OTHER_KEY, EntryBench, configuration, digest, problem
+from support import TestCase, trio_test
+from tanagerfront.configuration import KeyDigest
+from tanagerfront.errors import (
+    ConnectionLostError,
+    OverloadedError,
+    RateLimitedError,
+    SqlError,
+    TooLargeError,
+)
+from tanagerfront.http_server import Request
+
+ORDER = {"params": {"ref": "r1", "item": 5}}
+BATCH = "/v1/groups/orders-1/batch"
+PLACE = "/v1/routes/place-order"
+READ = {"statements": [{"sql": "SELECT 1"}], "mode": "read"}
+
+
+class AuthenticationTest(TestCase):
+    @trio_test
+    async def test_key_is_checked_on_each_request(self) -> None:
+        # Guards against a revoked key that keeps working on an open connection.
+        bench = EntryBench()
+        self.assertEqual(200, (await bench.post(PLACE, ORDER)).status)
+        bench.source.current = configuration(2, keys=())
+        refused = await bench.post(PLACE, ORDER)
+        self.assertEqual((401, "key-required", "no"), problem(refused))
+        self.assertEqual(1, len(bench.home.requests))
+
+    @trio_test
+    async def test_key_ends_at_its_time(self) -> None:
+        # Guards against a key with an end date that works for ever.
+        bench = EntryBench()
+        bench.source.current = configuration(2, keys=[KeyDigest(digest(KEY), until=1001.0)])
+        self.assertEqual(200, (await bench.post(PLACE, ORDER)).status)
+        bench.wall_time = 1001.0
+        self.assertEqual(401, (await bench.post(PLACE, ORDER)).status)
+
+    @trio_test
+    async def test_stale_configuration_authorises_no_key(self) -> None:
+        # Guards against an isolated VM that accepts a key revoked in the meantime.
+        bench = EntryBench()
+        bench.source.fresh = False
+        self.assertEqual((503, "unavailable", "no"), problem(await bench.post(PLACE, ORDER)))
+        self.assertEqual(200, (await bench.post("/v1/routes/list", key=None)).status)
+
+    @trio_test
+    async def test_only_the_organisations_groups(self) -> None:
+        # Guards against one organisation reaching the data of another.
+        bench = EntryBench()
+        for path in ("/v1/routes/away", "/v1/groups/orders-2/batch"):
+            self.assertEqual(403, (await bench.post(path, READ if "batch" in path else {})).status)
+        for key in (None, "unknown-key-1"):
+            self.assertEqual(401, (await bench.post(BATCH, READ, key=key)).status)
+        self.assertEqual([], bench.home.requests)
+
+    @trio_test
+    async def test_key_in_another_place_is_refused(self) -> None:
+        # Guards against keys in access logs and databases.
+        bench = EntryBench()
+        leak = {"statements": [{"sql": "SELECT :a", "params": {"a": f"x{KEY}"}}]}
+        answers = [
+            await bench.post(PLACE, ORDER, key=None, query={"key": KEY}),
+            await bench.post(PLACE, ORDER, key=None, x_api_key=KEY),
+            await bench.post(PLACE, ORDER, key=None, authorization=f"Basic {KEY}"),
+            await bench.post(BATCH, leak),
+            await bench.post(PLACE, ORDER, idempotency_key=KEY),
+        ]
+        self.assertEqual([400, 400, 401, 400, 400], [answer.status for answer in answers])
+        self.assertNotIn(KEY.encode(), b"".join(answer.body for answer in answers))
+        self.assertEqual([], bench.home.requests)
+
+    @trio_test
+    async def test_key_is_not_forwarded(self) -> None:
+        # Guards against a key that leaves the entry VM.
+        bench = EntryBench()
+        await bench.post(PLACE, ORDER)
+        request = bench.home.requests[0]
+        self.assertNotIn(KEY, repr(request))
+        self.assertEqual(("foremen", digest(KEY)), (request.organisation, request.key_digest))
+
+
+class RequestTest(TestCase):
+    @trio_test
+    async def test_route_and_session(self) -> None:
+        # Guards against results or session positions lost between home and caller.
+        bench = EntryBench()
+        first = await bench.post(PLACE, ORDER, request_timeout="5", idempotency_key="i-1")
+        self.assertEqual(
+            {"results": [{"columns": ["n"], "rows": [[1]], "changes": 0}]}, json.loads(first.body)
+        )
+        token = dict(first.headers)["session-token"]
+        await bench.post(BATCH, READ, session_token=token, max_staleness="1.5")
+        write, read = bench.home.requests
+        self.assertEqual(("i-1", None), (write.idempotency_key, write.max_staleness_s))
+        self.assertTrue(4 < write.timeout_s <= 5)
+        self.assertEqual({"ref": "r1", "item": 5}, write.statements[0].params)
+        self.assertEqual(((1, 7), 1.5), (tuple(read.session), read.max_staleness_s))
+
+    @trio_test
+    async def test_digest_tells_requests_apart(self) -> None:
+        # Guards against one idempotency key that returns the response of another request.
+        bench = EntryBench()
+        reordered = {"params": {"item": 5, "ref": "r1"}}
+        for body in (ORDER, reordered, {"params": {"ref": "r1", "item": 6}}):
+            await bench.post(PLACE, body, idempotency_key="i-1")
+        digests = [request.request_digest for request in bench.home.requests]
+        self.assertEqual(digests[0], digests[1])
+        self.assertNotEqual(digests[0], digests[2])
+
+    @trio_test
+    async def test_malformed_calls_are_refused(self) -> None:
+        # Guards against input that reaches a database unchecked or gets no clear answer.
+        bench = EntryBench()
+        for body, text in (
+            ({"params": {"ref": "r"}}, "missing: item"),
+            ({"params": {"ref": "r", "item": 1, "x": 1}}, "unknown: x"),
+            ({"params": {"ref": "r", "item": True}}, "bool"),
+            ({"params": {"ref": "r", "item": [1]}}, "array"),
+            ({"params": {"ref": "r", "item": 2**64}}, "64 bits"),
+            ({"params": {}, "extra": 1}, "extra"),
+            (b"{", "JSON"),
+            (b"\xff", "JSON"),
+            (b"[" * 100000, "body"),
+        ):
+            answer = await bench.post(PLACE, body)
+            self.assertEqual((400, "bad-request", "no"), problem(answer))
+            self.assertIn(text, json.loads(answer.body)["detail"])
+        for sql in ("COMMIT", "/**/ begin", "SELECT 1; SELECT 2", "", "--x", "pragma x"):
+            body = {"statements": [{"sql": sql}]}
+            self.assertEqual(400, (await bench.post(BATCH, body)).status, sql)
+        self.assertEqual([], bench.home.requests)
+
+    @trio_test
+    async def test_malformed_headers_are_refused(self) -> None:
+        # Guards against a header that is ignored and changes what the caller relies on.
+        bench = EntryBench()
+        for headers in (
+            {"request_timeout": "0"},
+            {"request_timeout": "61"},
+            {"request_timeout": "nan"},
+            {"max_staleness": "-1"},
+            {"max_staleness": "1e3"},
+            {"idempotency_key": ""},
+            {"idempotency_key": "a b"},
+            {"idempotency_key": "x" * 129},
+            {"session_token": "?"},
+        ):
+            answer = await bench.post(PLACE, ORDER, **headers)
+            self.assertEqual((400, "no"), problem(answer)[::2], str(headers))
+        answer = await bench.post("/v1/routes/list", key=None, idempotency_key="a")
+        self.assertEqual(400, answer.status)
+        self.assertEqual([], bench.home.requests)
+
+    @trio_test
+    async def test_probes(self) -> None:
+        # Guards against a balancer that keeps sending callers to a VM that is stopping.
+        bench = EntryBench()
+        ready = Request("GET", "/readyz", {}, {}, b"")
+        self.assertEqual(200, (await bench.handler.handle(ready)).status)
+        bench.readiness.not_ready_reason = "draining"
+        self.assertEqual(503, (await bench.handler.handle(ready)).status)
+        alive = ready._replace(path="/healthz")
+        self.assertEqual(200, (await bench.handler.handle(alive)).status)
+
+
+class OutcomeTest(TestCase):
+    @trio_test
+    async def test_tokens_are_spent_or_given_back(self) -> None:
+        # Guards against a rate that shrinks by requests that never ran, or grows by those that did.
+        bench = EntryBench()
+        for outcome, spent, returned in (
+            (0.0, 1, 0),
+            (OverloadedError("full"), 0, 1),
+            (ConnectionLostError("gone"), 1, 0),
+            (SqlError("no such table", code="other"), 1, 0),
+            (RuntimeError("fault"), 1, 0),
+        ):
+            bench.limiter.spent = bench.limiter.returned = 0
+            bench.home.outcomes = [outcome]
+            await bench.post(PLACE, ORDER)
+            self.assertEqual((spent, returned), (bench.limiter.spent, bench.limiter.returned))
+        self.assertEqual(2.0, round(bench.home.requests[0].token_lifetime_s or 0, 1))
+
+    @trio_test
+    async def test_refusals_tell_what_ran_and_when_to_retry(self) -> None:
+        # Guards against a caller that repeats a write which ran, or gives up on one that did not.
+        bench = EntryBench()
+        bench.limiter.error = RateLimitedError("rate used up", retry_after_s=1.2)
+        limited = await bench.post(PLACE, ORDER)
+        self.assertEqual((429, "rate-limited", "no"), problem(limited))
+        self.assertEqual("2", dict(limited.headers)["retry-after"])
+        bench.limiter.error = None
+        bench.home.outcomes = [ConnectionLostError("gone")]
+        self.assertEqual(
+            (502, "connection-lost", "unknown"), problem(await bench.post(PLACE, ORDER))
+        )
+        bench.home.outcomes = [SqlError("exists", code="constraint", index=0)]
+        members = json.loads((await bench.post(PLACE, ORDER)).body)
+        self.assertEqual(("constraint", "no"), (members["code"], members["executed"]))
+        self.assertEqual(
+            ["rate-limited", "connection-lost", "sql"], [name for name, _ in bench.metrics.refused]
+        )
+
+    @trio_test
+    async def test_faults_reveal_nothing(self) -> None:
+        # Guards against a traceback or an internal text that reaches a caller.
+        bench = EntryBench()
+        bench.home.outcomes = [RuntimeError("secret detail")]
+        answer = await bench.post(PLACE, ORDER)
+        self.assertEqual((500, "internal", "unknown"), problem(answer))
+        self.assertNotIn(b"secret", answer.body)
+
+    @trio_test(mock_clock=True)
+    async def test_deadline_is_kept(self) -> None:
+        # Guards against a caller that waits for a part which ignores its timeout.
+        bench = EntryBench()
+        bench.home.outcomes = [100.0]
+        started = trio.current_time()
+        answer = await bench.post(PLACE, ORDER, request_timeout="2")
+        self.assertEqual((504, "deadline-exceeded", "unknown"), problem(answer))
+        self.assertLess(trio.current_time() - started, 2.5)
+
+    @trio_test(mock_clock=True)
+    async def test_expired_token_is_replaced(self) -> None:
+        # Guards against a refusal within the rate, caused by a wait longer than a token lives.
+        class SlowHome:
+            async def execute(self, request: Any) -> Any:
+                if request.token_lifetime_s < 5:
+                    await trio.sleep(3)
+                    raise RateLimitedError("token expired")
+                return await bench.home.execute(request)
+
+        bench = EntryBench()
+        bench.services = bench.services._replace(execution=SlowHome())
+        with trio.move_on_after(60):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._lengthen, bench)
+                answer = await bench.post(PLACE, ORDER, handler=bench.connect())
+        self.assertEqual(200, answer.status)
+        self.assertEqual((1, 1), (bench.limiter.spent, bench.limiter.returned))
+
+    async def _lengthen(self, bench: EntryBench) -> None:
+        await trio.sleep(1)
+        bench.limiter.lifetime_s = 10
+
+    @trio_test
+    async def test_unparsable_request_did_not_run(self) -> None:
+        # Guards against an oversized body that leaves the caller without an answer.
+        bench = EntryBench()
+        answer = bench.handler.handle_bad_request(TooLargeError("body exceeds 10 bytes"))
+        self.assertEqual((413, "too-large", "no"), problem(answer))
+        self.assertTrue(answer.close)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(st.sampled_from(["params", "sql", "statements", "mode", "ref"]), inner),
+    max_leaves=8,
+)
+
+
+class MalformedInputTest(TestCase):
+    def check(self, path: str, body: bytes, headers: dict[str, str]) -> None:
+        async def main() -> None:
+            bench = EntryBench()
+            answer = await bench.post(path, body, **headers)
+            if answer.status != 200:
+                self.assertEqual((True, "no"), (answer.status < 500, problem(answer)[2]))
+                self.assertEqual([], bench.home.requests)
+
+        trio.run(main)
+
+    @settings(deadline=None)
+    @given(st.sampled_from([PLACE, BATCH]), st.binary(max_size=40) | JSON.map(json.dumps))
+    def test_bodies(self, path: str, body: bytes | str) -> None:
+        # Guards against a body that ends in an internal error or half runs.
+        self.check(path, body.encode() if isinstance(body, str) else body, {})
+
+    @settings(deadline=None)
+    @given(
+        st.dictionaries(
+            st.sampled_from(
+                ["authorization", "idempotency_key", "session_token", "max_staleness"]
+                + ["request_timeout"]
+            ),
+            st.text(st.characters(max_codepoint=255), max_size=12) | st.from_regex(r"[0-9.]{1,6}"),
+        )
+    )
+    def test_headers(self, headers: dict[str, str]) -> None:
+        # Guards against a header value that ends in an internal error.
+        self.check(PLACE, json.dumps(ORDER).encode(), headers)
+
+    @given(st.text(max_size=30))
+    def test_paths(self, name: str) -> None:
+        # Guards against a path that ends in an internal error or is echoed.
+        self.check(f"/v1/routes/{name}", b"{}", {})
+
+
+class OrganisationTest(TestCase):
+    @trio_test
+    async def test_requests_of_two_organisations_stay_apart(self) -> None:
+        # Guards against state of one request that colours the next on the same connection.
+        bench = EntryBench()
+        await bench.post(PLACE, ORDER)
+        await bench.post(PLACE, ORDER, key=OTHER_KEY)
+        await bench.post("/v1/routes/list", key=None)
+        names = [request.organisation for request in bench.home.requests]
+        self.assertEqual(["foremen", "brewers", "(open)"], names)
+        self.assertEqual([("foremen", 1), ("brewers", 1)], bench.limiter.acquired)
