--- a/src/tanagerfront/entry.py
+++ b/src/tanagerfront/entry.py
@@ -118,11 +118,12 @@
         raise DeadlineExceededError("the deadline passed", executed=call.executed)
 
     def _success(self, call: Call, body: bytes, session: _Session) -> Response:
-        seconds = trio.current_time() - call.started_at
-        self._services.metrics.observe_request(call.organisation, call.request_class, seconds)
         headers = [("request-id", call.id)]
         if session:
-            headers.append(("session-token", self._services.sessions.encode(session)))
+            token = self._services.sessions.encode(session, call.organisation)
+            headers.append(("session-token", token))
+        seconds = trio.current_time() - call.started_at
+        self._services.metrics.observe_request(call.organisation, call.request_class, seconds)
         return Response(200, body, headers)
 
     async def _dispatch(self, call: Call) -> tuple[bytes, _Session]:
--- a/src/tanagerfront/entry_services.py
+++ b/src/tanagerfront/entry_services.py
@@ -36,13 +36,13 @@
 
 
 class SessionCodec(Protocol):
-    """Session tokens: the log entry reached in each group, authenticated."""
+    """Session tokens: the log entry reached in each group, bound to an organisation."""
 
-    def decode(self, text: str) -> Mapping[str, EntryId]:
+    def decode(self, text: str, organisation: str) -> Mapping[str, EntryId]:
         """Return the entries by group; raises SessionTokenError."""
 
-    def encode(self, entries: Mapping[str, EntryId]) -> str:
-        """Return the token for these entries."""
+    def encode(self, entries: Mapping[str, EntryId], organisation: str) -> str:
+        """Return the token for these entries; raises SessionTokenError with executed `yes`."""
 
 
 class Execution(Protocol):
@@ -131,7 +131,8 @@
         if self.key is not None:
             self.caller = services.authenticator.authenticate(self.key)
         if self.headers.session_text is not None:
-            self.session = services.sessions.decode(self.headers.session_text)
+            text = self.headers.session_text
+            self.session = services.sessions.decode(text, self.organisation)
 
     def require_caller(self) -> Caller:
         """Return the caller; raises KeyRequiredError."""
--- a/src/tanagerfront/home_calls.py
+++ b/src/tanagerfront/home_calls.py
@@ -8,16 +8,8 @@
 import msgspec
 import trio
 
-from .errors import (
-    ConnectionLostError,
-    Executed,
-    SqlError,
-    StaleTermError,
-    TanagerfrontError,
-    error_for_type,
-)
+from .errors import ConnectionLostError
 from .messages import (
-    ErrorReply,
     ExecuteReply,
     ExecuteRequest,
     Message,
@@ -25,7 +17,7 @@
     TransactionRequest,
 )
 
-__all__ = ["HomeCalls", "HomeDirectory", "HomeVm", "LocalHome", "PeerCaller", "error_from_reply"]
+__all__ = ["HomeCalls", "HomeDirectory", "HomeVm", "LocalHome", "PeerCaller"]
 
 # The home stops this much before the caller's deadline, so that its own answer, which knows
 # whether the request ran, arrives in time.
@@ -33,7 +25,6 @@
 REPLY_MARGIN_SHARE = 0.1
 # A local call that ignores its own timeout is cut off after this time.
 LOCAL_GRACE_S = 0.02
-_EXECUTED: dict[str, Executed] = {"no": "no", "unknown": "unknown", "yes": "yes"}
 _Reply = TypeVar("_Reply", ExecuteReply, TransactionReply)
 
 
@@ -68,17 +59,6 @@
         """Return the reply; raises TanagerfrontError whose `executed` is true to the facts."""
 
 
-def error_from_reply(reply: ErrorReply) -> TanagerfrontError:
-    """Return the error that a peer reported."""
-    cls = error_for_type(reply.problem_type)
-    if issubclass(cls, SqlError):
-        return cls(reply.message, code=reply.code, index=reply.index)
-    if issubclass(cls, StaleTermError):
-        return cls(reply.message, term=reply.term)
-    executed = _EXECUTED.get(reply.executed, "unknown")
-    return cls(reply.message, executed=executed, retry_after_s=reply.retry_after_s)
-
-
 class HomeCalls:
     """Send requests to a home, wherever it is."""
 
@@ -115,8 +95,6 @@
             reply = await self._peers.call(home.vm, _shortened(request, margin), timeout_s)
         except trio.TooSlowError as error:
             raise ConnectionLostError(f"VM {home.vm} did not answer in time") from error
-        if isinstance(reply, ErrorReply):
-            raise error_from_reply(reply)
         if not isinstance(reply, expected):
             raise ConnectionLostError(f"VM {home.vm} sent an unexpected kind of reply")
         return reply
--- a/src/tanagerfront/metering.py
+++ b/src/tanagerfront/metering.py
@@ -8,7 +8,14 @@
 import trio
 
 from .authentication import Caller
-from .errors import BadRequestError, Executed, RateLimitedError, SqlError, TanagerfrontError
+from .errors import (
+    BadRequestError,
+    Executed,
+    RateLimitedError,
+    SqlError,
+    TanagerfrontError,
+    TransactionError,
+)
 
 __all__ = ["MeteredCall", "RateLimiter", "RateToken", "run_metered"]
 
@@ -65,19 +72,19 @@
         )
     for attempt in range(1, MAX_TOKENS_PER_REQUEST + 1):
         token = await limiter.acquire(organisation.name, count, call.deadline)
-        rejected_by_database = False
+        used_database = False
         try:
             return await _run(call, run, token.remaining_s)
-        except SqlError:
-            # The statements used the database although they had no effect.
-            rejected_by_database = True
+        except (SqlError, TransactionError):
+            # The statements used the database although they have no effect.
+            used_database = True
             raise
         except RateLimitedError as error:
             expired = token.remaining_s <= 0 and error.executed == "no"
             if not expired or attempt == MAX_TOKENS_PER_REQUEST or _is_over(call):
                 raise
         finally:
-            if call.executed == "no" and not rejected_by_database:
+            if call.executed == "no" and not used_database:
                 limiter.give_back(token)
             else:
                 limiter.confirm(token)
--- /dev/null
+++ b/tests/test_transactions.py
@@ -0,0 +1,164 @@
+"""Interactive transactions: bound to one connection, ended with it, never left open."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from entry_fakes import OTHER_KEY, EntryBench, configuration, problem
+from support import TestCase, trio_test
+from tanagerfront.errors import ConnectionLostError, RateLimitedError, SqlError
+from tanagerfront.transactions import TransactionLimits
+
+BEGIN = "/v1/groups/orders-1/transaction"
+EXECUTE = "/v1/transaction/execute"
+COMMIT = "/v1/transaction/commit"
+ROLLBACK = "/v1/transaction/rollback"
+INSERT = {"statements": [{"sql": "INSERT INTO a VALUES (?)", "params": [1]}]}
+
+
+@asynccontextmanager
+async def swept(bench: EntryBench) -> AsyncIterator[None]:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(bench.transactions.run)
+        yield
+        nursery.cancel_scope.cancel()
+
+
+class TransactionTest(TestCase):
+    @trio_test
+    async def test_commit(self) -> None:
+        # Guards against steps that reach another transaction, and a lost session position.
+        bench = EntryBench()
+        self.assertEqual({"transaction": "open"}, json.loads((await bench.post(BEGIN)).body))
+        self.assertEqual(200, (await bench.post(EXECUTE, INSERT)).status)
+        committed = await bench.post(COMMIT)
+        self.assertEqual({"transaction": "committed"}, json.loads(committed.body))
+        self.assertIn("session-token", dict(committed.headers))
+        self.assertEqual(["begin", "execute", "commit"], bench.home.actions)
+        self.assertEqual(1, len({step.transaction for step in bench.home.steps}))
+        self.assertEqual(0, bench.transactions.count)
+        self.assertEqual((409, "transaction", "no"), problem(await bench.post(COMMIT)))
+
+    @trio_test
+    async def test_one_transaction_for_each_connection(self) -> None:
+        # Guards against a statement that runs outside the transaction its caller believes in,
+        # and against two connections that share one.
+        bench = EntryBench()
+        await bench.post(BEGIN)
+        for path, body in ((BEGIN, None), ("/v1/groups/orders-1/batch", INSERT)):
+            self.assertEqual((409, "transaction", "no"), problem(await bench.post(path, body)))
+        other = bench.connect()
+        self.assertEqual(409, (await bench.post(EXECUTE, INSERT, handler=other)).status)
+        self.assertEqual(403, (await bench.post(EXECUTE, INSERT, key=OTHER_KEY)).status)
+        self.assertEqual(["begin"], bench.home.actions)
+
+    @trio_test
+    async def test_closed_connection_rolls_back(self) -> None:
+        # Guards against locks that stay held after the caller has gone.
+        bench = EntryBench()
+        await bench.post(BEGIN)
+        with trio.CancelScope() as scope:
+            scope.cancel()
+            await bench.handler.close()
+        self.assertEqual(["begin", "rollback"], bench.home.actions)
+        self.assertEqual(0, bench.transactions.count)
+
+    @trio_test(mock_clock=True)
+    async def test_revoked_key_rolls_back(self) -> None:
+        # Guards against a transaction that outlives its key on a silent connection.
+        bench = EntryBench()
+        async with swept(bench):
+            await bench.post(BEGIN)
+            bench.source.current = configuration(2, keys=())
+            await trio.sleep(1)
+            self.assertEqual(["begin", "rollback"], bench.home.actions)
+            self.assertEqual(401, (await bench.post(COMMIT)).status)
+
+    @trio_test(mock_clock=True)
+    async def test_revoked_key_interrupts_a_step(self) -> None:
+        # Guards against a long statement that defers the revocation.
+        bench = EntryBench()
+        async with swept(bench):
+            await bench.post(BEGIN)
+            bench.home.outcomes = [9.0]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._revoke_later, bench)
+                started = trio.current_time()
+                answer = await bench.post(EXECUTE, INSERT)
+            self.assertEqual((401, "key-required", "no"), problem(answer))
+            self.assertLess(trio.current_time() - started, 2.0)
+        self.assertEqual("rollback", bench.home.actions[-1])
+
+    async def _revoke_later(self, bench: EntryBench) -> None:
+        await trio.sleep(1)
+        bench.source.current = configuration(2, keys=())
+
+    @trio_test(mock_clock=True)
+    async def test_limits(self) -> None:
+        # Guards against a caller that keeps a slot by doing nothing, or by never finishing.
+        bench = EntryBench(TransactionLimits(duration_s=5, idle_s=2))
+        async with swept(bench):
+            await bench.post(BEGIN)
+            await trio.sleep(2.5)
+            answer = await bench.post(EXECUTE, INSERT)
+            self.assertIn("idle", json.loads(answer.body)["detail"])
+            await bench.post(BEGIN)
+            for _ in range(6):
+                await trio.sleep(1)
+                answer = await bench.post(EXECUTE, INSERT)
+            self.assertIn("longer than 5 s", json.loads(answer.body)["detail"])
+        self.assertEqual(2, bench.home.actions.count("rollback"))
+
+    @trio_test
+    async def test_failed_step_ends_the_transaction_without_effect(self) -> None:
+        # Guards against a commit of half a transaction, and an untrue "unknown".
+        for outcome in (SqlError("exists", code="constraint"), ConnectionLostError("silent")):
+            bench = EntryBench()
+            await bench.post(BEGIN)
+            bench.home.outcomes = [outcome]
+            answer = await bench.post(EXECUTE, INSERT)
+            self.assertEqual("no", problem(answer)[2])
+            self.assertIn("rolled back", json.loads(answer.body)["detail"])
+            self.assertEqual("rollback", bench.home.actions[-1])
+            self.assertEqual(409, (await bench.post(COMMIT)).status)
+
+    @trio_test
+    async def test_refused_token_leaves_it_open(self) -> None:
+        # Guards against a rollback for a statement that was never sent.
+        bench = EntryBench()
+        await bench.post(BEGIN)
+        bench.home.outcomes = [RateLimitedError("token expired")]
+        self.assertEqual(429, (await bench.post(EXECUTE, INSERT)).status)
+        self.assertEqual(200, (await bench.post(COMMIT)).status)
+
+    @trio_test
+    async def test_uncertain_commit(self) -> None:
+        # Guards against "not run" for a commit that may have taken effect.
+        bench = EntryBench()
+        await bench.post(BEGIN)
+        bench.home.outcomes = [ConnectionLostError("silent")]
+        self.assertEqual("unknown", problem(await bench.post(COMMIT))[2])
+        self.assertEqual(0, bench.transactions.count)
+
+    @trio_test
+    async def test_failed_begin_leaves_nothing_open(self) -> None:
+        # Guards against a transaction at the home that no caller knows of.
+        bench = EntryBench()
+        bench.home.outcomes = [ConnectionLostError("silent")]
+        self.assertEqual((503, "unavailable", "no"), problem(await bench.post(BEGIN)))
+        self.assertEqual(["begin", "rollback"], bench.home.actions)
+        self.assertEqual(0, bench.transactions.count)
+
+    @trio_test
+    async def test_drain_waits_for_the_transaction(self) -> None:
+        # Guards against a connection that closes between two steps while the VM drains.
+        bench = EntryBench()
+        await bench.post(BEGIN)
+        bench.closing = True
+        self.assertEqual((False, True), (bench.handler.draining, bench.handler.busy))
+        await bench.post(ROLLBACK)
+        self.assertEqual((True, False), (bench.handler.draining, bench.handler.busy))
