Add graceful shutdown and the serve and status commands

A closed listener no longer ends the HTTP server's open connections: closing it is how a VM stops accepting while it finishes what is in progress.

--- a/src/tanagerfront/cli.py
+++ b/src/tanagerfront/cli.py
@@ -2,16 +2,25 @@
 
 from __future__ import annotations
 
+import importlib
+import importlib.util
 import sys
+from pathlib import Path
 
 import cyclopts
+import trio
 
 from . import __version__
 from .errors import TanagerfrontError
 
 __all__ = ["app", "main"]
 
-app = cyclopts.App(name="tanagerfront", help="Database proxy with session consistency.")
+USAGE_EXIT_CODE = 2
+_CONFIG_MODULE = "tanagerfront.cli_config"
+
+app = cyclopts.App(
+    name="tanagerfront", help="Database proxy with session consistency.", version=__version__
+)
 
 
 @app.command
@@ -20,10 +29,65 @@
     print(__version__)
 
 
+@app.command
+def serve(*, settings: Path) -> None:
+    """Run one VM until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings
+        INI file with the addresses, failure domain and limits of this process.
+    """
+    from .logs import configure_logging
+    from .settings import load_settings
+
+    loaded = load_settings(settings)
+    configure_logging(loaded.log)
+    # The parts of a VM take a while to import, which the other commands need not wait for.
+    trio.run(importlib.import_module("tanagerfront.vm").run_vm, loaded)
+
+
+@app.command
+def status(*, server: str, json: bool = False, timeout: float = 5.0) -> None:
+    """Print the status of a running VM.
+
+    Parameters
+    ----------
+    server
+        HOST:PORT of the VM's administration port.
+    json
+        Print the JSON document in place of tables.
+    timeout
+        Seconds to wait for the answer.
+    """
+    from .status_view import fetch_status, render_status
+
+    document = trio.run(fetch_status, server, timeout)
+    print(document.decode() if json else render_status(document))
+
+
+def _mount_config() -> None:
+    """Add the `config` commands, whose modules are imported when one is used."""
+    if importlib.util.find_spec(_CONFIG_MODULE) is not None:
+        app.command(f"{_CONFIG_MODULE}:app", name="config")
+
+
+_mount_config()
+
+
 def main() -> None:
     """Run the command line; exit with the error's own exit code."""
     try:
-        app()
+        app(exit_on_error=False)
+    except cyclopts.CycloptsError:
+        sys.exit(USAGE_EXIT_CODE)
     except TanagerfrontError as error:
         print(f"tanagerfront: {error}", file=sys.stderr)
         sys.exit(error.exit_code)
+    except BrokenPipeError:
+        # The reader of the output, such as head, has read enough.
+        sys.stderr.close()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/tanagerfront/http_server.py
+++ b/src/tanagerfront/http_server.py
@@ -259,4 +259,8 @@
     nursery: trio.Nursery,
     serve_one: Callable[[trio.abc.Stream], Awaitable[None]],
 ) -> None:
-    await trio.serve_listeners(serve_one, [listener], handler_nursery=nursery)
+    # A listener that is closed ends the accepting only; connections go on.
+    try:
+        await trio.serve_listeners(serve_one, [listener], handler_nursery=nursery)
+    except* trio.ClosedResourceError:
+        pass
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,123 @@
+"""The command line: exit codes, messages without tracebacks, and the status tables."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import sys
+import types
+from typing import Any
+from unittest import mock
+
+import trio
+
+from support import TestCase, trio_test
+from tanagerfront import cli
+from tanagerfront.errors import ConnectionLostError, SettingsError
+from tanagerfront.http_server import ConnectionHandler, Request, Response, serve_http
+from tanagerfront.status_view import fetch_status, render_status
+
+STATUS = (
+    b'{"vm": "vm-1", "draining": false, "age_s": 0.25, "seats": ["home/orders-1/0"],'
+    b' "groups": {"orders-1": {"term": 3, "primary": "db-1"}},'
+    b' "peers": [{"vm": "vm-2", "live": true}, {"vm": "vm-30", "load": [1]}]}'
+)
+
+
+class StatusHandler(ConnectionHandler):
+    async def handle(self, request: Request) -> Response:
+        return Response(200, STATUS) if request.path == "/status" else Response(404)
+
+
+class CliTest(TestCase):
+    def run_cli(self, *arguments: str) -> tuple[int, str, str]:
+        """Return exit code, output and error output of one command."""
+        out, err = io.StringIO(), io.StringIO()
+        with (
+            mock.patch.object(sys, "argv", ["tanagerfront", *arguments]),
+            contextlib.redirect_stdout(out),
+            contextlib.redirect_stderr(err),
+        ):
+            try:
+                cli.main()
+            except SystemExit as exited:
+                return int(exited.code or 0), out.getvalue(), err.getvalue()
+        return 0, out.getvalue(), err.getvalue()
+
+    def test_version_and_help(self) -> None:
+        # Guards against commands that import parts of a VM they do not need and fail on them.
+        self.assertEqual((0, "0.1.0\n", ""), self.run_cli("version"))
+        code, out, _ = self.run_cli("--help")
+        self.assertEqual(0, code)
+        for command in ("serve", "status", "version"):
+            self.assertIn(command, out)
+
+    def test_wrong_usage(self) -> None:
+        # Guards against a misspelt command that a script takes for success.
+        for arguments in (("sevre",), ("serve",), ("status", "--server")):
+            self.assertEqual(2, self.run_cli(*arguments)[0], arguments)
+
+    def test_errors_exit_with_their_own_code(self) -> None:
+        # Guards against a traceback in place of a message.
+        code, _, err = self.run_cli("serve", "--settings", "/nonexistent.ini")
+        self.assertEqual(2, code)
+        self.assertIn("tanagerfront: /nonexistent.ini: cannot be read", err)
+        code, _, err = self.run_cli("status", "--server", "127.0.0.1:1")
+        self.assertEqual(1, code)
+        self.assertNotIn("Traceback", err)
+        self.assertEqual(2, self.run_cli("status", "--server", "nowhere")[0])
+
+    def test_serve_hands_over_the_settings(self) -> None:
+        # Guards against a VM that starts before its settings are checked.
+        vm = types.ModuleType("tanagerfront.vm")
+        seen: list[Any] = []
+
+        async def run_vm(settings: Any) -> None:
+            seen.append(settings)
+
+        vm.run_vm = run_vm  # type: ignore[attr-defined]
+        with (
+            mock.patch.dict(sys.modules, {"tanagerfront.vm": vm}),
+            mock.patch("tanagerfront.settings.load_settings", return_value=mock.MagicMock()),
+            mock.patch("tanagerfront.logs.configure_logging") as configured,
+        ):
+            self.assertEqual(0, self.run_cli("serve", "--settings", "vm.ini")[0])
+        self.assertEqual(1, len(seen))
+        configured.assert_called_once_with(seen[0].log)
+
+
+class StatusTest(TestCase):
+    @trio_test
+    async def test_fetch(self) -> None:
+        # Guards against a table of an error page.
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            await nursery.start(serve_http, listeners, lambda _stream: StatusHandler())
+            port = listeners[0].socket.getsockname()[1]
+            self.assertEqual(STATUS, await fetch_status(f"127.0.0.1:{port}", 5))
+            nursery.cancel_scope.cancel()
+        with self.assertRaises(SettingsError):
+            await fetch_status("127.0.0.1", 5)
+
+    def test_tables(self) -> None:
+        # Guards against members that are lost or columns that do not line up.
+        self.assertEqual(
+            [
+                "vm        vm-1",
+                "draining  no",
+                "age_s     0.25",
+                'seats     ["home/orders-1/0"]',
+                "",
+                "groups",
+                "  name      term  primary",
+                "  orders-1  3     db-1",
+                "",
+                "peers",
+                "  vm     live  load",
+                "  vm-2   yes   -",
+                "  vm-30  -     [1]",
+            ],
+            render_status(STATUS).splitlines(),
+        )
+        with self.assertRaises(ConnectionLostError):
+            render_status(b"<html>")
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,178 @@
+"""Graceful shutdown: probes first, then no new work, and nothing that runs is cut off."""
+
+from __future__ import annotations
+
+import os
+import signal
+
+import trio
+
+from entry_fakes import KEY, EntryBench, FakeMetrics
+from support import TestCase, trio_test
+from tanagerfront.caller_connections import CallerConnections
+from tanagerfront.drain import Drain, DrainState, DrainStatus, DrainTiming
+from tanagerfront.errors import ConnectionLostError
+from tanagerfront.http_client import Address, HttpConnection, HttpReply
+from tanagerfront.http_server import serve_http
+
+AUTHORIZATION = [("authorization", f"Bearer {KEY}")]
+READ = b'{"statements": [{"sql": "SELECT 1"}], "mode": "read"}'
+
+
+class GaugeMetrics(FakeMetrics):
+    def __init__(self) -> None:
+        super().__init__()
+        self.connections: list[int] = []
+
+    def set_connections(self, kind: str, count: int) -> None:
+        self.connections.append(count)
+
+
+class DrainBench:
+    """A listening VM on fakes, with a shutdown that can be asked for."""
+
+    def __init__(self, timing: DrainTiming, max_connections: int = 10) -> None:
+        self.bench = EntryBench()
+        self.status = DrainStatus()
+        self.gauges = GaugeMetrics()
+        services = self.bench.services._replace(readiness=self.status)
+        self.connections = CallerConnections(services, self.gauges, max_connections)
+        self.timing = timing
+        self.released = False
+
+    async def release(self) -> None:
+        self.released = True
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.address = Address("127.0.0.1", listeners[0].socket.getsockname()[1])
+        await nursery.start(serve_http, listeners, self.connections.handler)
+        self.drain = Drain(self.status, self.timing, self.connections, listeners, self.release)
+
+    async def connect(self) -> HttpConnection:
+        return await HttpConnection.open(self.address, timeout_s=1)
+
+    async def batch(self, connection: HttpConnection) -> HttpReply:
+        path = "/v1/groups/orders-1/batch"
+        return await connection.request("POST", path, READ, headers=AUTHORIZATION, timeout_s=5)
+
+
+class DrainTest(TestCase):
+    @trio_test
+    async def test_request_in_progress_is_finished(self) -> None:
+        # Guards against a stop that interrupts a request, or that waits for idle connections.
+        vm = DrainBench(DrainTiming(delay_s=0.5, limit_s=20))
+        vm.bench.home.outcomes = [1.5]
+        replies: list[HttpReply] = []
+        async with trio.open_nursery() as nursery:
+            await vm.start(nursery)
+            idle, slow = await vm.connect(), await vm.connect()
+
+            async def call() -> None:
+                replies.append(await vm.batch(slow))
+
+            nursery.start_soon(call)
+            await trio.sleep(0.05)
+            vm.drain.request()
+            with trio.fail_after(4):
+                await vm.drain.run()
+            # Every task of the server ends by itself once the last connection is closed.
+        self.assertEqual([200], [reply.status for reply in replies])
+        self.assertEqual("close", replies[0].headers["connection"])
+        self.assertEqual((True, DrainState.DONE), (vm.released, vm.status.state))
+        with self.assertRaises(ConnectionLostError):
+            await idle.request("GET", "/healthz", timeout_s=1)
+
+    @trio_test
+    async def test_new_callers_during_and_after_the_delay(self) -> None:
+        # Guards against refused connections while the balancer still sends callers here.
+        vm = DrainBench(DrainTiming(delay_s=0.6, limit_s=5))
+        async with trio.open_nursery() as nursery:
+            await vm.start(nursery)
+            nursery.start_soon(vm.drain.run)
+            vm.drain.request()
+            await trio.sleep(0.1)
+            ready = await (await vm.connect()).request("GET", "/readyz", timeout_s=1)
+            served = await vm.batch(await vm.connect())
+            self.assertEqual((503, 200), (ready.status, served.status))
+            await trio.sleep(1)
+            with self.assertRaises(ConnectionLostError) as caught:
+                await vm.connect()
+            self.assertEqual("no", caught.exception.executed)
+
+    @trio_test
+    async def test_limit_ends_the_wait(self) -> None:
+        # Guards against a VM that never stops because one request never ends.
+        vm = DrainBench(DrainTiming(delay_s=0, limit_s=0.3))
+        vm.bench.home.outcomes = [60.0]
+        async with trio.open_nursery() as nursery:
+            await vm.start(nursery)
+            nursery.start_soon(self._ignore_failure, vm)
+            await trio.sleep(0.1)
+            vm.drain.request()
+            with trio.fail_after(2):
+                await vm.drain.run()
+            self.assertTrue(vm.released)
+            nursery.cancel_scope.cancel()
+
+    async def _ignore_failure(self, vm: DrainBench) -> None:
+        try:
+            await vm.batch(await vm.connect())
+        except ConnectionLostError:
+            return
+
+    @trio_test
+    async def test_transaction_may_finish(self) -> None:
+        # Guards against a transaction that is cut off between two of its steps.
+        vm = DrainBench(DrainTiming(delay_s=0, limit_s=5))
+        async with trio.open_nursery() as nursery:
+            await vm.start(nursery)
+            connection = await vm.connect()
+
+            async def step(path: str) -> int:
+                reply = await connection.request("POST", path, headers=AUTHORIZATION, timeout_s=1)
+                return reply.status
+
+            self.assertEqual(200, await step("/v1/groups/orders-1/transaction"))
+            vm.drain.request()
+            nursery.start_soon(vm.drain.run)
+            await trio.sleep(0.5)
+            self.assertEqual(200, await step("/v1/transaction/commit"))
+
+    @trio_test
+    async def test_signals(self) -> None:
+        # Guards against a signal that ends the process at once, and a second that is ignored.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            vm = DrainBench(DrainTiming(delay_s=30, limit_s=30))
+            async with trio.open_nursery() as nursery:
+                await vm.start(nursery)
+                await nursery.start(vm.drain.watch_signals)
+                nursery.start_soon(vm.drain.run)
+                os.kill(os.getpid(), number)
+                await self._reach(vm, DrainState.ANNOUNCED)
+                os.kill(os.getpid(), number)
+                await self._reach(vm, DrainState.DONE)
+                nursery.cancel_scope.cancel()
+
+    async def _reach(self, vm: DrainBench, state: DrainState) -> None:
+        for _ in range(200):
+            if vm.status.state is state:
+                return
+            await trio.sleep(0.01)
+        self.fail(f"the state is {vm.status.state} in place of {state}")
+
+    @trio_test
+    async def test_connections_above_the_limit(self) -> None:
+        # Guards against memory that grows with the number of connections.
+        vm = DrainBench(DrainTiming(), max_connections=1)
+        async with trio.open_nursery() as nursery:
+            await vm.start(nursery)
+            first, second = await vm.connect(), await vm.connect()
+            self.assertEqual(200, (await vm.batch(first)).status)
+            refused = await vm.batch(second)
+            self.assertEqual((503, "close"), (refused.status, refused.headers["connection"]))
+            await first.close()
+            await trio.sleep(0.05)
+            self.assertEqual(200, (await vm.batch(await vm.connect())).status)
+            self.assertEqual([1, 0, 1], vm.gauges.connections)
+            nursery.cancel_scope.cancel()
