--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 
 clean:
 	rm -rf $(VENV) build dist
+
+demo: $(VENV)/installed
+	$(BIN)/python tools/demo.py
--- a/src/tanagerfront/_settings_options.py
+++ b/src/tanagerfront/_settings_options.py
@@ -109,9 +109,9 @@
     },
     "timing": {
         "heartbeat": _seconds(0.5, 0.05, 60),
-        "lease": _integer(4, 1, 600, "seconds"),
-        "suspicion": _seconds(1.0, 0.05, 60),
-        "outage_grace": _seconds(4.0, 0, 600),
+        "lease": _integer(10, 4, 600, "seconds"),
+        "suspicion": _seconds(0.6, 0.05, 60),
+        "outage_grace": _seconds(7.0, 7.0, 600),
         "drain_delay": _seconds(3.0, 0),
         "drain_limit": _seconds(30.0, 0),
     },
--- a/src/tanagerfront/entry.py
+++ b/src/tanagerfront/entry.py
@@ -119,6 +119,8 @@
 
     def _success(self, call: Call, body: bytes, session: _Session) -> Response:
         headers = [("request-id", call.id)]
+        if call.served_by is not None:
+            headers.append(("served-by", call.served_by))
         if session:
             token = self._services.sessions.encode(session, call.organisation)
             headers.append(("session-token", token))
@@ -159,6 +161,7 @@
             )
 
         reply = await run_metered(services.limiter, call, len(work.statements), execute)
+        call.served_by = "replica" if reply.by_replica else "primary"
         return encode_results(reply.results), _advanced(call.session, work.group, reply.reached)
 
     async def _begin(self, call: Call, group: str) -> tuple[bytes, _Session]:
--- a/src/tanagerfront/entry_services.py
+++ b/src/tanagerfront/entry_services.py
@@ -111,6 +111,8 @@
         self.headers = CallHeaders(None, None, None, None)
         self.session: Mapping[str, EntryId] = {}
         self.executed: Executed = "no"
+        # Role of the instance that served a batch, for the response header Served-By.
+        self.served_by: str | None = None
 
     @property
     def organisation(self) -> str:
--- /dev/null
+++ b/src/tanagerfront/homes.py
@@ -0,0 +1,188 @@
+"""The groups of which this VM is a home, and the homes of all groups."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+
+import structlog
+import trio
+import xxhash
+
+from .configuration import Configuration
+from .errors import TanagerfrontError, UnavailableError
+from .home import GroupHome, HomeServices
+from .home_calls import HomeVm
+from .membership import Membership
+from .messages import (
+    ExecuteReply,
+    ExecuteRequest,
+    PrimaryReply,
+    PrimaryReport,
+    TransactionReply,
+    TransactionRequest,
+)
+from .peers import PeerNetwork
+from .seats import SeatRegistry
+
+__all__ = ["HOME_ROLE", "Homes"]
+
+HOME_ROLE = "home"
+# Asking the other homes has to leave room for the rest of a promotion within 7 s.
+CONFIRM_TIMEOUT_S = 0.5
+RECHECK_S = 0.25
+# A lone home promotes only while the service answers it, as it may be the one that is cut off.
+SERVICE_FRESH_S = 4.0
+_log = structlog.get_logger(__name__)
+
+
+class Homes:
+    """Start and stop the homes that this VM's seats ask for."""
+
+    def __init__(
+        self,
+        services: HomeServices,
+        network: PeerNetwork,
+        membership: Membership,
+        seats: SeatRegistry,
+        configuration: Callable[[], Configuration],
+    ) -> None:
+        self._services = services
+        self._network = network
+        self._membership = membership
+        self._seats = seats
+        self._configuration = configuration
+        self._homes: dict[str, tuple[GroupHome, trio.CancelScope]] = {}
+        network.register(ExecuteRequest, self._execute_for_peer)
+        network.register(TransactionRequest, self._transact_for_peer)
+        network.register(PrimaryReport, self._answer_primary_report)
+
+    @property
+    def active(self) -> Mapping[str, GroupHome]:
+        """Return the homes that run here, by group."""
+        return {group: home for group, (home, _scope) in self._homes.items()}
+
+    def homes(self, group: str) -> Sequence[HomeVm]:
+        """Return the live homes of a group."""
+        holders = set(self._seats.holders(HOME_ROLE, group).values())
+        return [
+            HomeVm(vm.id, vm.failure_domain)
+            for vm in self._membership.live()
+            if vm.id in holders and self._serves(vm.id, group)
+        ]
+
+    def _serves(self, vm: str, group: str) -> bool:
+        return vm != self._membership.vm_id or group in self._homes
+
+    async def execute(self, request: ExecuteRequest) -> ExecuteReply:
+        """Run one batch at this VM; raises TanagerfrontError."""
+        return await self._home(request.group).executor.execute(request)
+
+    async def transact(self, request: TransactionRequest) -> TransactionReply:
+        """Run one step of a transaction at this VM; raises TanagerfrontError."""
+        return await self._transact_for_peer(self._membership.vm_id, request)
+
+    async def run(self) -> None:
+        """Follow the seats and the configuration until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._abort_for_lost_peers)
+            while True:
+                await self._reconcile(nursery)
+                # The validity of a seat can end without any message, so it is looked at regularly.
+                with trio.move_on_after(RECHECK_S):
+                    await self._seats.wait_changed()
+
+    async def _reconcile(self, nursery: trio.Nursery) -> None:
+        configuration = self._configuration()
+        for name in list(self._homes):
+            if name not in configuration.groups or not self._seats.holds(HOME_ROLE, name):
+                _log.info("home_stopped", group=name)
+                self._homes.pop(name)[1].cancel()
+        for name, group in configuration.groups.items():
+            held = self._seats.holds(HOME_ROLE, name)
+            if not held:
+                continue
+            if name in self._homes:
+                await self._homes[name][0].update(group, len(held))
+            else:
+                home = GroupHome(
+                    group,
+                    len(held),
+                    self._services,
+                    lambda term, primary, name=name: self._confirm(name, term, primary),
+                    lambda name=name: self._rank(name),
+                )
+                self._homes[name] = (home, trio.CancelScope())
+                await nursery.start(self._run_home, name)
+
+    async def _run_home(
+        self, name: str, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        home, scope = self._homes[name]
+        _log.info("home_started", group=name)
+        with scope:
+            await home.run(task_status=task_status)
+
+    def _home(self, group: str) -> GroupHome:
+        entry = self._homes.get(group)
+        if entry is None or not self._seats.holds(HOME_ROLE, group):
+            raise UnavailableError(f"this VM is not a home of group {group}")
+        return entry[0]
+
+    async def _execute_for_peer(self, _vm: str, request: ExecuteRequest) -> ExecuteReply:
+        return await self.execute(request)
+
+    async def _transact_for_peer(self, vm: str, request: TransactionRequest) -> TransactionReply:
+        return await self._home(request.group).transactions.handle(vm, request)
+
+    async def _answer_primary_report(self, _vm: str, report: PrimaryReport) -> PrimaryReply:
+        entry = self._homes.get(report.group)
+        if entry is None:
+            raise UnavailableError(f"this VM is not a home of group {report.group}")
+        view = entry[0].view
+        reachable = view.primary is not None and view.primary.reachable
+        return PrimaryReply(reachable, view.term, self._services.failure_domain)
+
+    def _rank(self, group: str) -> int:
+        """Return this VM's place among the homes of a group."""
+        vms = {home.vm for home in self.homes(group)} | {self._membership.vm_id}
+        ordered = sorted(vms, key=lambda vm: xxhash.xxh64_intdigest(f"{group}/{vm}".encode()))
+        return ordered.index(self._membership.vm_id)
+
+    async def _confirm(self, group: str, term: int, primary: str | None) -> bool:
+        """Tell whether two VMs of two failure domains do not reach the primary.
+
+        A home that still reaches it has no veto: it may be cut off together with the primary.
+        """
+        report = PrimaryReport(group, term, primary or "")
+        others = set(self._seats.holders(HOME_ROLE, group).values()) - {self._membership.vm_id}
+        replies: list[PrimaryReply] = []
+
+        async def ask(vm: str) -> None:
+            try:
+                reply = await self._network.call(vm, report, CONFIRM_TIMEOUT_S)
+            except TanagerfrontError:
+                return
+            if isinstance(reply, PrimaryReply):
+                replies.append(reply)
+
+        async with trio.open_nursery() as nursery:
+            for vm in others:
+                nursery.start_soon(ask, vm)
+        if any(not reply.reachable and self._in_other_domain(reply) for reply in replies):
+            return True
+        silent = not replies
+        return silent and self._services.store.last_answer_age_s < SERVICE_FRESH_S
+
+    def _in_other_domain(self, reply: PrimaryReply) -> bool:
+        return reply.failure_domain != self._services.failure_domain
+
+    async def _abort_for_lost_peers(self) -> None:
+        """Roll back the transactions of entry VMs that no longer answer."""
+        known = {vm.id for vm in self._membership.live()}
+        while True:
+            await self._membership.wait_changed()
+            live = {vm.id for vm in self._membership.live()}
+            for vm in known - live:
+                for home in self.active.values():
+                    await home.transactions.abort_all(vm)
+            known = live
--- a/src/tanagerfront/messages.py
+++ b/src/tanagerfront/messages.py
@@ -192,6 +192,8 @@
     version: int
     manifest: bytes
     bodies: dict[str, str]
+    # Lets a VM that starts during an outage of the key-value service read session tokens.
+    session_secret: bytes = b""
 
 
 class PrimaryReport(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/src/tanagerfront_lab/processes.py
+++ b/src/tanagerfront_lab/processes.py
@@ -171,10 +171,11 @@
     def _database_command(self, database: DatabaseProcess) -> list[str]:
         options = self._options
         group = self.group_databases(database.group)
-        others = [f"{db.name}={db.address}" for db in group if db is not database]
+        others = [f"{db.address}={db.address}" for db in group if db is not database]
         command = [
             *(sys.executable, "-m", "tanagerfront_standin", "database"),
-            *("--name", database.name),
+            # The document names an instance by its address, and so does a status.
+            *("--name", str(database.address)),
             *("--listen", str(database.address)),
             *("--peers", ",".join(others)),
             *("--connections", str(self._deployment.connections)),
