--- /dev/null
+++ b/tests/test_promotion.py
@@ -0,0 +1,415 @@
+"""Promotion: terms, fencing, selection, and faults at every step."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+from collections.abc import AsyncIterator
+
+import trio
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from fake_databases import NAMES, SERVICE, FakeGroup, Home, make_group
+from support import TestCase, trio_test
+from tanagerfront.acknowledgement import Verdict, decide_replicated
+from tanagerfront.databases import InstanceStatus
+from tanagerfront.entry_id import EntryId
+from tanagerfront.errors import OutcomeUnknownError
+from tanagerfront.group_record import record_key
+from tanagerfront.kv import KeyValue
+from tanagerfront.promotion_attempt import choose_successor
+from tanagerfront_standin.database_state import Refusal
+
+KEY = record_key("orders-1")
+STEPS = (
+    "before swap",
+    "after swap",
+    "before fence",
+    "after fence",
+    "before promote",
+    "after promote",
+    "before follow",
+    "after follow",
+)
+
+
+class Cluster:
+    """A group, the service's data and the homes that run."""
+
+    def __init__(self, nursery: trio.Nursery, databases: FakeGroup) -> None:
+        self.nursery = nursery
+        self.databases = databases
+        self.network = databases.network
+        self.data: dict[str, KeyValue] = {}
+        self.homes: dict[str, Home] = {}
+
+    def start(self, vm: str, rank: int, *, confirmed: bool = True) -> Home:
+        home = Home(self.databases, self.data, vm, rank, confirmed=confirmed)
+        self.homes[vm] = home
+        self.nursery.start_soon(home.run)
+        return home
+
+    @property
+    def record(self) -> dict[str, object]:
+        return dict(json.loads(self.data[KEY].value))
+
+    def primary(self) -> str | None:
+        """Return the primary of the highest term, which clients would use."""
+        term = max(state.term for state in self.databases.states.values())
+        found = [at.name for at in self.databases.states.values() if at.is_primary]
+        return next((name for name in found if self.databases.states[name].term == term), None)
+
+    async def acknowledged(self, vm: str, key: str, instance: str, wait_s: float = 2.0) -> bool:
+        try:
+            entry = self.databases.write(key, instance)
+            deadline = trio.current_time() + wait_s
+            await self.homes[vm].monitor.wait_acknowledged(entry, deadline)
+        except (Refusal, OutcomeUnknownError):
+            return False
+        return True
+
+
+@contextlib.asynccontextmanager
+async def open_cluster(
+    *, primary: str | None = "a", acknowledge: str = "replicated"
+) -> AsyncIterator[Cluster]:
+    databases = FakeGroup(primary=primary, acknowledge=acknowledge)
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(databases.run)
+            yield Cluster(nursery, databases)
+            nursery.cancel_scope.cancel()
+    finally:
+        databases.close()
+
+
+class PromotionTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_new_group_gets_one_primary(self) -> None:
+        # Guards against two homes that each promote an instance of a new group.
+        async with open_cluster(primary=None) as cluster:
+            homes = [cluster.start("v1", 0), cluster.start("v2", 0)]
+            await trio.sleep(5)
+            self.assertEqual(1, len(cluster.databases.primaries))
+            self.assertEqual(1, sum(home.promoter.promotions for home in homes))
+            self.assertEqual(cluster.primary(), cluster.record["primary"])
+
+    @trio_test(mock_clock=True)
+    async def test_existing_primary_is_recorded_only(self) -> None:
+        # Guards against a needless change of primary when the fleet starts.
+        async with open_cluster() as cluster:
+            cluster.start("v1", 0)
+            await trio.sleep(5)
+            self.assertEqual({(1, "a")}, cluster.databases.primaries)
+            self.assertEqual((1, "a"), (cluster.record["term"], cluster.record["primary"]))
+
+    @trio_test(mock_clock=True)
+    async def test_failed_primary_is_replaced(self) -> None:
+        # Guards against a failover that exceeds the target time or picks a stale replica.
+        async with open_cluster() as cluster:
+            cluster.start("v1", 0)
+            await trio.sleep(1)
+            cluster.network.block("b", "a")
+            self.assertTrue(await cluster.acknowledged("v1", "x", "a"))
+            cluster.network.block("a", *NAMES, "v1")
+            failed_at = trio.current_time()
+            while cluster.primary() in (None, "a"):
+                await cluster.homes["v1"].monitor.wait_change()
+            self.assertLess(trio.current_time() - failed_at, 2)
+            self.assertEqual("c", cluster.primary())
+            self.assertTrue(await cluster.acknowledged("v1", "y", "c"))
+            self.assertEqual({"x", "y"}, cluster.databases.keys("b"))
+            self.assertEqual("c", cluster.record["primary"])
+
+    @trio_test(mock_clock=True)
+    async def test_unconfirmed_suspicion_has_no_effect(self) -> None:
+        # Guards against a promotion by a VM that alone has lost its path to the primary.
+        async with open_cluster() as cluster:
+            home = cluster.start("v1", 0, confirmed=False)
+            await trio.sleep(1)
+            cluster.network.block("v1", "a")
+            await trio.sleep(5)
+            self.assertGreater(home.confirmations, 0)
+            self.assertEqual({(1, "a")}, cluster.databases.primaries)
+
+    @trio_test(mock_clock=True)
+    async def test_isolated_vm_takes_no_term(self) -> None:
+        # Guards against a partitioned VM that uses up terms it cannot fence a majority at.
+        async with open_cluster() as cluster:
+            cluster.start("v1", 0)
+            await trio.sleep(1)
+            revision = cluster.data[KEY].revision
+            cluster.network.block("v1", "a", "b")
+            await trio.sleep(10)
+            self.assertEqual(revision, cluster.data[KEY].revision)
+
+    @trio_test(mock_clock=True)
+    async def test_isolated_old_primary_gets_nothing_acknowledged(self) -> None:
+        # Guards against a write acknowledged by a primary that has been replaced, and against a
+        # returning primary that keeps its diverging tail.
+        for acknowledge in ("replicated", "majority-term"):
+            async with open_cluster(acknowledge=acknowledge) as cluster:
+                cluster.start("v1", 0)
+                cluster.start("v2", 1)
+                await trio.sleep(1)
+                cluster.network.block("a", "b", "c", "v2")
+                cluster.network.block("v1", "b", "c", "v2", SERVICE)
+                await trio.sleep(5)
+                self.assertNotIn(cluster.primary(), (None, "a"))
+                self.assertFalse(await cluster.acknowledged("v1", "lost", "a"))
+                cluster.network.heal()
+                await trio.sleep(5)
+                self.assertFalse(cluster.databases.states["a"].is_primary)
+                self.assertEqual(set(), cluster.databases.keys("a"))
+                discarded = [home.promoter.discarded_entries for home in cluster.homes.values()]
+                self.assertEqual(1, max(discarded))
+
+    @trio_test(mock_clock=True, timeout_s=600)
+    async def test_frozen_promoter_does_no_harm(self) -> None:
+        # Guards against a promoter that resumes after another one has completed its promotion.
+        for step in STEPS:
+            with self.subTest(step):
+                await self._check_frozen_at(step)
+
+    async def _check_frozen_at(self, step: str) -> None:
+        async with open_cluster() as cluster:
+            cluster.start("v1", 0)
+            cluster.start("v2", 1)
+            await trio.sleep(1)
+            resume = cluster.network.paused["v1", step] = trio.Event()
+            cluster.network.block("a", *NAMES, "v1", "v2")
+            await trio.sleep(5)
+            self.assertIn(("v1", step), cluster.network.steps)
+            primary = cluster.primary()
+            self.assertIsNotNone(primary)
+            self.assertTrue(await cluster.acknowledged("v2", "kept", str(primary)))
+            resume.set()
+            del cluster.network.paused["v1", step]
+            await trio.sleep(5)
+            cluster.network.heal()
+            await trio.sleep(5)
+            self._check_end(cluster, {"kept"})
+
+    def _check_end(self, cluster: Cluster, acknowledged: set[str]) -> None:
+        terms = [term for term, _name in cluster.databases.primaries]
+        self.assertEqual(len(terms), len(set(terms)), "two primaries in one term")
+        primary = cluster.primary()
+        self.assertIsNotNone(primary)
+        kept = cluster.databases.keys(str(primary))
+        self.assertEqual(set(), acknowledged - kept, "acknowledged writes were lost")
+        for name in NAMES:
+            self.assertEqual(kept, cluster.databases.keys(name))
+
+    @trio_test(mock_clock=True)
+    async def test_two_promoters_at_once(self) -> None:
+        # Guards against homes that disagree on the rank and act at the same time.
+        async with open_cluster() as cluster:
+            cluster.start("v1", 0)
+            cluster.start("v2", 0)
+            await trio.sleep(1)
+            self.assertTrue(await cluster.acknowledged("v1", "kept", "a"))
+            cluster.network.block("a", *NAMES, "v1", "v2")
+            await trio.sleep(5)
+            cluster.network.heal()
+            await trio.sleep(5)
+            self._check_end(cluster, {"kept"})
+
+    @trio_test(mock_clock=True)
+    async def test_reserved_term_is_used_during_an_outage(self) -> None:
+        # Guards against writes that stay refused for as long as the key-value service is down, and
+        # against a later promoter that reuses the reserved term.
+        async with open_cluster() as cluster:
+            cluster.start("v1", 0)
+            cluster.start("v2", 1)
+            await trio.sleep(7)
+            reserved = cluster.record["reserved"]
+            cluster.network.block(SERVICE, "v1", "v2")
+            cluster.network.block("a", *NAMES, "v1", "v2")
+            await trio.sleep(5)
+            self.assertEqual({"term": 2, "vm": "v1"}, reserved)
+            self.assertEqual({(1, "a"), (2, cluster.primary())}, cluster.databases.primaries)
+            self.assertEqual(0, cluster.homes["v2"].promoter.promotions)
+            cluster.network.heal()
+            await trio.sleep(8)
+            self.assertEqual(
+                (2, cluster.primary()), (cluster.record["term"], cluster.record["primary"])
+            )
+            cluster.network.block(str(cluster.primary()), *NAMES, "v1", "v2")
+            await trio.sleep(5)
+            self.assertGreater(max(cluster.databases.primaries)[0], 2)
+            cluster.network.heal()
+            await trio.sleep(5)
+            self._check_end(cluster, set())
+
+    @trio_test(mock_clock=True)
+    async def test_reserved_term_is_used_once(self) -> None:
+        # Guards against two promotions in one term while the service stays down.
+        async with open_cluster() as cluster:
+            cluster.start("v1", 0)
+            await trio.sleep(7)
+            cluster.network.block(SERVICE, "v1")
+            cluster.network.block("a", *NAMES, "v1")
+            resume = cluster.network.paused["v1", "before promote"] = trio.Event()
+            await trio.sleep(2)
+            # The promotion's request is lost, so its term is spent without a primary.
+            cluster.network.block("v1", "b", "c")
+            resume.set()
+            await trio.sleep(2)
+            cluster.network.blocked -= {frozenset(("v1", "b")), frozenset(("v1", "c"))}
+            await trio.sleep(5)
+            self.assertEqual({(1, "a")}, cluster.databases.primaries)
+            cluster.network.blocked.discard(frozenset((SERVICE, "v1")))
+            await trio.sleep(5)
+            self.assertGreater(max(cluster.databases.primaries)[0], 2)
+
+    @trio_test(mock_clock=True)
+    async def test_lost_answer_of_the_swap(self) -> None:
+        # Guards against a promoter that gives up the term it took, or that uses one it did not
+        # take, when the service's answer is lost.
+        for lose in ("after", "before"):
+            async with open_cluster() as cluster:
+                home = cluster.start("v1", 0)
+                await trio.sleep(1)
+                before = cluster.record["term"]
+                home.store.lose_swap = lose
+                cluster.network.block("a", *NAMES, "v1")
+                await trio.sleep(4)
+                self.assertNotIn(cluster.primary(), (None, "a"))
+                self.assertEqual(cluster.primary(), cluster.record["primary"])
+                term = max(cluster.databases.primaries)[0]
+                self.assertEqual(term, cluster.record["term"])
+                if lose == "after":
+                    # The term of the lost answer is the next after the reserved one.
+                    self.assertEqual(int(str(before)) + 2, term)
+                    self.assertEqual(1, home.confirmations)
+
+    @trio_test(mock_clock=True)
+    async def test_leaving_primary_hands_over(self) -> None:
+        # Guards against a planned change that loses writes or waits for a suspicion.
+        async with open_cluster() as cluster:
+            home = cluster.start("v1", 0)
+            await trio.sleep(1)
+            self.assertTrue(await cluster.acknowledged("v1", "kept", "a"))
+            instances = cluster.databases.group.instances
+            leaving = (instances[0]._replace(leaving=True), *instances[1:])
+            home.monitor.update_group(cluster.databases.group._replace(instances=leaving))
+            seen_handing_over = False
+            started_at = trio.current_time()
+            while cluster.primary() in (None, "a"):
+                seen_handing_over |= home.monitor.view.handing_over
+                await home.monitor.wait_change()
+            self.assertLess(trio.current_time() - started_at, 0.5)
+            self.assertTrue(seen_handing_over)
+            self.assertEqual(0, home.confirmations)
+            await trio.sleep(3)
+            self.assertFalse(home.monitor.view.handing_over)
+            self.assertEqual(1, home.promoter.promotions)
+            self._check_end(cluster, {"kept"})
+
+
+FAULTS = st.lists(
+    st.tuples(
+        st.floats(0.05, 2.0),
+        st.sampled_from(
+            [
+                *(("isolate", name) for name in NAMES),
+                *(("unlink", name) for name in NAMES),
+                ("outage", ""),
+                ("pause", "v1"),
+                ("split", "v1"),
+                ("heal", ""),
+            ]
+        ),
+        st.sampled_from(STEPS),
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+def inject(cluster: Cluster, fault: tuple[str, str], step: str) -> None:
+    network = cluster.network
+    match fault:
+        case "isolate", name:
+            network.block(name, *NAMES, "v1", "v2")
+        case "unlink", name:
+            network.block(name, *(other for other in NAMES if other != name))
+        case "outage", _:
+            network.block(SERVICE, "v1", "v2")
+        case "pause", vm:
+            network.paused.setdefault((vm, step), trio.Event())
+        case "split", vm:
+            network.block(vm, "b", "c")
+        case _:
+            network.heal()
+            for event in network.paused.values():
+                event.set()
+            network.paused.clear()
+
+
+async def write_steadily(cluster: Cluster, vm: str, acknowledged: set[str]) -> None:
+    number = 0
+    async with trio.open_nursery() as nursery:
+
+        async def write(key: str, instance: str) -> None:
+            if await cluster.acknowledged(vm, key, instance, 1.0):
+                acknowledged.add(key)
+
+        while True:
+            await trio.sleep(0.05)
+            primary = cluster.homes[vm].monitor.view.primary
+            if primary and cluster.network.open(vm, primary.instance.name):
+                number += 1
+                nursery.start_soon(write, f"{vm}-{number}", primary.instance.name)
+
+
+class PromotionPropertyTest(TestCase):
+    @settings(max_examples=40, deadline=None, suppress_health_check=list(HealthCheck))
+    @given(FAULTS)
+    def test_acknowledged_writes_survive_every_promotion(
+        self, faults: list[tuple[float, tuple[str, str], str]]
+    ) -> None:
+        # Guards against a sequence of faults that loses an acknowledged write or leaves a group
+        # without a primary.
+        @trio_test(mock_clock=True, timeout_s=600)
+        async def check(case: PromotionPropertyTest) -> None:
+            async with open_cluster() as cluster:
+                acknowledged: set[str] = set()
+                for rank, vm in enumerate(("v1", "v2")):
+                    cluster.start(vm, rank)
+                    cluster.nursery.start_soon(write_steadily, cluster, vm, acknowledged)
+                await trio.sleep(1)
+                for delay_s, fault, step in faults:
+                    inject(cluster, fault, step)
+                    await trio.sleep(delay_s)
+                inject(cluster, ("heal", ""), "")
+                await trio.sleep(15)
+                terms = [term for term, _name in cluster.databases.primaries]
+                case.assertEqual(len(terms), len(set(terms)))
+                primary = cluster.primary()
+                case.assertIsNotNone(primary)
+                case.assertEqual(set(), acknowledged - cluster.databases.keys(str(primary)))
+                case.assertGreater(len(acknowledged), 10)
+
+        check(self)
+
+
+class SelectionTest(TestCase):
+    def test_last_term_comes_before_length(self) -> None:
+        # Guards against an old primary with a longer unreplicated tail that is preferred.
+        group = make_group()
+        older = InstanceStatus("a", "replica", 3, 1, 90, 90, 0.0, ((1, 1),), None)
+        newer = InstanceStatus("b", "replica", 3, 2, 20, 20, 0.0, ((1, 1), (2, 11)), None)
+        chosen = choose_successor({"a": older, "b": newer}, group)
+        self.assertEqual("b", chosen.instance if chosen else None)
+        self.assertIsNone(choose_successor({"a": older}, group))
+
+    def test_fenced_holder_does_not_count(self) -> None:
+        # Guards against an acknowledgement from holders that were fenced before they replied.
+        entry = EntryId(1, 10)
+        holder = InstanceStatus("a", "replica", 1, 1, 10, 10, 0.0, ((1, 1),), "b")
+        fenced = holder._replace(instance="b", term=2)
+        self.assertEqual(Verdict.PENDING, decide_replicated(entry, [holder, fenced], 3))
+        unfenced = holder._replace(instance="b")
+        self.assertEqual(Verdict.ACKNOWLEDGED, decide_replicated(entry, [holder, unfenced], 3))
