--- a/src/tanagerfront_standin/database.py
+++ b/src/tanagerfront_standin/database.py
@@ -10,6 +10,7 @@
 
 import contextlib
 import socket
+import time
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -113,24 +114,23 @@
     async def _execute(self, body: Mapping[str, Any]) -> dict[str, Any]:
         term = int(body["term"])
         statements = [decode_statement(item) for item in body["statements"]]
-        self._state.check_term(term)
-        if body["begin"]:
-            await self._begin(term, write=not body["read_only"])
-        await self._server.slots.acquire()
         try:
-            # The transaction may be ended by a fence while the statement waits and runs.
-            await trio.sleep(self._state.delays.statement_s * len(statements))
-            return self._run(term, statements, commit=body["commit"])
+            self._state.check_term(term)
+            if body["begin"]:
+                await self._begin(term, write=not body["read_only"])
+            async with self._server.slots:
+                began = time.monotonic()
+                # The transaction may be ended by a fence while the statement waits and runs.
+                await trio.sleep(self._state.delays.statement_s * len(statements))
+                return self._run(term, statements, began, commit=body["commit"])
         except (Refusal, SqlFailure):
             self._rollback()
             raise
-        finally:
-            self._server.slots.release()
 
     async def _begin(self, term: int, *, write: bool) -> None:
-        if self._transaction is not None:
-            self._rollback()
+        if self._transaction is not None and self._transaction.valid:
             raise SqlFailure("transaction", "a transaction was open and is rolled back")
+        self._rollback()
         if not write:
             self._transaction = Transaction(self._server, self._open_reader(), None)
             return
@@ -148,12 +148,14 @@
             raise
         self._transaction = Transaction(self._server, self._state.store.writer, lock)
 
-    def _run(self, term: int, statements: list[Statement], *, commit: bool) -> dict[str, Any]:
+    def _run(
+        self, term: int, statements: list[Statement], began: float, *, commit: bool
+    ) -> dict[str, Any]:
         self._state.check_term(term)
         transaction = self._transaction
         if transaction is None or not transaction.valid:
             raise SqlFailure("transaction", "no transaction is open")
-        results = [transaction.run(at, index) for index, at in enumerate(statements)]
+        results = [transaction.run(at, index, began) for index, at in enumerate(statements)]
         reached = transaction.snapshot
         if commit:
             self._transaction = None
--- a/src/tanagerfront_standin/database_transaction.py
+++ b/src/tanagerfront_standin/database_transaction.py
@@ -35,7 +35,10 @@
 
 
 class Execution(NamedTuple):
-    """One step of a transaction; times are of the machine's monotonic clock, in seconds."""
+    """One step of a transaction; times are of the machine's monotonic clock, in seconds.
+
+    A statement begins when its batch gets a slot. A commit is listed only if it was logged.
+    """
 
     number: int
     kind: str
@@ -141,9 +144,8 @@
             return self.term == state.term
         return self._generation == state.store.generation
 
-    def run(self, statement: Statement, index: int) -> dict[str, Any]:
-        """Run one statement and return its wire form; raises SqlFailure."""
-        began = time.monotonic()
+    def run(self, statement: Statement, index: int, began: float) -> dict[str, Any]:
+        """Run one statement whose slot was taken at `began`; raises SqlFailure."""
         result, logged = self._connection.run(statement, index)
         if self.write and logged:
             self._logged.append(statement)
