--- /dev/null
+++ b/tests/test_groups.py
@@ -0,0 +1,208 @@
+"""The live monitor of a group: terms, reachability and acknowledgement."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+
+import trio
+
+from fake_databases import NAMES, FakeGroup
+from standin_group import StandinGroup, write
+from support import TestCase, trio_test
+from tanagerfront.databases import DatabaseSession
+from tanagerfront.errors import OutcomeUnknownError, UnavailableError
+from tanagerfront.groups import ControlSession, LiveGroupMonitor
+from tanagerfront.http_client import Address
+from tanagerfront_standin.link import TcpLink
+
+
+class Fixture:
+    """A monitor of VM v1 and how often it opened a connection."""
+
+    def __init__(self, databases: FakeGroup) -> None:
+        self.databases = databases
+        self.opened = 0
+        self._open = databases.open_session("v1")
+        self.monitor = LiveGroupMonitor(databases.group, open_session=self._counted)
+
+    async def _counted(self, address: Address, timeout_s: float) -> ControlSession:
+        self.opened += 1
+        return await self._open(address, timeout_s)
+
+    async def acknowledge(self, key: str, wait_s: float = 1.0) -> float:
+        """Write on a and return the seconds until it was acknowledged."""
+        entry = self.databases.write(key, "a")
+        started_at = trio.current_time()
+        await self.monitor.wait_acknowledged(entry, started_at + wait_s)
+        return trio.current_time() - started_at
+
+
+@contextlib.asynccontextmanager
+async def open_monitor(acknowledge: str = "replicated") -> AsyncIterator[Fixture]:
+    databases = FakeGroup(acknowledge=acknowledge)
+    try:
+        async with trio.open_nursery() as nursery:
+            fixture = Fixture(databases)
+            nursery.start_soon(databases.run)
+            await nursery.start(fixture.monitor.run)
+            await trio.sleep(0.5)
+            yield fixture
+            nursery.cancel_scope.cancel()
+    finally:
+        databases.close()
+
+
+class ViewTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_primary_of_a_lower_term_is_not_the_primary(self) -> None:
+        # Guards against writes that are sent to a primary that has been replaced.
+        async with open_monitor() as fixture:
+            monitor, states = fixture.monitor, fixture.databases.states
+            primary = monitor.view.primary
+            self.assertEqual("a", primary.instance.name if primary else None)
+            states["b"].fence(2)
+            await trio.sleep(0.1)
+            self.assertEqual((2, None), (monitor.view.term, monitor.view.primary))
+            with self.assertRaises(UnavailableError):
+                await monitor.wait_primary(trio.current_time() + 1)
+            states["b"].promote(2)
+            view = await monitor.wait_primary(trio.current_time() + 1)
+            self.assertEqual("b", view.primary.instance.name if view.primary else None)
+            monitor.observe_term(3)
+            self.assertIsNone(monitor.view.primary)
+
+    @trio_test(mock_clock=True)
+    async def test_unreachable_primary_and_hand_over_hold_work_back(self) -> None:
+        # Guards against work for a primary that is silent or about to be replaced.
+        async with open_monitor() as fixture:
+            fixture.monitor.set_handing_over(True)
+            with self.assertRaises(UnavailableError):
+                await fixture.monitor.wait_primary(trio.current_time() + 1)
+            fixture.monitor.set_handing_over(False)
+            await fixture.monitor.wait_primary(trio.current_time() + 1)
+            fixture.databases.network.block("v1", "a")
+            await trio.sleep(1)
+            with self.assertRaises(UnavailableError):
+                await fixture.monitor.wait_primary(trio.current_time() + 1)
+            fixture.databases.network.heal()
+            await fixture.monitor.wait_primary(trio.current_time() + 2)
+
+    @trio_test(mock_clock=True)
+    async def test_edit_of_the_group(self) -> None:
+        # Guards against an instance that is still probed after its removal, or never after it
+        # was added.
+        async with open_monitor() as fixture:
+            group = fixture.databases.group
+            fixture.monitor.update_group(group._replace(instances=group.instances[:2]))
+            fixture.databases.states["c"].fence(9)
+            await trio.sleep(1)
+            self.assertEqual(1, fixture.monitor.view.term)
+            fixture.monitor.update_group(group)
+            await trio.sleep(1)
+            self.assertEqual(9, fixture.monitor.view.term)
+            self.assertEqual(4, fixture.opened)
+
+    @trio_test(mock_clock=True)
+    async def test_reported_failures_reopen_the_connection_with_a_limit(self) -> None:
+        # Guards against a silent probe that hides a failed path, and against a storm of probes.
+        async with open_monitor() as fixture:
+            for _number in range(100):
+                fixture.monitor.report_failure("a")
+                await trio.sleep(0.001)
+            self.assertEqual(len(NAMES) + 1, fixture.opened)
+
+    @trio_test
+    async def test_silent_connection_is_replaced(self) -> None:
+        # Guards against a probe that waits for ever on a connection that went silent.
+        async with trio.open_nursery() as nursery:
+            group = StandinGroup(["a"])
+            await group.start(nursery)
+            link = TcpLink(group.addresses["a"])
+            address = await nursery.start(link.run)
+            config = group.group()
+            instance = config.instances[0]._replace(address=address)
+            monitor = LiveGroupMonitor(config._replace(instances=(instance,)))
+            await nursery.start(monitor.run)
+            await monitor.wait_primary(trio.current_time() + 5)
+            counts = await group.debug("a", "connections")
+            self.assertEqual(1, counts["peak"])
+            link.silence_existing()
+            silent_at = trio.current_time()
+            while monitor.view.primary and monitor.view.primary.reachable:
+                await monitor.wait_change()
+            await monitor.wait_primary(trio.current_time() + 5)
+            self.assertLess(trio.current_time() - silent_at, 1.0)
+            nursery.cancel_scope.cancel()
+
+
+class AcknowledgementTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_write_held_by_the_primary_alone_is_not_acknowledged(self) -> None:
+        # Guards against an acknowledged write that the next promotion loses.
+        async with open_monitor() as fixture:
+            await fixture.acknowledge("x")
+            fixture.databases.network.block("a", "b", "c")
+            with self.assertRaises(OutcomeUnknownError):
+                await fixture.acknowledge("y")
+            fixture.databases.network.heal()
+            await fixture.acknowledge("z")
+
+    @trio_test(mock_clock=True)
+    async def test_discarded_write_is_reported_early(self) -> None:
+        # Guards against a caller that waits until its deadline for an entry that is gone.
+        async with open_monitor() as fixture:
+            fixture.databases.network.block("a", "b", "c")
+            entry = fixture.databases.write("x", "a")
+            fixture.databases.states["b"].fence(2)
+            fixture.databases.states["b"].promote(2)
+            started_at = trio.current_time()
+            with self.assertRaises(OutcomeUnknownError):
+                await fixture.monitor.wait_acknowledged(entry, started_at + 30)
+            self.assertLess(trio.current_time() - started_at, 1)
+
+    @trio_test(mock_clock=True)
+    async def test_term_check_is_sent_after_the_write(self) -> None:
+        # Guards against an acknowledgement on answers that are older than the write.
+        async with open_monitor("majority-term") as fixture:
+            self.assertLess(await fixture.acknowledge("x"), 0.01)
+            fixture.databases.network.block("v1", "b", "c")
+            with self.assertRaises(OutcomeUnknownError):
+                await fixture.acknowledge("y")
+
+    @trio_test(mock_clock=True)
+    async def test_term_check_is_shared(self) -> None:
+        # Guards against a check per write, which would multiply the control traffic.
+        async with open_monitor("majority-term") as fixture:
+            asked = 0
+            state = fixture.databases.states["b"]
+            status = state.status
+
+            def counted_status() -> object:
+                nonlocal asked
+                asked += 1
+                return status()
+
+            state.status = counted_status  # type: ignore[method-assign,assignment]
+            async with trio.open_nursery() as nursery:
+                for number in range(100):
+                    nursery.start_soon(fixture.acknowledge, f"k{number}")
+            self.assertLessEqual(asked, 2)
+
+    @trio_test
+    async def test_acknowledgement_over_real_connections(self) -> None:
+        # Guards against a long poll of the real protocol that misses the replication of a write.
+        async with trio.open_nursery() as nursery:
+            group = StandinGroup()
+            await group.start(nursery)
+            monitor = LiveGroupMonitor(group.group())
+            await nursery.start(monitor.run)
+            await monitor.wait_primary(trio.current_time() + 5)
+            session: DatabaseSession = await group.session("a")
+            started_at = trio.current_time()
+            for number in range(20):
+                entry = (await write(session, f"k{number}")).reached
+                await monitor.wait_acknowledged(entry, trio.current_time() + 2)
+            # A missed notification would cost the wait of a poll, 0.1 s or more, for each write.
+            self.assertLess(trio.current_time() - started_at, 1.5)
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,102 @@
+"""The TCP link for tests: cuts, one direction, silent connections and delay."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+
+import trio
+
+from support import TestCase, trio_test
+from tanagerfront.http_client import Address
+from tanagerfront_standin.link import Direction, TcpLink
+
+SHORT_S = 0.15
+
+
+class Echo:
+    """A server that echoes and remembers what it received."""
+
+    def __init__(self) -> None:
+        self.received = b""
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        async for data in stream:
+            self.received += data
+            await stream.send_all(data)
+
+
+@contextlib.asynccontextmanager
+async def open_link() -> AsyncIterator[tuple[TcpLink, Address, Echo]]:
+    async with trio.open_nursery() as nursery:
+        echo = Echo()
+        listeners = await nursery.start(trio.serve_tcp, echo.serve, 0)
+        link = TcpLink(Address("127.0.0.1", listeners[0].socket.getsockname()[1]))
+        address = await nursery.start(link.run)
+        yield link, address, echo
+        nursery.cancel_scope.cancel()
+
+
+async def exchange(stream: trio.SocketStream, data: bytes) -> bytes | None:
+    """Return the echo, or None when nothing comes."""
+    await stream.send_all(data)
+    with trio.move_on_after(SHORT_S):
+        return bytes(await stream.receive_some())
+    return None
+
+
+class LinkTest(TestCase):
+    @trio_test
+    async def test_cut_holds_bytes_back_until_restored(self) -> None:
+        # Guards against a partition that shows as an error, or that loses what TCP would resend.
+        async with open_link() as (link, address, echo):
+            stream = await trio.open_tcp_stream(*address)
+            self.assertEqual(b"1", await exchange(stream, b"1"))
+            link.cut()
+            self.assertIsNone(await exchange(stream, b"2"))
+            new = await trio.open_tcp_stream(*address)
+            self.assertIsNone(await exchange(new, b"3"))
+            self.assertEqual(b"1", echo.received)
+            link.restore()
+            self.assertEqual(b"2", await stream.receive_some())
+            self.assertEqual(b"3", await new.receive_some())
+
+    @trio_test
+    async def test_half_cut_delivers_the_request_only(self) -> None:
+        # Guards against a lost answer that is simulated as a lost request.
+        async with open_link() as (link, address, echo):
+            stream = await trio.open_tcp_stream(*address)
+            link.half_cut(Direction.TO_CLIENT)
+            self.assertIsNone(await exchange(stream, b"1"))
+            self.assertEqual(b"1", echo.received)
+            link.half_cut(Direction.TO_TARGET)
+            self.assertEqual(b"1", await stream.receive_some())
+            self.assertIsNone(await exchange(stream, b"2"))
+            self.assertEqual(b"1", echo.received)
+
+    @trio_test
+    async def test_silenced_connections_stay_silent_while_new_ones_work(self) -> None:
+        # Guards against a permanent silence that ends when another fault is healed.
+        async with open_link() as (link, address, _echo):
+            old = await trio.open_tcp_stream(*address)
+            self.assertEqual(b"1", await exchange(old, b"1"))
+            link.silence_existing()
+            self.assertIsNone(await exchange(old, b"2"))
+            new = await trio.open_tcp_stream(*address)
+            self.assertEqual(b"3", await exchange(new, b"3"))
+            link.cut()
+            link.restore()
+            self.assertIsNone(await exchange(old, b"4"))
+
+    @trio_test
+    async def test_delay_and_reset(self) -> None:
+        # Guards against a delay or a reset that has no effect in tests that rely on it.
+        async with open_link() as (link, address, _echo):
+            stream = await trio.open_tcp_stream(*address)
+            link.set_delay(0.05)
+            started_at = trio.current_time()
+            self.assertEqual(b"1", await exchange(stream, b"1"))
+            self.assertGreaterEqual(trio.current_time() - started_at, 0.1)
+            await link.reset_existing()
+            with contextlib.suppress(trio.BrokenResourceError):
+                self.assertEqual(b"", await stream.receive_some())
