Let organisations below their share catch up on a bounded burst

Without credit a short burst of a calm organisation queued at the fair share behind one that sends too much.

--- a/src/tanagerfront/fair_queue.py
+++ b/src/tanagerfront/fair_queue.py
@@ -88,7 +88,8 @@
 class FairQueue:
     """Waiting requests of all organisations, ordered by virtual time."""
 
-    def __init__(self, first_estimate_s: float) -> None:
+    def __init__(self, first_estimate_s: float, burst_credit_s: float) -> None:
+        self._burst_credit_s = burst_credit_s
         self._first_estimate_s = first_estimate_s
         self._flows: dict[str, _Flow] = {}
         # The flows with waiting requests, so that idle organisations cost nothing.
@@ -111,8 +112,8 @@
         """Add a request to the end of its class."""
         flow = self._flow(waiter.organisation)
         if not len(flow):
-            # Idle time earns no credit, but a debt from earlier slow statements stays.
-            flow.tag = max(flow.tag, self._virtual_time)
+            # A debt from earlier slow statements stays; credit for unused shares is bounded.
+            flow.tag = max(flow.tag, self._virtual_time - self._burst_credit_s)
             self._backlogged[waiter.organisation] = flow
         flow.classes[waiter.request_class].waiters.append(waiter)
         self._length += 1
--- a/src/tanagerfront/scheduler.py
+++ b/src/tanagerfront/scheduler.py
@@ -26,6 +26,9 @@
     max_queued: int = 256
     # Estimate of a statement's time in the slot before the first measurement, in seconds.
     first_estimate_s: float = 0.005
+    # Time in the slots that an organisation of weight 1 may catch up on after it used less than
+    # its share. Without credit, a short burst waits behind an organisation that sends too much.
+    burst_credit_s: float = 0.02
 
 
 class Slot:
@@ -45,7 +48,7 @@
     def __init__(self, slot_share: float, settings: SchedulerSettings | None = None) -> None:
         self._settings = settings or SchedulerSettings()
         self._limit = AdaptiveLimit(slot_share)
-        self._queue = FairQueue(self._settings.first_estimate_s)
+        self._queue = FairQueue(self._settings.first_estimate_s, self._settings.burst_credit_s)
         self._in_flight = 0
 
     @property
