--- a/src/tanagerfront/routing.py
+++ b/src/tanagerfront/routing.py
@@ -114,12 +114,13 @@
     """Raise SessionLostError if the primary's history does not have the session's entry.
 
     A primary adds no entries of earlier terms, so a missing entry of an earlier term is lost.
-    One of the current or a later term is newer than the view, which says nothing about it.
+    One of the current or a later term is newer than the view, which says nothing about it; nor
+    does a status from before the promotion.
     """
-    status = view.primary.status if view.primary else None
-    if status is None or status.role != "primary" or session == ZERO:
+    if session == ZERO or view.primary is None or not _status_is_current(view, view.primary):
         return
-    if session.term >= status.term:
+    status = view.primary.status
+    if status is None or session.term >= status.term:
         return
     held = session.position <= status.held
     if not held or term_at(session.position, status.term_starts) != session.term:
