Test execution at a home; make the pruning statement deterministic

A connection refused above the limit is closed instead of reused. A lock timeout of the database is repeatable. An interactive transaction begins with its first statement, so that it holds no lock before.

--- a/src/tanagerfront/home_transactions.py
+++ b/src/tanagerfront/home_transactions.py
@@ -29,9 +29,10 @@
 class TransactionSettings(NamedTuple):
     """Limits of one transaction, in seconds; it is rolled back when one is exceeded."""
 
-    # An idle transaction occupies a slot of the instance, of which there are two or three.
-    idle_limit_s: float = 5.0
-    total_limit_s: float = 30.0
+    # An idle transaction occupies a slot of the instance, of which there are two or three, and
+    # may hold locks that other organisations wait for.
+    idle_limit_s: float = 2.0
+    total_limit_s: float = 10.0
 
 
 class _State(enum.Enum):
@@ -65,6 +66,8 @@
         self.guard = trio.CancelScope()
         self.ended = trio.Event()
         self.abort_reason = ""
+        # BEGIN goes out with the first statements, so that no lock is held before them.
+        self.begun = False
         self._idle_limit_s = settings.idle_limit_s
         self._idle_since = now
         self._total_deadline = now + settings.total_limit_s
@@ -161,18 +164,12 @@
         transaction = _Transaction(request.transaction, owner, self._settings)
         self._open[peer_vm, request.transaction] = transaction
         self._nursery.start_soon(self._guard, transaction)
-        async with self._step(transaction):
-            result = await self._start(transaction, request, deadline)
-        return _reply(request, result.reached)
-
-    async def _start(
-        self, transaction: _Transaction, request: TransactionRequest, deadline: float
-    ) -> ExecuteResult:
         request_class = RequestClass(request.request_class)
         work = Work(request.organisation, request_class, request.session, deadline)
-        choice = await self._access.choose(work, "write")
-        transaction.lease = await self._access.lease(choice, work)
-        return await self._run(transaction.lease, request, deadline, begin=True)
+        async with self._step(transaction):
+            choice = await self._access.choose(work, "write")
+            transaction.lease = await self._access.lease(choice, work)
+        return _reply(request, request.session)
 
     async def _execute(
         self, transaction: _Transaction, request: TransactionRequest, deadline: float
@@ -180,7 +177,14 @@
         check_token(token_end(deadline - request.timeout_s, request.token_lifetime_s))
         lease = _lease_of(transaction)
         async with self._step(transaction):
-            result = await self._run(lease, request, deadline, begin=False)
+            begin, transaction.begun = not transaction.begun, True
+            result = await self._access.run(
+                lease,
+                to_statements(request.statements),
+                begin=begin,
+                commit=False,
+                timeout_s=deadline - trio.current_time(),
+            )
             # The rows may reflect entries of others that a failover could still discard.
             await self._access.acknowledge(result.reached, deadline)
         return TransactionReply(request.transaction, to_wire(result.results), result.reached)
@@ -205,18 +209,12 @@
             raise _rolled_back(transaction.abort_reason)
         transaction.finish_step()
 
-    async def _run(
-        self, lease: Lease, request: TransactionRequest, deadline: float, *, begin: bool
-    ) -> ExecuteResult:
-        timeout_s = deadline - trio.current_time()
-        statements = to_statements(request.statements)
-        return await self._access.run(
-            lease, statements, begin=begin, commit=False, timeout_s=timeout_s
-        )
-
     async def _commit(
         self, transaction: _Transaction, request: TransactionRequest, deadline: float
     ) -> TransactionReply:
+        if not transaction.begun:
+            await self._end(transaction)
+            return _reply(request, request.session)
         lease = _lease_of(transaction)
         transaction.start_step(_State.COMMITTING)
         try:
--- a/src/tanagerfront/instance_access.py
+++ b/src/tanagerfront/instance_access.py
@@ -15,6 +15,7 @@
     DeadlineExceededError,
     NotPrimaryError,
     OutcomeUnknownError,
+    SqlError,
     StaleTermError,
     TanagerfrontError,
     UnavailableError,
@@ -30,6 +31,7 @@
 # A wait for a primary is interrupted this often, as a replica may become able to serve.
 WAIT_STEP_S = 0.1
 ROLLBACK_TIMEOUT_S = 0.5
+BUSY = "busy"
 
 
 class Work(NamedTuple):
@@ -142,6 +144,11 @@
         except (ConnectionLostError, NotPrimaryError):
             self._monitor.report_failure(name)
             raise
+        except SqlError as error:
+            if error.code == BUSY:
+                # Another transaction held the lock for too long, which is no fault of the SQL.
+                raise UnavailableError(f"{name} is busy: {error.message}") from error
+            raise
         if result.term > lease.choice.term:
             self._monitor.observe_term(result.term)
         return result
--- a/src/tanagerfront/ledger.py
+++ b/src/tanagerfront/ledger.py
@@ -38,10 +38,11 @@
     "SELECT request_digest, answer FROM tanagerfront_ledger "
     "WHERE organisation = ? AND idempotency_key = ?"
 )
+# The order is total, so that replicas that apply the statement delete the same rows.
 PRUNE = (
     "DELETE FROM tanagerfront_ledger WHERE (organisation, idempotency_key) IN "
     "(SELECT organisation, idempotency_key FROM tanagerfront_ledger "
-    "WHERE created_at < ? ORDER BY created_at LIMIT ?)"
+    "WHERE created_at < ? ORDER BY created_at, organisation, idempotency_key LIMIT ?)"
 )
 
 
--- a/src/tanagerfront/messages.py
+++ b/src/tanagerfront/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any
+
 import msgspec
 
 from .entry_id import EntryId
@@ -29,7 +31,11 @@
     "WireStatement",
 ]
 
-WireValue = str | int | float | bytes | None
+if TYPE_CHECKING:
+    WireValue = str | int | float | bytes | None
+else:
+    # msgspec refuses to decode a union of str and bytes, although msgpack tells them apart.
+    WireValue = Any
 
 
 class WireStatement(msgspec.Struct, frozen=True, array_like=True):
--- a/src/tanagerfront/pool.py
+++ b/src/tanagerfront/pool.py
@@ -15,13 +15,14 @@
     DatabaseError,
     OverloadedError,
     TanagerfrontError,
+    TooManyConnectionsError,
     UnavailableError,
 )
 
 __all__ = ["ConnectionPool", "PoolSettings", "PooledSession", "Session", "SessionFactory"]
 
 CHECK_STATEMENTS = (Statement("SELECT 1"),)
-# No instance is in a term below 0, so the check is either answered or refused as stale; both
+# The check is either answered or refused as stale, before it needs a slot of the instance. Both
 # answers show that the connection works.
 CHECK_TERM = 0
 CLOSE_TIMEOUT_S = 1.0
@@ -71,6 +72,7 @@
     def __init__(self, session: Session, opened_at: float) -> None:
         self._session = session
         self._in_doubt = False
+        self._refused = False
         self._in_transaction = False
         self.last_used_at = opened_at
         self.suspect = False
@@ -78,7 +80,7 @@
     @property
     def reusable(self) -> bool:
         """Tell whether every answer was read and no transaction is open."""
-        return not self._in_doubt and not self._in_transaction
+        return not (self._in_doubt or self._refused or self._in_transaction)
 
     @property
     def in_doubt(self) -> bool:
@@ -114,10 +116,14 @@
                 read_only=read_only,
                 timeout_s=timeout_s,
             )
-        except DatabaseError:
+        except TooManyConnectionsError:
+            # The instance closes a connection above its limit.
+            self._in_doubt, self._refused = False, True
+            raise
+        except DatabaseError as error:
             # A refusal is a complete answer. An atomic batch is rolled back by the database; in
             # every other case the caller has to roll back.
-            self._in_doubt = False
+            self._in_doubt = error.executed != "no"
             if begin and commit:
                 self._in_transaction = False
             raise
@@ -278,11 +284,12 @@
             pass
         except ConnectionLostError:
             self.suspect_idle()
-            await self._close(session)
-            return False
         except BaseException:
             await self._close(session)
             raise
+        if not session.reusable:
+            await self._close(session)
+            return False
         session.suspect = False
         session.last_used_at = trio.current_time()
         return True
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -30,7 +30,7 @@
 # "late" runs the batch after the client has given up.
 Fault = Literal["lost-request", "lost-answer", "late", "stale", ""]
 LATENCY_S = 0.001
-POLL_S = 0.002
+POLL_S = 0.005
 LATE_S = 0.3
 
 
@@ -76,7 +76,7 @@
     def __init__(self, group: FakeGroup, instance: FakeInstance) -> None:
         self._group = group
         self._instance = instance
-        self._open = True
+        self._late = False
         self._in_transaction = False
 
     async def execute(
@@ -84,9 +84,9 @@
     ) -> ExecuteResult:
         fault = self._group.faults.popleft() if self._group.faults else ""
         if fault == "late":
+            self._late = True
             self._group.nursery.start_soon(self._run_late, statements, options)
         if fault in ("lost-request", "late"):
-            self._open = False
             raise ConnectionLostError("no answer")
         if fault == "stale":
             raise StaleTermError("later term", term=self._instance.term)
@@ -102,7 +102,9 @@
 
     async def close(self) -> None:
         self._group.sessions -= 1
-        self._end("ROLLBACK")
+        # What was sent before the connection was closed still runs.
+        if not self._late:
+            self._end("ROLLBACK")
 
     async def _run_late(self, statements: Sequence[Statement], options: Any) -> None:
         await trio.sleep(LATE_S)
