--- a/Makefile
+++ b/Makefile
@@ -22,5 +22,9 @@
 test: lint
 	$(BIN)/python tools/run_tests.py
 
+# One file that runs as one process; see docs/decisions/0002-one-binary.md.
+binary: $(VENV)/installed
+	$(BIN)/python tools/build_binary.py dist/tanagerfront
+
 clean:
 	rm -rf $(VENV) build dist
