--- a/src/tanagerfront/_settings_options.py
+++ b/src/tanagerfront/_settings_options.py
@@ -122,7 +122,7 @@
         "max_timeout": _seconds(60.0, 0.001),
         "max_connections": _integer(20_000, 1, 1_000_000, "connections"),
         "transaction_limit": _seconds(30.0, 0.1),
-        "transaction_idle": _seconds(10.0, 0.1),
+        "transaction_idle": _seconds(5.0, 0.1),
     },
     "admin": {"bootstrap_key": Option(_digest, "sha256: and 64 hex digits", required=False)},
 }
--- a/src/tanagerfront/authentication.py
+++ b/src/tanagerfront/authentication.py
@@ -94,7 +94,7 @@
 
     def is_valid(self, digest: str) -> bool:
         """Tell whether the key with this digest is valid now."""
-        return self._valid_entry(digest) is not None
+        return self._source.current is not None and self._valid_entry(digest) is not None
 
     def _valid_entry(self, digest: str) -> _Entry | None:
         configuration = self.configuration()
--- a/src/tanagerfront/caller_requests.py
+++ b/src/tanagerfront/caller_requests.py
@@ -5,7 +5,7 @@
 import hashlib
 import re
 from collections.abc import Mapping
-from typing import Literal, NamedTuple, TypeVar
+from typing import Any, Literal, NamedTuple, TypeVar
 
 import msgspec
 
@@ -95,17 +95,31 @@
     try:
         decoded = decoder.decode(body or b"{}")
     except msgspec.ValidationError as error:
-        raise BadRequestError(f"body: {error}") from error
+        raise BadRequestError(f"body: {error}{_wrong_parameters(body)}") from error
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise BadRequestError("body is not JSON in UTF-8") from error
-    except RecursionError as error:
-        raise BadRequestError("body is nested too deeply") from error
     statements = getattr(decoded, "statements", None)
     if statements is not None and not 1 <= len(statements) <= MAX_STATEMENTS:
         raise BadRequestError(f"statements must hold 1 to {MAX_STATEMENTS} entries")
     return decoded  # type: ignore[return-value]
 
 
+def _wrong_parameters(body: bytes) -> str:
+    """Return the names of parameters of a wrong type, which the decoder's message omits."""
+    try:
+        params = msgspec.json.decode(body, type=dict[str, Any]).get("params")
+    except (msgspec.MsgspecError, RecursionError):
+        return ""
+    if not isinstance(params, dict):
+        return ""
+    wrong = [name for name, value in params.items() if not _is_param(value)]
+    return f" ({', '.join(wrong)})" if wrong else ""
+
+
+def _is_param(value: Any) -> bool:
+    return isinstance(value, Param) and not isinstance(value, bool)
+
+
 def parse_headers(request: Request, max_timeout_s: float) -> CallHeaders:
     """Return the call's headers; raises BadRequestError for one that is malformed."""
     headers = request.headers
--- a/src/tanagerfront/entry.py
+++ b/src/tanagerfront/entry.py
@@ -22,7 +22,7 @@
     TransactionError,
 )
 from .http_server import ConnectionHandler, Request, Response
-from .logs import request_context
+from .logs import RequestContext
 from .messages import ExecuteReply, TransactionReply
 from .metering import run_metered
 from .problems import internal_problem, problem_response
@@ -73,8 +73,8 @@
         hidden = (headers.get("authorization", ""), headers.get("session-token", ""))
         self._in_progress = True
         try:
-            with request_context(call.id, OPEN_ORGANISATION, *hidden):
-                return await self._answer(call)
+            with RequestContext(call.id, OPEN_ORGANISATION, *hidden) as context:
+                return await self._answer(call, context)
         finally:
             self._in_progress = False
 
@@ -92,10 +92,10 @@
         reason = None if path == "/healthz" else self._services.readiness.not_ready_reason
         return Response(503 if reason else 200, msgspec.json.encode({"status": reason or "ok"}))
 
-    async def _answer(self, call: Call) -> Response:
+    async def _answer(self, call: Call, context: RequestContext) -> Response:
         metrics = self._services.metrics
         try:
-            return await self._serve(call)
+            return await self._serve(call, context)
         except TanagerfrontError as error:
             metrics.count_refusal(error.problem_type, call.organisation)
             _log.debug("request_refused", reason=error.problem_type, executed=error.executed)
@@ -105,14 +105,12 @@
             _log.exception("request_failed", executed=call.executed)
             return internal_problem(call.executed, call.id)
 
-    async def _serve(self, call: Call) -> Response:
+    async def _serve(self, call: Call, context: RequestContext) -> Response:
         if self._closed:
             raise DrainingError("this connection is closing")
         call.read_headers(self._services)
-        with (
-            request_context(call.id, call.organisation, call.key or ""),
-            trio.move_on_at(call.deadline + DEADLINE_GRACE_S),
-        ):
+        context.organisation = call.organisation
+        with trio.move_on_at(call.deadline + DEADLINE_GRACE_S):
             body, session = await self._dispatch(call)
             return self._success(call, body, session)
         raise DeadlineExceededError("the deadline passed", executed=call.executed)
--- a/src/tanagerfront/entry_services.py
+++ b/src/tanagerfront/entry_services.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import secrets
+import random
 from collections.abc import Mapping
 from typing import NamedTuple, Protocol
 
@@ -94,7 +94,7 @@
 
 def new_request_id() -> str:
     """Return an identifier that a caller can quote and an operator can find in the log."""
-    return "req-" + secrets.token_hex(8)
+    return f"req-{random.getrandbits(64):016x}"
 
 
 class Call:
--- a/src/tanagerfront/logs.py
+++ b/src/tanagerfront/logs.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import contextlib
 import contextvars
 import logging
 import re
 import sys
 from collections.abc import Iterator, Mapping
+from types import TracebackType
 from typing import Any, TextIO
 
 import structlog
@@ -15,7 +15,7 @@
 
 from .settings import LogSettings
 
-__all__ = ["configure_logging", "redact", "request_context"]
+__all__ = ["RequestContext", "configure_logging", "redact"]
 
 REDACTED = "[redacted]"
 # Fields that carry a secret by their name, whatever the value looks like.
@@ -23,8 +23,42 @@
     {"authorization", "key", "api_key", "bearer", "password", "secret", "session_token", "token"}
 )
 _BEARER = re.compile(r"(?i)\bbearer\s+[^\s'\",}]+")
-# Secrets of the request that the current task serves.
-_secrets: contextvars.ContextVar[tuple[str, ...]] = contextvars.ContextVar("secrets", default=())
+# The request that the current task serves.
+_current: contextvars.ContextVar[RequestContext | None] = contextvars.ContextVar(
+    "request", default=None
+)
+
+
+class RequestContext:
+    """Bind a request's id and organisation to log lines and redact its secrets in them.
+
+    This is entered for each request, so nothing is computed before a line is logged.
+    """
+
+    __slots__ = ("_token", "organisation", "request_id", "secrets")
+
+    def __init__(self, request_id: str, organisation: str, *secrets: str) -> None:
+        self.request_id = request_id
+        self.organisation = organisation
+        self.secrets = secrets
+
+    def __enter__(self) -> RequestContext:
+        self._token = _current.set(self)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        _current.reset(self._token)
+
+    def hidden_texts(self) -> Iterator[str]:
+        """Yield what must not be readable: each secret, and the key without its scheme."""
+        for secret in self.secrets:
+            yield secret
+            yield from secret.split()
 
 
 def configure_logging(settings: LogSettings, stream: TextIO | None = None) -> None:
@@ -54,6 +88,7 @@
 def _shared_processors() -> list[Processor]:
     return [
         structlog.contextvars.merge_contextvars,
+        _bind_request,
         structlog.processors.add_log_level,
         structlog.processors.TimeStamper(fmt="iso", utc=True),
         # Tracebacks become text before redaction, because an error's message may quote a header.
@@ -68,22 +103,18 @@
     return structlog.dev.ConsoleRenderer(colors=False)
 
 
-@contextlib.contextmanager
-def request_context(request_id: str, organisation: str, *secrets: str) -> Iterator[None]:
-    """Bind the request's id and organisation to log lines and redact its secrets in them."""
-    token = _secrets.set(_secrets.get() + tuple(secret for secret in secrets if secret))
-    try:
-        with structlog.contextvars.bound_contextvars(
-            request_id=request_id, organisation=organisation
-        ):
-            yield
-    finally:
-        _secrets.reset(token)
+def _bind_request(logger: WrappedLogger, method: str, event: EventDict) -> EventDict:
+    context = _current.get()
+    if context is not None:
+        event["request_id"] = context.request_id
+        event["organisation"] = context.organisation
+    return event
 
 
 def redact(logger: WrappedLogger, method: str, event: EventDict) -> EventDict:
     """Replace keys and session tokens in the names, values and text of an event."""
-    secrets = _secrets.get()
+    context = _current.get()
+    secrets = tuple(filter(None, context.hidden_texts())) if context else ()
     return {
         _redact_text(str(name), secrets): _redact_field(str(name), value, secrets)
         for name, value in event.items()
--- a/src/tanagerfront/metrics.py
+++ b/src/tanagerfront/metrics.py
@@ -4,9 +4,11 @@
 
 import math
 import re
+from typing import cast
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.formats import text
+from aioprometheus.histogram import Histogram as HistogramSeries
 
 from .configuration import RequestClass
 
@@ -54,6 +56,7 @@
             registry=self._registry,
             buckets=REQUEST_SECONDS_BUCKETS,
         )
+        self._request_series: dict[tuple[str, RequestClass], HistogramSeries] = {}
         self._refusals = self._counter("refusals_total", "Requests refused, by problem type")
         self._reads = self._counter("reads_total", "Reads, by the role of the instance")
         self._retries = self._counter("retries_total", "Further attempts of requests, by cause")
@@ -79,11 +82,25 @@
         self, organisation: str, request_class: RequestClass, seconds: float
     ) -> None:
         """Record one request that was served."""
-        labels = {
-            "organisation": self._organisations.value(organisation),
-            "class": request_class.name.lower(),
-        }
-        self._request_seconds.observe(labels, float(seconds))
+        series = self._request_series.get((organisation, request_class))
+        if series is None:
+            series = self._add_request_series(organisation, request_class)
+        series.observe(seconds)
+
+    def _add_request_series(
+        self, organisation: str, request_class: RequestClass
+    ) -> HistogramSeries:
+        label = self._organisations.value(organisation)
+        labels = {"organisation": label, "class": request_class.name.lower()}
+        try:
+            series = cast(HistogramSeries, self._request_seconds.get_value(labels))
+        except KeyError:
+            series = HistogramSeries(*REQUEST_SECONDS_BUCKETS)
+            self._request_seconds.set_value(labels, series)
+        # The library looks series up by their labels as JSON, which costs more than observing.
+        if label != OTHER:
+            self._request_series[organisation, request_class] = series
+        return series
 
     def count_refusal(self, reason: str, organisation: str) -> None:
         """Count one request that was refused with a problem type."""
--- a/src/tanagerfront/statements.py
+++ b/src/tanagerfront/statements.py
@@ -90,19 +90,31 @@
 
 
 def bind_route(
-    statements: Sequence[str], params: Mapping[str, WireValue]
+    statements: tuple[str, ...], params: Mapping[str, WireValue]
 ) -> tuple[WireStatement, ...]:
     """Return a route's statements with their own parameters; raises BadRequestError."""
-    shapes = [sql_shape(sql) for sql in statements]
-    declared = frozenset[str]().union(*(shape.parameters for shape in shapes))
-    _check_names(declared, params, "params")
+    shapes = _route_parameters(statements)
+    _check_names(shapes.declared, params, "params")
     _check_values(params.values())
     return tuple(
-        WireStatement(sql, {name: params[name] for name in shape.parameters})
-        for sql, shape in zip(statements, shapes, strict=True)
+        WireStatement(sql, {name: params[name] for name in names})
+        for sql, names in zip(statements, shapes.of_statements, strict=True)
     )
 
 
+class _RouteParameters(NamedTuple):
+    """Names of the parameters of a route, together and by statement."""
+
+    declared: frozenset[str]
+    of_statements: tuple[frozenset[str], ...]
+
+
+@functools.lru_cache(maxsize=4096)
+def _route_parameters(statements: tuple[str, ...]) -> _RouteParameters:
+    of_statements = tuple(sql_shape(sql).parameters for sql in statements)
+    return _RouteParameters(frozenset[str]().union(*of_statements), of_statements)
+
+
 def _check_names(declared: frozenset[str], given: Mapping[str, WireValue], where: str) -> None:
     if declared == given.keys():
         return
--- a/src/tanagerfront/transactions.py
+++ b/src/tanagerfront/transactions.py
@@ -37,10 +37,13 @@
 
 
 class TransactionLimits(NamedTuple):
-    """Longest duration of a transaction and longest pause between its steps, in seconds."""
+    """Longest duration of a transaction and longest pause between its steps, in seconds.
+
+    An open transaction occupies a slot of its instance, of which there are two or three.
+    """
 
     duration_s: float = 30.0
-    idle_s: float = 10.0
+    idle_s: float = 5.0
 
 
 class StepTerms(NamedTuple):
@@ -195,6 +198,9 @@
                 await self._call("rollback", StepTerms(ROLLBACK_TIMEOUT_S), ())
             except TanagerfrontError as error:
                 _log.info("rollback_not_confirmed", reason=error.message)
+            except Exception:
+                # This also runs while a connection closes, where an error would end the server.
+                _log.exception("rollback_failed")
 
     def _end(self, reason: str) -> None:
         self._end_reason = self._end_reason or reason
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -195,7 +195,9 @@
 class EntryBench:
     """A caller's handler on fakes; `home` is where both batches and transactions run."""
 
-    def __init__(self, limits: TransactionLimits | None = None) -> None:
+    def __init__(
+        self, limits: TransactionLimits | None = None, peers: Mapping[str, FakeHome] | None = None
+    ) -> None:
         self.source = FakeSource()
         self.limiter = FakeLimiter()
         self.home = FakeHome()
@@ -204,9 +206,10 @@
         self.closing = False
         self.wall_time = 1000.0
         authenticator = Authenticator(self.source, wall_clock=lambda: self.wall_time)
-        calls = HomeCalls("vm-1", self.home, FakePeers({}))
+        calls = HomeCalls("vm-1", self.home, FakePeers(peers or {}))
         choice = HomeChoice("vm-1", "suame")
-        directory = FakeDirectory(HomeVm("vm-1", "suame"))
+        names = ("vm-1", *(peers or ()))
+        directory = FakeDirectory(*(HomeVm(name, "suame") for name in names))
         self.transactions = Transactions(directory, calls, choice, authenticator.is_valid, limits)
         self.services = EntryServices(
             authenticator=authenticator,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -62,7 +62,8 @@
         for path in ("/v1/routes/away", "/v1/groups/orders-2/batch"):
             self.assertEqual(403, (await bench.post(path, READ if "batch" in path else {})).status)
         for key in (None, "unknown-key-1"):
-            self.assertEqual(401, (await bench.post(BATCH, READ, key=key)).status)
+            for path, body in ((BATCH, READ), (PLACE, ORDER), ("/v1/routes/none", {})):
+                self.assertEqual(401, (await bench.post(path, body, key=key)).status)
         self.assertEqual([], bench.home.requests)
 
     @trio_test
@@ -126,13 +127,15 @@
         for body, text in (
             ({"params": {"ref": "r"}}, "missing: item"),
             ({"params": {"ref": "r", "item": 1, "x": 1}}, "unknown: x"),
-            ({"params": {"ref": "r", "item": True}}, "bool"),
+            ({"params": {"ref": "r", "item": True}}, "bool` - at `$.params[...]` (item)"),
             ({"params": {"ref": "r", "item": [1]}}, "array"),
             ({"params": {"ref": "r", "item": 2**64}}, "64 bits"),
             ({"params": {}, "extra": 1}, "extra"),
             (b"{", "JSON"),
             (b"\xff", "JSON"),
             (b"[" * 100000, "body"),
+            (b'{"params": {"a": ' + b"[" * 100000, "body"),
+            (b'{"params": {"a": ' + b"[" * 100000 + b"]" * 100000 + b"}}", "body"),
         ):
             answer = await bench.post(PLACE, body)
             self.assertEqual((400, "bad-request", "no"), problem(answer))
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -135,6 +135,14 @@
             await bench.failure(READ)
         self.assertTrue(30 < sum(bench.sent()) <= 36, bench.sent())
 
+    @trio_test
+    async def test_draining_home_costs_no_budget(self) -> None:
+        # Guards against refusals during a planned stop because faults used up the retries.
+        bench = ForwardingBench(budget=RetryBudget(share=0, reserve=0))
+        bench.homes["vm-2"].outcomes = [DrainingError("stopping")]
+        await bench.forwarder.execute(WRITE)
+        self.assertEqual([0, 1, 1], bench.sent())
+
     @trio_test(mock_clock=True)
     async def test_deadline_ends_the_wait_for_a_home(self) -> None:
         # Guards against a caller that waits past its deadline while a seat moves.
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from support import TestCase
-from tanagerfront.logs import configure_logging, request_context
+from tanagerfront.logs import RequestContext, configure_logging
 from tanagerfront.settings import LogSettings
 
 KEY = "k-5fa31c9944"
@@ -34,7 +34,7 @@
 
     def test_context_is_bound_and_unbound(self) -> None:
         # Guards against a line that carries the organisation of the connection's last request.
-        with request_context("req-1", "foremen", KEY):
+        with RequestContext("req-1", "foremen", KEY):
             self.log.info("served", rows=2)
         self.log.info("idle")
         first, second = self.lines()
@@ -46,7 +46,7 @@
 
     def test_secrets_are_redacted_wherever_they_occur(self) -> None:
         # Guards against a key in an error message, a traceback, a nested value or a name.
-        with request_context("req-1", "foremen", KEY, SESSION):
+        with RequestContext("req-1", "foremen", KEY, SESSION):
             try:
                 raise ValueError(f"cannot parse {KEY}")
             except ValueError as error:
@@ -64,15 +64,17 @@
 
     def test_lines_of_libraries_are_redacted(self) -> None:
         # Guards against a library that logs a request in its own format.
-        with request_context("req-1", "foremen", KEY):
+        with RequestContext("req-1", "foremen", KEY):
             logging.getLogger("library").warning("bad header %s", KEY)
-        self.assertEqual(1, len(self.lines()))
+        with RequestContext("req-2", "foremen", f"Basic {KEY}"):
+            logging.getLogger("library").warning("cannot decode %s", KEY)
+        self.assertEqual(["req-1", "req-2"], [line["request_id"] for line in self.lines()])
         self.assertNotIn(KEY, self.stream.getvalue())
 
     def test_console_format(self) -> None:
         # Guards against redaction that only one of the two formats applies.
         configure_logging(LogSettings("console", "info"), self.stream)
-        with request_context("req-1", "foremen", KEY):
+        with RequestContext("req-1", "foremen", KEY):
             self.log.info("served", path=f"/{KEY}")
         self.assertIn("[redacted]", self.stream.getvalue())
         self.assertNotIn(KEY, self.stream.getvalue())
@@ -86,7 +88,7 @@
     def test_any_value_is_logged_without_the_key(self, value: Any) -> None:
         # Guards against a value that the redaction cannot walk.
         self.stream.truncate(self.stream.seek(0))
-        with request_context("req-1", "foremen", KEY):
+        with RequestContext("req-1", "foremen", KEY):
             self.log.info("event", value=value)
         self.assertNotIn(KEY, self.stream.getvalue())
         self.assertEqual("event", self.lines()[0]["event"])
--- a/tests/test_transactions.py
+++ b/tests/test_transactions.py
@@ -5,12 +5,18 @@
 import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from unittest import mock
 
 import trio
 
-from entry_fakes import OTHER_KEY, EntryBench, configuration, problem
+from entry_fakes import OTHER_KEY, EntryBench, FakeHome, configuration, problem
 from support import TestCase, trio_test
-from tanagerfront.errors import ConnectionLostError, RateLimitedError, SqlError
+from tanagerfront.errors import (
+    ConnectionLostError,
+    DrainingError,
+    RateLimitedError,
+    SqlError,
+)
 from tanagerfront.transactions import TransactionLimits
 
 BEGIN = "/v1/groups/orders-1/transaction"
@@ -153,6 +159,27 @@
         self.assertEqual(["begin", "rollback"], bench.home.actions)
         self.assertEqual(0, bench.transactions.count)
 
+    @trio_test
+    async def test_begin_tries_another_home(self) -> None:
+        # Guards against steps at another home than the one that began the transaction.
+        peer = FakeHome()
+        bench = EntryBench(peers={"vm-2": peer})
+        bench.home.outcomes = [DrainingError("stopping")]
+        for path in (BEGIN, EXECUTE, COMMIT):
+            body = INSERT if path == EXECUTE else None
+            self.assertEqual(200, (await bench.post(path, body)).status)
+        self.assertEqual(["begin"], bench.home.actions)
+        self.assertEqual(["begin", "execute", "commit"], peer.actions)
+
+    @trio_test
+    async def test_fault_in_rollback_ends_no_server(self) -> None:
+        # Guards against one connection's fault that ends all others of the VM.
+        bench = EntryBench()
+        await bench.post(BEGIN)
+        with mock.patch.object(bench.home, "transact", side_effect=RuntimeError("fault")):
+            await bench.handler.close()
+        self.assertEqual(0, bench.transactions.count)
+
     @trio_test
     async def test_drain_waits_for_the_transaction(self) -> None:
         # Guards against a connection that closes between two steps while the VM drains.
