--- a/src/tanagerfront/authentication.py
+++ b/src/tanagerfront/authentication.py
@@ -28,8 +28,8 @@
     """The copy of the configuration that is in effect on this VM."""
 
     @property
-    def current(self) -> Configuration | None:
-        """Return the configuration, or None before the first one has arrived."""
+    def current(self) -> Configuration:
+        """Return the configuration, version 0 before the first one has arrived."""
 
     @property
     def fresh(self) -> bool:
@@ -78,7 +78,7 @@
     def configuration(self) -> Configuration:
         """Return the configuration in effect; raises UnavailableError if there is none yet."""
         current = self._source.current
-        if current is None:
+        if not current.version:
             raise UnavailableError("no configuration has arrived on this VM yet")
         return current
 
@@ -86,6 +86,7 @@
         """Return the caller with this key; raises KeyRequiredError or UnavailableError."""
         if not self._source.fresh:
             raise UnavailableError("this VM cannot tell whether keys are still valid")
+        self.configuration()
         digest = key_digest(key)
         entry = self._valid_entry(digest)
         if entry is None:
@@ -94,10 +95,10 @@
 
     def is_valid(self, digest: str) -> bool:
         """Tell whether the key with this digest is valid now."""
-        return self._source.current is not None and self._valid_entry(digest) is not None
+        return self._valid_entry(digest) is not None
 
     def _valid_entry(self, digest: str) -> _Entry | None:
-        configuration = self.configuration()
+        configuration = self._source.current
         if configuration is not self._indexed:
             self._index = _index_keys(configuration)
             self._indexed = configuration
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -55,6 +55,14 @@
         self.assertEqual((503, "unavailable", "no"), problem(await bench.post(PLACE, ORDER)))
         self.assertEqual(200, (await bench.post("/v1/routes/list", key=None)).status)
 
+    @trio_test
+    async def test_no_configuration_yet(self) -> None:
+        # Guards against "unknown key" or "no such route" from a VM that has just started.
+        bench = EntryBench()
+        bench.source.current = configuration(0)
+        for path, key in ((PLACE, KEY), ("/v1/routes/list", None)):
+            self.assertEqual((503, "unavailable", "no"), problem(await bench.post(path, key=key)))
+
     @trio_test
     async def test_only_the_organisations_groups(self) -> None:
         # Guards against one organisation reaching the data of another.
