--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -151,6 +151,8 @@
         for sql in ("COMMIT", "/**/ begin", "SELECT 1; SELECT 2", "", "--x", "pragma x"):
             body = {"statements": [{"sql": sql}]}
             self.assertEqual(400, (await bench.post(BATCH, body)).status, sql)
+        answer = await bench.post(BATCH, {"statements": [{"sql": "SELECT 1"}] * 401})
+        self.assertIn("burst of 400", json.loads(answer.body)["detail"])
         self.assertEqual([], bench.home.requests)
 
     @trio_test
