--- a/src/tanagerfront/homes.py
+++ b/src/tanagerfront/homes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable, Mapping, Sequence
 
 import structlog
@@ -108,8 +109,8 @@
                     group,
                     len(held),
                     self._services,
-                    lambda term, primary, name=name: self._confirm(name, term, primary),
-                    lambda name=name: self._rank(name),
+                    functools.partial(self._confirm, name),
+                    functools.partial(self._rank, name),
                 )
                 self._homes[name] = (home, trio.CancelScope())
                 await nursery.start(self._run_home, name)
--- a/src/tanagerfront/metering.py
+++ b/src/tanagerfront/metering.py
@@ -31,6 +31,12 @@
     def remaining_s(self) -> float:
         """Return the seconds until the tokens expire."""
 
+    def spend(self) -> None:
+        """Note that the request ran and does not run any more."""
+
+    def give_back(self) -> None:
+        """Note that the request did not run and will not run."""
+
 
 class RateLimiter(Protocol):
     """Tokens of each organisation's rate and burst over the fleet."""
@@ -38,12 +44,6 @@
     async def acquire(self, organisation: str, count: float, deadline: float) -> RateToken:
         """Return tokens; raises RateLimitedError, or UnavailableError when no owner answers."""
 
-    def confirm(self, token: RateToken) -> None:
-        """Note that the request ran or may have run."""
-
-    def give_back(self, token: RateToken) -> None:
-        """Note that the request did not run."""
-
 
 class MeteredCall(Protocol):
     """The part of a call that metering reads and records."""
@@ -85,9 +85,11 @@
                 raise
         finally:
             if call.executed == "no" and not used_database:
-                limiter.give_back(token)
-            else:
-                limiter.confirm(token)
+                token.give_back()
+            elif call.executed != "unknown":
+                token.spend()
+            # The statements of an unknown outcome may still run, so their tokens count until
+            # they expire.
     raise AssertionError("unreachable: the last attempt returns or raises")
 
 
--- a/src/tanagerfront/vm.py
+++ b/src/tanagerfront/vm.py
@@ -27,9 +27,10 @@
 from .home_transactions import TransactionSettings
 from .homes import HOME_ROLE, Homes
 from .http_client import Address
-from .http_server import ConnectionHandler, HttpLimits, Request, Response, serve_http
+from .http_server import HttpLimits, Request, Response, serve_http
 from .kv_etcd import EtcdStore
-from .limiter import LIMIT_OWNERS, LIMIT_ROLE, FleetLimiter
+from .limiter import LIMIT_OWNERS, FleetLimiter
+from .limits import LIMIT_ROLE
 from .membership import Membership, MembershipSettings
 from .messages import ConfigOffer, ConfigRequest, Message
 from .metrics import Metrics
@@ -89,10 +90,9 @@
         self._lease = lease
 
     @property
-    def current(self) -> Configuration | None:
-        """Return the configuration, or None before the first one has arrived."""
-        configuration = self._store.current
-        return configuration if configuration.version else None
+    def current(self) -> Configuration:
+        """Return the configuration, of version 0 before the first one has arrived."""
+        return self._store.current
 
     @property
     def fresh(self) -> bool:
@@ -100,14 +100,15 @@
         return self._lease.may_serve_keyed()
 
 
-class _AdminPort(ConnectionHandler):
+class _AdminPort(AdminHandler):
     """Probes, metrics and status beside the administration API."""
 
-    def __init__(self, vm: Vm) -> None:
+    def __init__(self, vm: Vm, config: ConfigStore, bootstrap_key: str | None) -> None:
+        super().__init__(config, vm.versions, bootstrap_key_digest=bootstrap_key)
         self._vm = vm
 
-    async def handle(self, request: Request) -> Response:
-        """Return the response to one request."""
+    async def handle_other(self, request: Request) -> Response:
+        """Return the response to a request outside the administration API."""
         match request.method, request.path:
             case "GET", "/healthz":
                 return Response(200, b'{"status": "ok"}')
@@ -119,11 +120,7 @@
                 return Response(200, self._vm.metrics.render(), content_type="text/plain")
             case "GET", "/status":
                 return Response(200, msgspec.json.encode(self._vm.status()))
-        return await self._vm.admin.handle(request)
-
-    def handle_bad_request(self, error: Any) -> Response:
-        """Return the response to a request that could not be parsed."""
-        return self._vm.admin.handle_bad_request(error)
+        return await super().handle_other(request)
 
 
 class Vm:
@@ -164,11 +161,7 @@
         self._callers = CallerConnections(
             self._entry_services(), self.metrics, settings.limits.max_connections
         )
-        self.admin = AdminHandler(
-            self._config,
-            bootstrap_key=settings.admin.bootstrap_key,
-            versions=self._versions,
-        )
+        self._admin_port = _AdminPort(self, self._config, settings.admin.bootstrap_key)
         self._network.register(ConfigRequest, self._answer_config_request)
 
     @property
@@ -198,7 +191,7 @@
         source = _ConfigurationInForce(self._config, self._lease)
         authenticator = Authenticator(source)
         calls = HomeCalls(settings.vm.id, self._homes, self._network)
-        choice = HomeChoice(settings.vm.id, settings.vm.failure_domain)
+        self._choice = choice = HomeChoice(settings.vm.id, settings.vm.failure_domain)
         limits = TransactionLimits(
             settings.limits.transaction_limit, settings.limits.transaction_idle
         )
@@ -232,7 +225,7 @@
             return "no home is known for any group"
         return None
 
-    def _versions(self) -> Mapping[str, int]:
+    def versions(self) -> Mapping[str, int]:
         """Return the configuration version in force on each live VM."""
         return {vm.id: vm.config_version for vm in self._membership.live()}
 
@@ -315,7 +308,7 @@
             for task in background:
                 nursery.start_soon(task)
             await nursery.start(
-                serve_http, admin_listeners, lambda _stream: _AdminPort(self), http_limits
+                serve_http, admin_listeners, lambda _stream: self._admin_port, http_limits
             )
             await nursery.start(serve_http, caller_listeners, self._callers.handler, http_limits)
             _log.info("vm_started", vm=self._settings.vm.id, callers=str(listen.callers))
@@ -373,6 +366,7 @@
 
     async def _update_gauges(self) -> None:
         while True:
+            self._choice.forget({vm.id for vm in self._membership.live()})
             homes = self._homes.active.values()
             self.metrics.set_connections("databases", sum(home.connections for home in homes))
             for home in homes:
--- /dev/null
+++ b/src/tanagerfront_lab/__main__.py
@@ -0,0 +1,5 @@
+"""Run the lab from the command line."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/src/tanagerfront_lab/cli.py
@@ -0,0 +1,154 @@
+"""Command line of the load and experiment tool."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Annotated, Literal
+
+import cyclopts
+import msgspec
+import trio
+
+from .bench import BenchResult, run_bench
+from .deployments import DEPLOYMENTS, Deployment
+from .experiments import Experiment, Fault, Outcome, run_experiment
+from .faults import freeze_primary, freeze_vm, kill_primary, kill_vm, replace_vm, service_outage
+from .history import write_history
+from .load import LoadPlan
+from .processes import ClusterOptions
+
+__all__ = ["app", "main"]
+
+app = cyclopts.App(name="tanagerfront-lab", help="Load and experiments on real processes.")
+FAULTS: dict[str, Fault] = {
+    "kill-primary": kill_primary,
+    "freeze-primary": freeze_primary,
+    "kill-vm": kill_vm,
+    "freeze-vm": freeze_vm,
+    "replace-vm": replace_vm,
+    "outage": service_outage,
+}
+# Part of each organisation's rate that the load uses.
+LOAD_SHARE = 0.4
+
+
+def load_plans(
+    deployment: Deployment,
+    duration_s: float,
+    *,
+    share: float = LOAD_SHARE,
+    baseline: bool = False,
+    flood: str = "",
+    flood_factor: float = 5.0,
+) -> tuple[LoadPlan, ...]:
+    """Return the load of all organisations; `flood` sends a multiple of its own rate."""
+    return tuple(
+        LoadPlan(
+            tenant.name,
+            rate=tenant.rate * (flood_factor if tenant.name == flood else share),
+            duration_s=duration_s,
+            max_staleness_s=None if baseline else 2.0,
+            idempotency_keys=not baseline,
+        )
+        for tenant in deployment.tenants
+    )
+
+
+def _print_outcome(name: str, outcome: Outcome) -> None:
+    measures = outcome.measures
+    gap = max(measures.gaps_s.values(), default=0.0)
+    print(f"{name}: {measures.calls} calls, {measures.failed} not served")
+    print(f"  reads on replicas (eligible)   {measures.replica_share:.1%}")
+    print(f"  longest gap in writes          {gap:.2f} s")
+    print(f"  refused for the rate           {measures.refused_share:.3%}")
+    print(f"  unknown outcomes               {measures.unknown}")
+    print(f"  violations                     {len(outcome.violations)}")
+    print(f"  {'organisation':<16}{'calls':>8}{'per s':>9}{'429':>7}{'failed':>8}"
+          f"{'p50 ms':>9}{'p99 ms':>9}")  # fmt: skip
+    for tenant in measures.tenants:
+        print(
+            f"  {tenant.organisation:<16}{tenant.calls:>8}{tenant.throughput:>9.1f}"
+            f"{tenant.refused:>7}{tenant.failed:>8}{tenant.median_ms:>9.1f}{tenant.p99_ms:>9.1f}"
+        )
+    for violation in outcome.violations[:10]:
+        print(f"  violation: {violation.guarantee}: {violation.detail}")
+
+
+@app.command
+def run(
+    deployment: Literal["kumasi", "frost"],
+    *,
+    fault: Annotated[tuple[str, ...], cyclopts.Parameter(consume_multiple=True)] = (),
+    at: float = 5.0,
+    duration: float = 15.0,
+    share: float = LOAD_SHARE,
+    flood: str = "",
+    baseline: bool = False,
+    acknowledge: Literal["replicated", "majority-term"] = "replicated",
+    homes: int = 3,
+    apply_delay_ms: float = 20.0,
+    receive_delay_ms: float = 1.0,
+    statement_ms: float = 2.0,
+    seed: int = 1,
+    history: Path | None = None,
+    json: Path | None = None,
+) -> None:
+    """Run one experiment and print the measures.
+
+    Parameters
+    ----------
+    fault: Faults to inject together, such as kill-primary or outage.
+    at: Seconds after the start of the load at which they begin.
+    share: Part of each organisation's rate that the load uses.
+    flood: Organisation that sends five times its rate.
+    baseline: Send all reads to the primary and no idempotency keys.
+    history: File for the history, as JSON lines.
+    json: File for the measures.
+    """
+    sizes = DEPLOYMENTS[deployment]
+    options = ClusterOptions(
+        acknowledge=acknowledge,
+        homes=homes,
+        apply_delay_ms=apply_delay_ms,
+        receive_delay_ms=receive_delay_ms,
+        statement_ms=statement_ms,
+    )
+    experiment = Experiment(
+        deployment=sizes,
+        options=options,
+        plans=load_plans(sizes, duration, share=share, baseline=baseline, flood=flood),
+        seed=seed,
+        faults=tuple((at, FAULTS[name]) for name in fault),
+    )
+    outcome = trio.run(run_experiment, experiment)
+    _print_outcome(f"{deployment} {' '.join(fault)}", outcome)
+    if history is not None:
+        write_history(history, outcome.history)
+    if json is not None:
+        json.write_bytes(msgspec.json.format(msgspec.json.encode(outcome.measures)))
+    if outcome.violations:
+        sys.exit(1)
+
+
+def _print_bench(result: BenchResult) -> None:
+    direct, proxied = result.direct, result.proxied
+    added = result.half_load_proxied_ms - result.half_load_direct_ms
+    print(f"direct             {direct.per_s:8.0f}/s   median {direct.median_ms:.2f} ms")
+    print(f"through one VM     {proxied.per_s:8.0f}/s   median {proxied.median_ms:.2f} ms")
+    print(f"ratio              {proxied.per_s / direct.per_s:8.2f}     target at least 0.50")
+    print(f"per core of the VM {proxied.per_cpu_s:8.0f}/s   target at least 3000")
+    print(f"added at half load {added:8.2f} ms  target at most 1.00")
+    print(f"idle VM            {result.idle_vm_mb:8.1f} MB  target at most 64")
+    print(f"idle connection    {result.idle_connection_kb:8.1f} KB  target at most 20")
+
+
+@app.command
+def bench() -> None:
+    """Compare calls through one VM with direct calls to the stand-in databases."""
+    _print_bench(trio.run(run_bench))
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- a/tests/support.py
+++ b/tests/support.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import functools
+import os
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import testtools
 import trio
 import trio.testing
+from hypothesis import settings
+
+# The same examples in every run give one verdict for one commit; the profile `explore` draws new
+# ones each time.
+settings.register_profile("ci", derandomize=True, deadline=None)
+settings.register_profile("explore", deadline=None, print_blob=True)
+settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
 
 class TestCase(testtools.TestCase):  # type: ignore[misc]
