--- a/src/tanagerfront/configuration.py
+++ b/src/tanagerfront/configuration.py
@@ -89,10 +89,10 @@
         found = (each for each in self._candidates(key_digest))
         return next((each for each in found if _in_force(each.keys, key_digest, now)), None)
 
-    def team_for_key(self, key_digest: str, now: float) -> Team | None:
-        """Return the team whose administration key is in force at POSIX time `now`."""
+    def teams_for_key(self, key_digest: str, now: float) -> frozenset[str]:
+        """Return the teams whose administration key is in force at POSIX time `now`."""
         teams = self.teams.values()
-        return next((team for team in teams if _in_force(team.owners, key_digest, now)), None)
+        return frozenset(t.name for t in teams if _in_force(t.owners, key_digest, now))
 
     def _candidates(self, key_digest: str) -> Iterator[Organisation]:
         if self.organisation_names is None:
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,197 @@
+"""The configuration document: what is accepted, what is refused and how errors read."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from support import TestCase
+from tanagerfront._statement_check import parameter_names
+from tanagerfront.configuration import Acknowledge, Configuration, RequestClass, parse_section
+from tanagerfront.errors import ConfigurationError
+from tanagerfront.http_client import Address
+
+DOCS = Path(__file__).resolve().parent.parent / "docs"
+DIGEST = "sha256:" + "ab" * 32
+OTHER = "sha256:" + "cd" * 32
+UNTIL = "2026-12-31T00:00:00Z"
+UNTIL_S = 1798675200.0
+
+
+def section(name: str = "kumasi", /, **parts: dict[str, str]) -> str:
+    defaults = {
+        f"team {name}": {"owners": DIGEST},
+        "organisation foremen": {"keys": DIGEST, "rate": "5", "burst": "9", "groups": "g"},
+        "group g": {"instances": "adum@127.0.0.1:1", "connections": "4", "slots": "2"},
+        "route r": {"group": "g", "mode": "write", "statement.1": "DELETE FROM t WHERE a = :a"},
+    }
+    kinds = {header.split()[0]: header for header in defaults}
+    for kind, options in parts.items():
+        defaults[kinds[kind]] = defaults[kinds[kind]] | options
+    return "".join(
+        f"[{header}]\n" + "".join(f"{option} = {value}\n" for option, value in options.items())
+        for header, options in defaults.items()
+    )
+
+
+class ExampleTest(TestCase):
+    def test_example_of_the_reference_is_valid(self) -> None:
+        # Guards against a reference whose example an operator cannot use.
+        page = (DOCS / "configuration.md").read_text(encoding="utf-8")
+        (text,) = re.findall(r"```ini\n(.*?)```", page, re.DOTALL)
+        found = Configuration.from_sections(7, {"kumasi": text})
+        foremen = found.organisations["foremen"]
+        self.assertEqual((200.0, 400.0, 4.0), foremen[2:5])
+        self.assertEqual([None, UNTIL_S], [key.until for key in foremen.keys])
+        group = found.groups["orders-1"]
+        self.assertEqual(Address("127.0.0.1", 7103), group.instances[2].address)
+        self.assertEqual([False, False, True], [each.leaving for each in group.instances])
+        self.assertEqual((16, 2, Acknowledge.REPLICATED, 3), group[2:])
+        browse = found.routes["browse"]
+        self.assertTrue(browse.open_to_all and browse.repeatable)
+        self.assertEqual(RequestClass.BROWSING, browse.request_class)
+        self.assertEqual({"pattern"}, parameter_names(browse.statements))
+
+    def test_reference_names_every_option(self) -> None:
+        # Guards against options that are read but not described.
+        page = (DOCS / "configuration.md").read_text(encoding="utf-8")
+        sources = Path(parse_section.__code__.co_filename).read_text(encoding="utf-8")
+        read = r"options\.(?:text|integer|number|choice|flag|reference|names|keys|instances)\(\s*\""
+        options = re.findall(read + r"([a-z]+)", sources)
+        self.assertGreaterEqual(len(options), 15)
+        self.assertEqual([], [name for name in options if f"| `{name}` |" not in page])
+
+
+class RefusalTest(TestCase):
+    def _refused(self, text: str, *expected: str) -> None:
+        with self.assertRaises(ConfigurationError) as caught:
+            Configuration.from_sections(1, {"kumasi": text})
+        for part in expected:
+            self.assertIn(part, caught.exception.message)
+
+    def test_value_errors_name_section_option_found_and_allowed(self) -> None:
+        # Guards against wrong values that are accepted, or refused without saying what is allowed.
+        cases = (
+            ("team", "owners", "", "at least one"),
+            ("organisation", "rate", "0", "0.001"),
+            ("organisation", "rate", "nan", "a number"),
+            ("organisation", "burst", "0.5", "1 to"),
+            ("organisation", "weight", "-1", "0.01"),
+            ("organisation", "keys", "sha256:" + "AB" * 32, "lower-case hex"),
+            ("organisation", "keys", "sha256:abcd", "64"),
+            ("organisation", "keys", f"{DIGEST}, {DIGEST}", "once"),
+            ("organisation", "keys", f"{DIGEST},", "none of them empty"),
+            ("organisation", "keys", f"{DIGEST} until 2026-12-31T00:00:00", "zone"),
+            ("organisation", "keys", f"{DIGEST} until tomorrow", "2026-12-31T00:00:00Z"),
+            ("organisation", "groups", "G", "lower-case"),
+            ("group", "instances", "adum@localhost:1", "IP:PORT"),
+            ("group", "instances", "adum@127.0.0.1:0", "65535"),
+            ("group", "instances", "127.0.0.1:1", "FAILURE-DOMAIN"),
+            ("group", "instances", "", "at least one"),
+            ("group", "connections", "2", "3 to"),
+            ("group", "slots", "2.5", "whole number"),
+            ("group", "homes", "0", "1 to 63"),
+            ("group", "acknowledge", "always", "replicated or majority-term"),
+            ("route", "mode", "Write", "read or write"),
+            ("route", "class", "urgent", "orders or standard or browsing"),
+            ("route", "open", "true", "yes or no"),
+            ("route", "statement.1", "", "without a gap"),
+            ("route", "statement.3", "DELETE FROM t", "without a gap"),
+            ("route", "statement.1", "DELETE FROM t WHERE a = ?", ":name"),
+            ("route", "statement.1", "DELETE FROM t WHERE a = $1", ":name"),
+            ("route", "statement.1", "DELETE FROM t; DELETE FROM u", "one statement"),
+            ("route", "statement.1", "commit", "transaction control"),
+            ("route", "statement.1", "DELETE FROM t WHERE a = 'x", "closed"),
+            ("route", "statement.1", "-- nothing", "transaction control"),
+        )
+        for kind, option, value, allowed in cases:
+            text = section(**{kind: {option: value}})
+            self._refused(text, "section kumasi", f"[{kind} ", option.split(".")[0], allowed)
+        text = section(route={"mode": "read"})
+        self._refused(text, "[route r]", "statement.1 = DELETE", "SELECT")
+
+    def test_unknown_parts_and_options_are_refused(self) -> None:
+        # Guards against a misspelled option that silently has no effect.
+        self._refused(section(group={"slot": "3"}), "slot = 3", "unknown option", "slots")
+        self._refused(section(group={"Slots": "3"}), "Slots = 3", "unknown option")
+        self._refused(section() + "[routes x]\n", "[routes x]", "[route NAME]")
+        self._refused(section() + "[DEFAULT]\nrate = 1\n", "[DEFAULT]")
+        self._refused(section() + "[group g]\n", "malformed", "already exists")
+        self._refused(section() + "mode = read\n", "malformed", "already exists")
+        self._refused("owners = 1\n", "malformed")
+
+    def test_section_belongs_to_its_team(self) -> None:
+        # Guards against a team that makes itself the owner of another team's section.
+        self._refused(section("frost"), "[team frost] found", "[team kumasi] is allowed")
+        self._refused(section() + f"[team frost]\nowners = {DIGEST}\n", "exactly one")
+
+    def test_size_is_limited(self) -> None:
+        # Guards against a section that the key-value service cannot store.
+        filler = "; " + "x" * 1021 + "\n"
+        self.assertTrue(parse_section("kumasi", section() + filler * 1000))
+        self._refused(section() + filler * 1024, "bytes found", "1048576")
+
+    def test_sections_are_checked_against_each_other(self) -> None:
+        # Guards against definitions that contradict each other over sections.
+        cases = (
+            ("[group g]\ninstances = adum@127.0.0.1:2\nconnections = 4\nslots = 2\n", "group g"),
+            (
+                "[group h]\ninstances = suame@127.0.0.1:1\nconnections = 4\nslots = 2\n",
+                "instances = 127.0.0.1:1",
+            ),
+            (f"[organisation o]\nkeys = {DIGEST}\nrate=1\nburst=1\ngroups=g\n", "keys = sha256"),
+            (f"[organisation o]\nkeys = {OTHER}\nrate=1\nburst=1\ngroups=x\n", "groups = x"),
+            ("[route s]\ngroup = x\nmode = write\nstatement.1 = DELETE FROM t\n", "group = x"),
+            ("[route r]\ngroup = g\nmode = write\nstatement.1 = DELETE FROM t\n", "route r"),
+        )
+        for part, expected in cases:
+            frost = f"[team frost]\nowners = {DIGEST}\n{part}"
+            with self.assertRaises(ConfigurationError) as caught:
+                Configuration.from_sections(1, {"kumasi": section(), "frost": frost})
+            self.assertIn(expected, caught.exception.message)
+            self.assertIn("section frost", caught.exception.message)
+
+
+class StatementTest(TestCase):
+    def test_text_within_quotes_is_left_alone(self) -> None:
+        # Guards against statements cut or refused because of characters in their quoted text.
+        sql = "INSERT INTO t VALUES (:a, 'it''s ; # :b ?', \"c;\", :c_1) -- :d"
+        found = parse_section("kumasi", section(route={"statement.1": sql}))
+        self.assertEqual((sql,), found.routes[0].statements)
+        self.assertEqual({"a", "c_1"}, parameter_names(found.routes[0].statements))
+
+    @given(st.text(st.characters(codec="utf-8", exclude_categories=["Cc", "Zl", "Zp"])))
+    @settings(max_examples=200, deadline=None)
+    def test_quoted_text_never_changes(self, text: str) -> None:
+        # Guards against quoted text that is read as a parameter, a comment or an end.
+        sql = "SELECT '" + text.replace("'", "''") + "' WHERE a = :a"
+        found = parse_section("kumasi", section(route={"statement.1": sql}))
+        self.assertEqual((sql,), found.routes[0].statements)
+        self.assertEqual({"a"}, parameter_names(found.routes[0].statements))
+
+
+class KeyTest(TestCase):
+    def test_old_and_new_key_overlap(self) -> None:
+        # Guards against an interruption while a key is replaced, and against a key that works
+        # after its time.
+        text = section(organisation={"keys": f"{DIGEST} until {UNTIL}, {OTHER}"})
+        found = Configuration.from_sections(1, {"kumasi": text})
+        old, new = DIGEST[7:], OTHER[7:]
+        for configuration in (found, found._replace(organisation_names=None)):
+            for digest, now, expected in (
+                (old, UNTIL_S - 1, "foremen"),
+                (old, UNTIL_S, None),
+                (new, UNTIL_S - 1, "foremen"),
+                (new, UNTIL_S + 1, "foremen"),
+                ("00" * 32, 0, None),
+            ):
+                organisation = configuration.organisation_for_key(digest, now)
+                self.assertEqual(expected, organisation.name if organisation else None)
+
+    def test_empty_keys_revoke_all(self) -> None:
+        # Guards against an organisation whose last key cannot be withdrawn.
+        found = parse_section("kumasi", section(organisation={"keys": ""}))
+        self.assertEqual((), found.organisations[0].keys)
