--- a/src/tanagerfront/_membership_impl.py
+++ b/src/tanagerfront/_membership_impl.py
@@ -21,7 +21,7 @@
     live_s: float = 2.0
     # A VM says that it cannot reach the service after this long without any answer. It has to be
     # longer than the interval of its keep-alives plus one heartbeat and its timeout.
-    lost_after_s: float = 4.5
+    lost_after_s: float = 5.0
     # A silent VM counts as a member for this long, so that a partition does not shrink the
     # membership that the majority is taken of.
     forget_after_s: float = 30.0
--- a/src/tanagerfront/membership.py
+++ b/src/tanagerfront/membership.py
@@ -73,6 +73,18 @@
         """Return the id of this VM."""
         return self._network.vm_id
 
+    @property
+    def own(self) -> LiveVm:
+        """Return what this VM tells its peers about itself."""
+        return LiveVm(
+            self.vm_id,
+            self._incarnation,
+            self._failure_domain,
+            self._network.listen_address,
+            self._draining,
+            self._config_version(),
+        )
+
     @property
     def settings(self) -> MembershipSettings:
         """Return the settings."""
@@ -101,7 +113,7 @@
     def live(self) -> tuple[LiveVm, ...]:
         """Return the VMs that can be reached, with this one, by id."""
         others = [peer.vm for peer in self._live_peers() if peer.vm]
-        return tuple(sorted([self._own(), *others]))
+        return tuple(sorted([self.own, *others]))
 
     def service_evidence(self) -> ServiceEvidence:
         """Tell whether a majority cannot reach the service and nobody is known to reach it.
@@ -140,16 +152,6 @@
         needed = members // 2 + 1
         return sorted(times, reverse=True)[needed - 1] if len(times) >= needed else NEVER
 
-    def _own(self) -> LiveVm:
-        return LiveVm(
-            self.vm_id,
-            self._incarnation,
-            self._failure_domain,
-            self._network.listen_address,
-            self._draining,
-            self._config_version(),
-        )
-
     def _live_peers(self) -> Iterator[Peer]:
         since = trio.current_time() - self._settings.live_s
         return (peer for peer in self._peers.values() if peer.answered_at >= since)
@@ -261,7 +263,7 @@
             self._notify()
 
     def _heartbeat(self) -> Heartbeat:
-        own = self._own()
+        own = self.own
         return Heartbeat(
             own.id,
             own.incarnation,
@@ -278,7 +280,7 @@
             if peer is not None:
                 peer.known_at = trio.current_time()
             self._publish_peers()
-        own = self._own()
+        own = self.own
         return HeartbeatReply(
             own.id,
             own.incarnation,
