Add rate limits over the fleet by tokens from the owners of bucket parts

TokenGrant gains available and capacity (additive). Tests: a bucket part against a model, the fleet under interleaved faults, and a busy VM that gets the whole rate.

--- a/src/tanagerfront/messages.py
+++ b/src/tanagerfront/messages.py
@@ -168,10 +168,13 @@
     lifetime_s: float
     # Seconds until the part is likely to have tokens again.
     retry_after_s: float
+    # Tokens that the part still has, and how many it can have.
+    available: float = 0.0
+    capacity: float = 0.0
 
 
 class TokenReport(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """Tell how many tokens of a grant were spent and how many come back unused."""
+    """Tell how many tokens of a grant were spent and came back unused, in total so far."""
 
     organisation: str
     part: int
--- a/src/tanagerfront/seats.py
+++ b/src/tanagerfront/seats.py
@@ -121,6 +121,17 @@
         seats = (Seat(role, name, index) for index in range(count))
         return tuple(seat.number for seat in seats if self._is_active(seat))
 
+    def holding(self, role: str, name: str) -> Mapping[int, int]:
+        """Return the seats that this VM may act for now, with the revision of their claim."""
+        seats = [Seat(role, name, index) for index in self.holds(role, name)]
+        return {seat.number: self._entries[seat].revision for seat in seats}
+
+    def held_names(self, role: str) -> frozenset[str]:
+        """Return the names of which this VM may act for a seat now."""
+        return frozenset(
+            name for found, name in self._wanted if found == role and self.holds(role, name)
+        )
+
     async def wait_changed(self) -> None:
         """Return when the holder of any seat, or the wanted seats, changed."""
         await self._changed.wait()
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,198 @@
+"""Rate limits: a bucket part alone, and owners and requesters over a fleet with faults."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+import trio
+import trio.testing
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fleet import PROFILE, STEPS, Fleet, Vm, apply_step, fleet
+from support import TestCase, trio_test
+from tanagerfront.configuration import Organisation
+from tanagerfront.errors import RateLimitedError
+from tanagerfront.limits import BucketPart, TokenCache, TokenOwner
+
+VIRTUAL_S = 10_000
+ORGANISATION = Organisation("x", (), 40.0, 20.0, 1.0, frozenset())
+PARTS = 2
+TOLERANCE = 1e-6
+
+
+def worst_excess(times: Iterable[float], rate: float, burst: float) -> float:
+    """Return by how much any window exceeds burst + rate * window, at most 0 if none does."""
+    level, last, worst = burst, 0.0, -burst
+    for time in sorted(times):
+        level = min(burst, level + (time - last) * rate) - 1
+        last = time
+        worst = max(worst, -level)
+    return worst
+
+
+class LimitedVm:
+    """The owner and requester of one VM and a caller that wants more than the rate."""
+
+    def __init__(self, running: Fleet, vm: Vm, admitted: list[float]) -> None:
+        self.vm = vm
+        self.faults = running.faults
+        self.admitted = admitted
+        self.refused = 0
+        network = running.hub.networks[vm.id]
+        self.owner = TokenOwner(
+            network, vm.seats, vm.lease, lambda _name: ORGANISATION, limit_owners=PARTS
+        )
+        self.cache = TokenCache(network, vm.seats)
+        self.rng = random.Random(vm.id)
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.owner.run)
+            nursery.start_soon(self.cache.run)
+
+    async def request(self, nursery: trio.Nursery) -> None:
+        try:
+            token = await self.cache.acquire(ORGANISATION, trio.current_time() + 5)
+        except RateLimitedError:
+            self.refused += 1
+            return
+        nursery.start_soon(self._use, token)
+
+    async def _use(self, token: object) -> None:
+        await self.faults.while_paused(self.vm.id)
+        lifetime_s = self.cache.lifetime_s(token)
+        if not self.cache.confirm(token) or self.rng.random() < 0.2:
+            self.cache.give_back(token)
+            return
+        # On the way to the home, and there in a queue for nearly as long as the token lives.
+        await trio.sleep(self.rng.choice([0.001, 0.9]))
+        await trio.sleep(self.rng.choice([0.0, 0.9]) * lifetime_s)
+        self.admitted.append(trio.current_time())
+        await trio.sleep(0.005)
+        if self.rng.random() < 0.9:
+            self.cache.spent(token)
+
+    async def flood(self) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                nursery.start_soon(self.request, nursery)
+                await trio.sleep(self.rng.expovariate(ORGANISATION.rate))
+
+
+async def limit_under_faults(steps: list[tuple[str, set[str], float]]) -> None:
+    admitted: list[float] = []
+    async with fleet("abcde") as running:
+        limited = [LimitedVm(running, vm, admitted) for vm in running.vms.values()]
+        for one in limited:
+            running.nursery.start_soon(one.run)
+        await trio.sleep(15)
+        for one in limited[:3]:
+            running.nursery.start_soon(one.flood)
+        running.faults.duplicated = {"a", "b"}
+        await trio.sleep(1)
+        for action, vms, seconds in steps:
+            apply_step(running, action, vms)
+            await trio.sleep(seconds)
+        await trio.sleep(3)
+    excess = worst_excess(admitted, ORGANISATION.rate, ORGANISATION.burst)
+    assert excess <= TOLERANCE, f"{excess} above the limit"
+    assert admitted
+
+
+class BucketModel:
+    """Spend what a part grants, at any time before it expires, with unreliable reports."""
+
+    def __init__(self, rate: float, capacity: float) -> None:
+        self.part = BucketPart(rate, capacity, 0.0)
+        self.now = 0.0
+        self.spent_at: list[float] = []
+        # Grant id, unused tokens, expiry, spent, returned.
+        self.grants: list[list[float]] = []
+
+    def apply(self, action: str, number: int, seconds: float) -> None:
+        self.now += seconds
+        if action == "grant":
+            grant = self.part.grant(number, self.now + 2.0, self.now)
+            self.grants.append([grant.id, grant.tokens, self.now + 2.0, 0, 0])
+            return
+        if not self.grants:
+            return
+        grant_state = self.grants[number % len(self.grants)]
+        grant_id, unused, expires_at, spent, returned = grant_state
+        if action == "spend" and self.now < expires_at:
+            count = min(unused, number)
+            self.spent_at += [self.now] * int(count)
+            grant_state[1:4] = [unused - count, expires_at, spent + count]
+        elif action == "return":
+            grant_state[1], grant_state[4] = 0, returned + unused
+        elif action == "report":
+            self.part.report(int(grant_id), spent, returned, self.now)
+        elif action == "report again":
+            self.part.report(int(grant_id), spent, returned, self.now)
+            self.part.report(int(grant_id), spent, returned, self.now)
+
+
+class LimitsTest(TestCase):
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["grant", "spend", "return", "report", "report again"]),
+                st.integers(0, 12),
+                st.sampled_from([0.0, 0.0, 0.05, 0.5, 1.9, 5.0]),
+            ),
+            max_size=60,
+        )
+    )
+    @settings(max_examples=400, deadline=None)
+    def test_part_never_exceeds_rate_and_burst(self, steps: list[tuple[str, int, float]]) -> None:
+        # Guards against tokens that count twice: after expiry, repeated reports or returns.
+        model = BucketModel(3.0, 10.0)
+        for action, number, seconds in [("grant", 0, 5.0), *steps]:
+            model.apply(action, number, seconds)
+        self.assertLessEqual(worst_excess(model.spent_at, 3.0, 10.0), TOLERANCE)
+
+    @given(STEPS)
+    @settings(PROFILE, max_examples=10)
+    def test_fleet_never_exceeds_rate_and_burst(
+        self, steps: list[tuple[str, set[str], float]]
+    ) -> None:
+        # Guards against tokens admitted twice after pauses, losses, duplicates and takeovers.
+        trio.run(limit_under_faults, steps, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_one_busy_vm_gets_the_whole_rate(self) -> None:
+        # Guards against refusing requests within the rate when one VM has all the traffic.
+        async with fleet("abc") as running:
+            limited = [LimitedVm(running, vm, []) for vm in running.vms.values()]
+            for one in limited:
+                running.nursery.start_soon(one.run)
+            await trio.sleep(15)
+            one = limited[0]
+            for _ in range(3):
+                await self._burst(one, 20)
+                await self._steady(one, 200)
+                await trio.sleep(2)
+            self.assertEqual(0, one.refused)
+
+    async def _burst(self, one: LimitedVm, count: int) -> None:
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                nursery.start_soon(self._use_quickly, one)
+
+    async def _steady(self, one: LimitedVm, count: int) -> None:
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                await trio.sleep(1 / ORGANISATION.rate)
+                nursery.start_soon(self._use_quickly, one)
+
+    @staticmethod
+    async def _use_quickly(one: LimitedVm) -> None:
+        try:
+            token = await one.cache.acquire(ORGANISATION, trio.current_time() + 5)
+        except RateLimitedError:
+            one.refused += 1
+            return
+        await trio.sleep(0.005)
+        one.cache.spent(token)
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -2,166 +2,19 @@
 
 from __future__ import annotations
 
-import contextlib
-import random
-from collections.abc import AsyncIterator, Mapping
+from typing import Any
+from unittest import mock
 
 import trio
 import trio.testing
-from hypothesis import HealthCheck, Phase, given, settings
-from hypothesis import strategies as st
+from hypothesis import given, settings
 
-from fakes import FakeHub, FakeKv, FakeService, Faults
-from support import TestCase
-from tanagerfront.membership import Membership
-from tanagerfront.seats import LeaseSettings, SeatRegistry, VmLease
+from fakes import FakeKv
+from fleet import DOMAINS, PROFILE, STEPS, Fleet, apply_step, fleet
+from support import TestCase, trio_test
+from tanagerfront.seats import Seat
 
 VIRTUAL_S = 10_000
-DOMAINS = {"a": "d1", "b": "d1", "c": "d2", "d": "d2", "e": "d3"}
-WANTED = {("limit", "x"): 2, ("home", "g"): 1}
-
-
-class PausableLease(VmLease):
-    """A lease whose timers do not run while its VM is paused."""
-
-    faults: Faults
-
-    def _track_contact(self) -> None:
-        if not self.faults.paused(self._membership.vm_id):
-            super()._track_contact()
-
-    def _extend(self) -> None:
-        if not self.faults.paused(self._membership.vm_id):
-            super()._extend()
-
-
-class Vm:
-    """The parts of one VM that hold seats."""
-
-    def __init__(self, fleet: Fleet, vm: str) -> None:
-        self.id = vm
-        self.kv = FakeKv(fleet.service, vm)
-        self.membership = Membership(
-            fleet.hub.network(vm),
-            fleet.fetch,
-            failure_domain=DOMAINS[vm],
-            incarnation="1",
-            service_age_s=lambda: self.kv.last_answer_age_s,
-        )
-        rng = random.Random(vm)
-        self.lease = PausableLease(self.kv, self.membership, settings=LeaseSettings(), rng=rng)
-        self.lease.faults = fleet.faults
-        self.seats = SeatRegistry(self.kv, self.lease, self.membership, rng=rng)
-        self.seats.set_wanted(WANTED)
-
-    async def run(self) -> None:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.membership.run)
-            nursery.start_soon(self.lease.run)
-            nursery.start_soon(self.seats.run)
-
-
-class Fleet:
-    def __init__(self, nursery: trio.Nursery) -> None:
-        self.faults = Faults()
-        self.service = FakeService(self.faults)
-        self.hub = FakeHub(self.faults, nursery)
-        self.vms: dict[str, Vm] = {}
-        self.scopes: dict[str, trio.CancelScope] = {}
-        self.nursery = nursery
-
-    async def fetch(self) -> tuple[object, ...]:
-        return self.hub.listed()
-
-    def start(self, vms: str) -> None:
-        for vm in vms:
-            self.vms[vm] = Vm(self, vm)
-            self.scopes[vm] = trio.CancelScope()
-            self.nursery.start_soon(self._run, vm)
-
-    async def _run(self, vm: str) -> None:
-        with self.scopes[vm]:
-            await self.vms[vm].run()
-
-    def valid_holders(self) -> Mapping[tuple[str, str, int], list[str]]:
-        """Return for each seat the VMs that would act for it now; a paused VM does not act."""
-        found: dict[tuple[str, str, int], list[str]] = {}
-        for vm in self.vms.values():
-            if not self.faults.paused(vm.id):
-                for role, name in WANTED:
-                    for index in vm.seats.holds(role, name):
-                        found.setdefault((role, name, index), []).append(vm.id)
-        return found
-
-    def leaves_open(self, service_cuts: set[str], peer_cuts: set[tuple[str, str]]) -> bool:
-        """Tell whether this is the one partition that the design leaves open.
-
-        A majority that cannot reach the service cannot reach a VM that does.
-        """
-        majority = len(self.vms) // 2 + 1
-        connected = self.vms.keys() - service_cuts
-        return any(
-            sum((vm, other) in peer_cuts for vm in service_cuts) >= majority for other in connected
-        )
-
-
-@contextlib.asynccontextmanager
-async def fleet(vms: str = "abcde") -> AsyncIterator[Fleet]:
-    async with trio.open_nursery() as nursery:
-        running = Fleet(nursery)
-        running.start(vms)
-        yield running
-        nursery.cancel_scope.cancel()
-
-
-# Shrinking takes minutes here, since an example covers minutes of the mock clock.
-PROFILE = settings(
-    max_examples=25,
-    deadline=None,
-    suppress_health_check=list(HealthCheck),
-    phases=(Phase.explicit, Phase.reuse, Phase.generate),
-)
-STEPS = st.lists(
-    st.tuples(
-        st.sampled_from(
-            ["down", "up", "cut", "isolate", "part", "heal", "pause", "resume", "lose"]
-        ),
-        st.sets(st.sampled_from("abcde"), min_size=1, max_size=4),
-        st.sampled_from([0.3, 1.4, 2.0, 4.0, 9.0, 14.0, 25.0]),
-    ),
-    min_size=1,
-    max_size=8,
-)
-
-
-def apply_step(running: Fleet, action: str, vms: set[str]) -> None:
-    faults = running.faults
-    service_cuts, peer_cuts = set(faults.service_cuts), set(faults.peer_cuts)
-    across = {(one, other) for one in vms for other in running.vms if other not in vms}
-    both = across | {(other, one) for one, other in across}
-    match action:
-        case "down" | "up":
-            running.service.set_down(action == "down")
-        case "cut":
-            service_cuts |= vms
-        case "part":
-            peer_cuts |= both
-        case "isolate":
-            service_cuts |= vms
-            peer_cuts |= both
-        case "heal":
-            service_cuts, peer_cuts = set(), set()
-        case "pause":
-            for vm in vms:
-                faults.pause(vm)
-        case "resume":
-            for vm in vms:
-                faults.resume(vm)
-        case "lose":
-            faults.lost_answers |= dict.fromkeys(vms, 2)
-    unreachable = set(running.vms) if faults.service_down else service_cuts
-    if not running.leaves_open(unreachable, peer_cuts):
-        faults.service_cuts, faults.peer_cuts = service_cuts, peer_cuts
 
 
 async def assert_one_holder(running: Fleet, seconds: float) -> None:
@@ -193,3 +46,97 @@
     def test_no_seat_is_held_twice(self, steps: list[tuple[str, set[str], float]]) -> None:
         # Guards against two VMs that act for one seat, and against a seat that stays empty.
         trio.run(interleave, steps, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_outage_ends_no_validity(self) -> None:
+        # Guards against an outage of the service that stops the whole fleet.
+        async with fleet() as running:
+            await trio.sleep(15)
+            before = running.valid_holders()
+            running.service.set_down(True)
+            for _ in range(100):
+                await trio.sleep(1)
+                self.assertEqual(before, running.valid_holders())
+                self.assertTrue(all(vm.lease.may_serve_keyed() for vm in running.vms.values()))
+            running.service.set_down(False)
+            await trio.sleep(30)
+            self.assertEqual(before, running.valid_holders())
+
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_isolated_vm_stops_and_is_replaced(self) -> None:
+        # Guards against a VM that serves on without any contact, and a seat nobody takes over.
+        async with fleet() as running:
+            await trio.sleep(15)
+            [victim] = running.valid_holders()[("home", "g", 0)]
+            apply_step(running, "isolate", {victim})
+            await trio.sleep(3.5)
+            self.assertFalse(running.vms[victim].lease.may_serve_keyed())
+            await trio.sleep(16)
+            holders = running.valid_holders()
+            self.assertEqual(3, len(holders))
+            self.assertNotIn([victim], holders.values())
+
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_seats_are_spread_over_failure_domains(self) -> None:
+        # Guards against one failure domain that holds all seats of a role because it came first.
+        async with fleet("ab") as running:
+            for vm in running.vms.values():
+                vm.seats.set_wanted({("home", "g"): 3})
+            await trio.sleep(15)
+            running.start("cde")
+            for vm in running.vms.values():
+                vm.seats.set_wanted({("home", "g"): 3})
+            await trio.sleep(60)
+            holders = running.vms["a"].seats.holders("home", "g")
+            self.assertEqual({"d1", "d2", "d3"}, {DOMAINS[vm] for vm in holders.values()})
+            # A settled fleet moves no seat.
+            await trio.sleep(60)
+            self.assertEqual(holders, running.vms["a"].seats.holders("home", "g"))
+
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_lost_answer_of_a_claim(self) -> None:
+        # Guards against a seat whose holder does not know that it holds it.
+        async with fleet("abc") as running:
+            put_if = FakeKv.put_if
+
+            async def lose_answer(kv: FakeKv, *args: Any, **kwargs: Any) -> bool:
+                running.faults.lost_answers[kv._vm] = 1
+                return await put_if(kv, *args, **kwargs)
+
+            with mock.patch.object(FakeKv, "put_if", lose_answer):
+                await trio.sleep(20)
+            self.assertEqual(3, len(running.valid_holders()))
+
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_draining_vm_hands_its_seats_over(self) -> None:
+        # Guards against a stopping VM that keeps its seats, or claims others, until its lease ends.
+        async with fleet() as running:
+            await trio.sleep(15)
+            [leaving] = running.valid_holders()[("home", "g", 0)]
+            running.vms[leaving].membership.set_draining()
+            await running.vms[leaving].seats.release_all()
+            await trio.sleep(4)
+            holders = running.valid_holders()
+            self.assertEqual(3, len(holders))
+            self.assertNotIn([leaving], holders.values())
+
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_claim_by_a_vm_that_was_paused(self) -> None:
+        # Guards against acting at once for a seat whose claim waited while its VM did not run,
+        # when the previous holder goes on by evidence of an outage.
+        async with fleet() as running:
+            await trio.sleep(15)
+            [holder] = running.valid_holders()[("home", "g", 0)]
+            others = [vm for vm in "abcde" if vm != holder]
+            claimant = running.vms[others[0]]
+            await claimant.kv.put_if("unrelated", b"", 0)
+            running.faults.pause(claimant.id)
+            running.faults.service_cuts = set("abcde") - {claimant.id}
+            await trio.sleep(20)
+            self.assertIn(holder, running.valid_holders()[("home", "g", 0)])
+            async with trio.open_nursery() as nursery:
+                # The claim was decided on before the pause and is carried out after it.
+                nursery.start_soon(claimant.seats._claim, Seat("home", "g", 0))
+                await trio.sleep(0.1)
+                running.faults.resume(claimant.id)
+                await assert_one_holder(running, 20)
