--- /dev/null
+++ b/tests/test_seats.py
@@ -0,0 +1,142 @@
+"""Leases and seats on a mock clock: one valid holder at a time, under all kinds of faults."""
+
+from __future__ import annotations
+
+from typing import Any
+from unittest import mock
+
+import trio
+import trio.testing
+from hypothesis import given, settings
+
+from fakes import FakeKv
+from fleet import DOMAINS, PROFILE, STEPS, Fleet, apply_step, fleet
+from support import TestCase, trio_test
+from tanagerfront.seats import Seat
+
+VIRTUAL_S = 10_000
+
+
+async def assert_one_holder(running: Fleet, seconds: float) -> None:
+    ends_at = trio.current_time() + seconds
+    while trio.current_time() < ends_at:
+        await trio.sleep(0.1)
+        doubled = {s: vms for s, vms in running.valid_holders().items() if len(vms) > 1}
+        assert not doubled, f"{doubled} at {trio.current_time()}"
+
+
+async def interleave(steps: list[tuple[str, set[str], float]]) -> None:
+    async with fleet() as running:
+        await assert_one_holder(running, 15)
+        assert len(running.valid_holders()) == 3
+        for action, vms, seconds in steps:
+            apply_step(running, action, vms)
+            await assert_one_holder(running, seconds)
+        # Whatever happened, all seats are held again after it.
+        apply_step(running, "up", set())
+        apply_step(running, "heal", set())
+        apply_step(running, "resume", set("abcde"))
+        await assert_one_holder(running, 45)
+        assert len(running.valid_holders()) == 3, running.valid_holders()
+
+
+class SeatsTest(TestCase):
+    @given(STEPS)
+    @settings(PROFILE)
+    def test_no_seat_is_held_twice(self, steps: list[tuple[str, set[str], float]]) -> None:
+        # Guards against two VMs that act for one seat, and against a seat that stays empty.
+        trio.run(interleave, steps, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_outage_ends_no_validity(self) -> None:
+        # Guards against an outage of the service that stops the whole fleet.
+        async with fleet() as running:
+            await trio.sleep(15)
+            before = running.valid_holders()
+            running.service.set_down(True)
+            for _ in range(100):
+                await trio.sleep(1)
+                self.assertEqual(before, running.valid_holders())
+                self.assertTrue(all(vm.lease.may_serve_keyed() for vm in running.vms.values()))
+            running.service.set_down(False)
+            await trio.sleep(30)
+            self.assertEqual(before, running.valid_holders())
+
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_isolated_vm_stops_and_is_replaced(self) -> None:
+        # Guards against a VM that serves on without any contact, and a seat nobody takes over.
+        async with fleet() as running:
+            await trio.sleep(15)
+            [victim] = running.valid_holders()[("home", "g", 0)]
+            apply_step(running, "isolate", {victim})
+            await trio.sleep(3.5)
+            self.assertFalse(running.vms[victim].lease.may_serve_keyed())
+            await trio.sleep(16)
+            holders = running.valid_holders()
+            self.assertEqual(3, len(holders))
+            self.assertNotIn([victim], holders.values())
+
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_seats_are_spread_over_failure_domains(self) -> None:
+        # Guards against one failure domain that holds all seats of a role because it came first.
+        async with fleet("ab") as running:
+            for vm in running.vms.values():
+                vm.seats.set_wanted({("home", "g"): 3})
+            await trio.sleep(15)
+            running.start("cde")
+            for vm in running.vms.values():
+                vm.seats.set_wanted({("home", "g"): 3})
+            await trio.sleep(60)
+            holders = running.vms["a"].seats.holders("home", "g")
+            self.assertEqual({"d1", "d2", "d3"}, {DOMAINS[vm] for vm in holders.values()})
+            # A settled fleet moves no seat.
+            await trio.sleep(60)
+            self.assertEqual(holders, running.vms["a"].seats.holders("home", "g"))
+
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_lost_answer_of_a_claim(self) -> None:
+        # Guards against a seat whose holder does not know that it holds it.
+        async with fleet("abc") as running:
+            put_if = FakeKv.put_if
+
+            async def lose_answer(kv: FakeKv, *args: Any, **kwargs: Any) -> bool:
+                running.faults.lost_answers[kv._vm] = 1
+                return await put_if(kv, *args, **kwargs)
+
+            with mock.patch.object(FakeKv, "put_if", lose_answer):
+                await trio.sleep(20)
+            self.assertEqual(3, len(running.valid_holders()))
+
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_draining_vm_hands_its_seats_over(self) -> None:
+        # Guards against a stopping VM that keeps its seats, or claims others, until its lease ends.
+        async with fleet() as running:
+            await trio.sleep(15)
+            [leaving] = running.valid_holders()[("home", "g", 0)]
+            running.vms[leaving].membership.set_draining()
+            await running.vms[leaving].seats.release_all()
+            await trio.sleep(4)
+            holders = running.valid_holders()
+            self.assertEqual(3, len(holders))
+            self.assertNotIn([leaving], holders.values())
+
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_claim_by_a_vm_that_was_paused(self) -> None:
+        # Guards against acting at once for a seat whose claim waited while its VM did not run,
+        # when the previous holder goes on by evidence of an outage.
+        async with fleet() as running:
+            await trio.sleep(15)
+            [holder] = running.valid_holders()[("home", "g", 0)]
+            others = [vm for vm in "abcde" if vm != holder]
+            claimant = running.vms[others[0]]
+            await claimant.kv.put_if("unrelated", b"", 0)
+            running.faults.pause(claimant.id)
+            running.faults.service_cuts = set("abcde") - {claimant.id}
+            await trio.sleep(20)
+            self.assertIn(holder, running.valid_holders()[("home", "g", 0)])
+            async with trio.open_nursery() as nursery:
+                # The claim was decided on before the pause and is carried out after it.
+                nursery.start_soon(claimant.seats._claim, Seat("home", "g", 0))
+                await trio.sleep(0.1)
+                running.faults.resume(claimant.id)
+                await assert_one_holder(running, 20)
