--- a/src/tanagerfront/entry.py
+++ b/src/tanagerfront/entry.py
@@ -208,6 +208,7 @@
             raise ForbiddenError("the transaction belongs to another organisation")
         if call.headers.idempotency_key is not None:
             raise BadRequestError("idempotency-key has no meaning inside a transaction")
+        self._transaction.require_open()
         return self._transaction
 
 
--- a/src/tanagerfront/entry_services.py
+++ b/src/tanagerfront/entry_services.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Mapping
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 
 import trio
 
@@ -84,7 +84,7 @@
 
     authenticator: Authenticator
     sessions: SessionCodec
-    limiter: RateLimiter
+    limiter: RateLimiter[Any]
     execution: Execution
     transactions: Transactions
     metrics: EntryMetrics
--- a/src/tanagerfront/metering.py
+++ b/src/tanagerfront/metering.py
@@ -1,13 +1,14 @@
-"""Rate tokens around the execution of a request."""
+"""Rate tokens around the execution of a request: one for each statement."""
 
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import Protocol, TypeVar
+from typing import Generic, Protocol, TypeVar
 
 import trio
 
 from .authentication import Caller
+from .configuration import Organisation
 from .errors import (
     BadRequestError,
     Executed,
@@ -17,32 +18,28 @@
     TransactionError,
 )
 
-__all__ = ["MeteredCall", "RateLimiter", "RateToken", "run_metered"]
+__all__ = ["MeteredCall", "RateLimiter", "run_metered"]
 
-# A token can expire while a request waits for a home; a fresh one is taken this often.
-MAX_TOKENS_PER_REQUEST = 3
+# Tokens can expire while a request waits for a home; fresh ones are taken this often.
+MAX_ROUNDS = 3
 _Result = TypeVar("_Result")
+_Token = TypeVar("_Token")
 
 
-class RateToken(Protocol):
-    """Tokens for one request, which expire together."""
-
-    @property
-    def remaining_s(self) -> float:
-        """Return the seconds until the tokens expire."""
-
-
-class RateLimiter(Protocol):
+class RateLimiter(Protocol[_Token]):
     """Tokens of each organisation's rate and burst over the fleet."""
 
-    async def acquire(self, organisation: str, count: float, deadline: float) -> RateToken:
-        """Return tokens; raises RateLimitedError, or UnavailableError when no owner answers."""
+    async def acquire(self, organisation: Organisation, deadline: float) -> _Token:
+        """Return the permission for one statement; raises RateLimitedError."""
 
-    def confirm(self, token: RateToken) -> None:
-        """Note that the request ran or may have run."""
+    def lifetime_s(self, token: _Token) -> float:
+        """Return the seconds until the token expires, 0 when it has."""
 
-    def give_back(self, token: RateToken) -> None:
-        """Note that the request did not run."""
+    def spent(self, token: _Token) -> None:
+        """End a token whose statement ran; one that may still run counts until it expires."""
+
+    def give_back(self, token: _Token) -> None:
+        """End a token whose statement did not run and will not."""
 
 
 class MeteredCall(Protocol):
@@ -53,8 +50,50 @@
     executed: Executed
 
 
+class _Tokens(Generic[_Token]):
+    """The tokens of one request."""
+
+    def __init__(self, limiter: RateLimiter[_Token]) -> None:
+        self._limiter = limiter
+        self._held: list[_Token] = []
+
+    @property
+    def lifetime_s(self) -> float:
+        """Return the seconds until the first of them expires."""
+        return min(map(self._limiter.lifetime_s, self._held))
+
+    @property
+    def expired(self) -> bool:
+        """Tell whether the request held its tokens until one expired."""
+        return bool(self._held) and self.lifetime_s <= 0
+
+    async def acquire(self, organisation: Organisation, count: int, deadline: float) -> None:
+        """Take `count` tokens or none; raises RateLimitedError."""
+        complete = False
+        try:
+            for _ in range(count):
+                self._held.append(await self._limiter.acquire(organisation, deadline))
+            complete = True
+        finally:
+            if not complete:
+                self.settle("no")
+                self._held.clear()
+
+    def settle(self, ran: Executed) -> None:
+        """End the tokens, except those of statements that may still run."""
+        match ran:
+            case "yes":
+                end = self._limiter.spent
+            case "no":
+                end = self._limiter.give_back
+            case "unknown":
+                return
+        for token in self._held:
+            end(token)
+
+
 async def run_metered(
-    limiter: RateLimiter,
+    limiter: RateLimiter[_Token],
     call: MeteredCall,
     count: int,
     run: Callable[[float | None], Awaitable[_Result]],
@@ -70,25 +109,37 @@
         raise BadRequestError(
             f"{count} statements exceed the organisation's burst of {organisation.burst:g}"
         )
-    for attempt in range(1, MAX_TOKENS_PER_REQUEST + 1):
-        token = await limiter.acquire(organisation.name, count, call.deadline)
-        used_database = False
+    for _ in range(MAX_ROUNDS - 1):
+        tokens = _Tokens(limiter)
         try:
-            return await _run(call, run, token.remaining_s)
-        except (SqlError, TransactionError):
-            # The statements used the database although they have no effect.
-            used_database = True
-            raise
+            return await _run_round(tokens, call, organisation, count, run)
         except RateLimitedError as error:
-            expired = token.remaining_s <= 0 and error.executed == "no"
-            if not expired or attempt == MAX_TOKENS_PER_REQUEST or _is_over(call):
+            if not tokens.expired or error.executed != "no" or _is_over(call):
                 raise
-        finally:
-            if call.executed == "no" and not used_database:
-                limiter.give_back(token)
-            else:
-                limiter.confirm(token)
-    raise AssertionError("unreachable: the last attempt returns or raises")
+    return await _run_round(_Tokens(limiter), call, organisation, count, run)
+
+
+async def _run_round(
+    tokens: _Tokens[_Token],
+    call: MeteredCall,
+    organisation: Organisation,
+    count: int,
+    run: Callable[[float | None], Awaitable[_Result]],
+) -> _Result:
+    await tokens.acquire(organisation, count, call.deadline)
+    ran: Executed | None = None
+    try:
+        return await _run(call, run, tokens.lifetime_s)
+    except SqlError:
+        # The statements used the database although they have no effect.
+        ran = "yes"
+        raise
+    except TransactionError:
+        # They have no effect either, but the last of them may still be running.
+        ran = "unknown"
+        raise
+    finally:
+        tokens.settle(ran or call.executed)
 
 
 async def _run(
--- a/src/tanagerfront/transactions.py
+++ b/src/tanagerfront/transactions.py
@@ -103,6 +103,11 @@
             return f"it was idle for more than {limits.idle_s:g} s"
         return None
 
+    def require_open(self) -> None:
+        """Raise TransactionError, or KeyRequiredError after a revocation, if it has ended."""
+        if not self._open:
+            raise self._ended_error()
+
     async def begin(self, terms: StepTerms) -> None:
         """Open the transaction at its home; raises TanagerfrontError with executed `no`."""
         try:
@@ -118,7 +123,7 @@
 
     async def commit(self, terms: StepTerms) -> TransactionReply:
         """Commit; the transaction has ended afterwards, whatever the outcome."""
-        self._require_open()
+        self.require_open()
         self._committing = True
         try:
             reply = await self._call("commit", terms, ())
@@ -146,7 +151,7 @@
     async def _interruptible(
         self, action: str, terms: StepTerms, statements: tuple[WireStatement, ...]
     ) -> TransactionReply:
-        self._require_open()
+        self.require_open()
         try:
             with trio.CancelScope() as self._step_scope:
                 return await self._call(action, terms, statements)
@@ -208,10 +213,6 @@
             self._open = False
             self._on_end(self)
 
-    def _require_open(self) -> None:
-        if not self._open:
-            raise self._ended_error()
-
     def _ended_error(self) -> TanagerfrontError:
         message = f"the transaction is not open: {self._end_reason}"
         if self._end_reason == KEY_REVOKED:
--- a/tests/test_transactions.py
+++ b/tests/test_transactions.py
@@ -121,6 +121,10 @@
             self.assertEqual("no", problem(answer)[2])
             self.assertIn("rolled back", json.loads(answer.body)["detail"])
             self.assertEqual("rollback", bench.home.actions[-1])
+            # The lost statement may still run, so its token counts until it expires.
+            spent = 2 if isinstance(outcome, SqlError) else 1
+            self.assertEqual(409, (await bench.post(EXECUTE, INSERT)).status)
+            self.assertEqual((spent, 0), bench.limiter.settled)
             self.assertEqual(409, (await bench.post(COMMIT)).status)
 
     @trio_test
