--- a/src/tanagerfront/home_transactions.py
+++ b/src/tanagerfront/home_transactions.py
@@ -124,12 +124,14 @@
         A failed statement rolls the whole transaction back, as the state that its caller assumes
         no longer holds; a step refused for its rate token was not sent and leaves it open.
         """
-        deadline = trio.current_time() + request.timeout_s
+        arrived_at = trio.current_time()
+        deadline = arrived_at + request.timeout_s
         if request.action == "begin":
             return await self._begin(peer_vm, request, deadline)
         transaction = self._find(peer_vm, request)
         match request.action:
             case "execute":
+                check_token(token_end(arrived_at, request.token_lifetime_s))
                 return await self._execute(transaction, request, deadline)
             case "commit":
                 return await self._commit(transaction, request, deadline)
@@ -174,7 +176,6 @@
     async def _execute(
         self, transaction: _Transaction, request: TransactionRequest, deadline: float
     ) -> TransactionReply:
-        check_token(token_end(deadline - request.timeout_s, request.token_lifetime_s))
         lease = _lease_of(transaction)
         async with self._step(transaction):
             begin, transaction.begun = not transaction.begun, True
--- a/src/tanagerfront/instance_access.py
+++ b/src/tanagerfront/instance_access.py
@@ -12,7 +12,6 @@
 from .entry_id import EntryId
 from .errors import (
     ConnectionLostError,
-    DeadlineExceededError,
     NotPrimaryError,
     OutcomeUnknownError,
     SqlError,
@@ -126,8 +125,6 @@
         timeout_s: float,
     ) -> ExecuteResult:
         """Run statements at the lease's term, reporting what a failure says of the instance."""
-        if timeout_s <= 0:
-            raise DeadlineExceededError("the deadline passed before the statement was sent")
         name = lease.choice.instance.instance.name
         try:
             result = await lease.session.execute(
--- a/src/tanagerfront/pool.py
+++ b/src/tanagerfront/pool.py
@@ -13,6 +13,7 @@
 from .errors import (
     ConnectionLostError,
     DatabaseError,
+    DeadlineExceededError,
     OverloadedError,
     TanagerfrontError,
     TooManyConnectionsError,
@@ -102,9 +103,11 @@
         read_only: bool,
         timeout_s: float,
     ) -> ExecuteResult:
-        """Run statements; raises DatabaseError for refusals, else ConnectionLostError."""
+        """Run statements; raises DatabaseError, DeadlineExceededError or ConnectionLostError."""
         if self._in_doubt:
             raise ConnectionLostError("the session is in doubt", executed="no")
+        if timeout_s <= 0:
+            raise DeadlineExceededError("the deadline passed before the statement was sent")
         self._in_doubt = True
         self._in_transaction = self._in_transaction or begin
         try:
--- /dev/null
+++ b/tests/test_home_transactions.py
@@ -0,0 +1,215 @@
+"""Interactive transactions at a home: ownership, limits, aborts and commits."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+import trio.testing
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fake_group import FakeGroup, Fault
+from support import TestCase
+from tanagerfront.entry_id import ZERO
+from tanagerfront.errors import (
+    OutcomeUnknownError,
+    RateLimitedError,
+    SqlError,
+    TanagerfrontError,
+    TransactionError,
+)
+from tanagerfront.home_transactions import HomeTransactions, TransactionSettings
+from tanagerfront.messages import TransactionReply, TransactionRequest, WireStatement
+
+LIMITS = TransactionSettings(idle_limit_s=1.0, total_limit_s=3.0)
+COUNT = "SELECT count(*) FROM effects"
+
+
+class Caller:
+    """Sends the steps of one transaction and checks at the end that nothing leaked."""
+
+    def __init__(self, group: FakeGroup, home: HomeTransactions) -> None:
+        self.group = group
+        self.home = home
+
+    async def step(self, action: str, sql: str = "", **changes: Any) -> TransactionReply:
+        fields: dict[str, Any] = {
+            "transaction": "t",
+            "action": action,
+            "group": "g",
+            "organisation": "foremen",
+            "request_class": 1,
+            "timeout_s": 2.0,
+            "session": ZERO,
+            "statements": (WireStatement(sql, []),) if sql else (),
+            "key_digest": "key",
+        }
+        vm = changes.pop("vm", "entry")
+        return await self.home.handle(vm, TransactionRequest(**(fields | changes)))
+
+    async def insert(self, name: str = "x", **changes: Any) -> None:
+        await self.step("execute", f"INSERT INTO effects VALUES ('{name}')", **changes)
+
+    def effects(self) -> int:
+        return int(self.group.rows(COUNT)[0][0])
+
+    def used(self) -> tuple[int, int]:
+        """Return the slots and sessions in use."""
+        pools = self.group.pools.values()
+        slots = sum(each.in_flight for each in self.group.schedulers.values())
+        return slots, sum(pool.size - pool.idle for pool in pools)
+
+
+def run_home(scenario: Callable[[Caller], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            group = FakeGroup(nursery)
+            for instance in group.instances.values():
+                instance.db.execute("CREATE TABLE effects (name TEXT UNIQUE)")
+                instance.snapshot = instance.db.serialize()
+            home = HomeTransactions(group.access(), LIMITS)
+            await nursery.start(home.run)
+            caller = Caller(group, home)
+            await scenario(caller)
+            nursery.cancel_scope.cancel()
+        if caller.used() != (0, 0):
+            raise AssertionError(f"slots and sessions still in use: {caller.used()}")
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class HomeTransactionsTest(TestCase):
+    async def _ended(self, caller: Caller) -> None:
+        """Check that the transaction is gone without effect and holds nothing."""
+        self.assertEqual(((0, 0), 0, 0), (caller.used(), caller.home.open_count, caller.effects()))
+        with self.assertRaises(TransactionError) as caught:
+            await caller.step("commit")
+        self.assertEqual("no", caught.exception.executed)
+
+    def test_commit_makes_the_statements_visible_together(self) -> None:
+        # Guards against statements that run outside the transaction, and an early answer.
+        async def scenario(caller: Caller) -> None:
+            await caller.step("begin")
+            await caller.insert("x")
+            await caller.insert("y")
+            self.assertEqual(((1, 1), ZERO), (caller.used(), caller.group.instances["a"].reached()))
+            reached = (await caller.step("commit")).reached
+            self.assertEqual(((0, 0), 2), (caller.used(), caller.effects()))
+            replicas = caller.group.instances.values()
+            self.assertGreaterEqual(sum(len(e.history) >= reached.position for e in replicas), 2)
+
+        run_home(scenario)
+
+    def test_only_the_owner_may_use_a_transaction(self) -> None:
+        # Guards against statements of another caller in an open transaction.
+        async def scenario(caller: Caller) -> None:
+            await caller.step("begin")
+            await caller.insert()
+            for other in ({"vm": "b"}, {"organisation": "b"}, {"key_digest": "b"}):
+                for action in ("execute", "commit", "rollback"):
+                    with self.assertRaises(TransactionError):
+                        await caller.step(action, **other)
+            await caller.step("rollback")
+            await self._ended(caller)
+
+        run_home(scenario)
+
+    def test_limits_roll_back(self) -> None:
+        # Guards against an idle or endless transaction that keeps its slot and its locks.
+        async def scenario(caller: Caller) -> None:
+            await caller.step("begin")
+            await caller.insert()
+            await trio.sleep(1.1)
+            await self._ended(caller)
+            await caller.step("begin")
+            started = trio.current_time()
+            with self.assertRaises(TransactionError):
+                while True:
+                    await caller.step("execute", "SELECT 1")
+                    await trio.sleep(0.5)
+            self.assertLess(trio.current_time() - started, 3.6)
+            await self._ended(caller)
+
+        run_home(scenario)
+
+    def test_aborts(self) -> None:
+        # Guards against a transaction that outlives its caller, entry VM or key, also while a
+        # step of it waits.
+        async def scenario(caller: Caller) -> None:
+            home = caller.home
+            for abort in (
+                lambda: home.abort_all("entry"),
+                lambda: home.abort_key("key"),
+                lambda: home.abort("entry", "t"),
+            ):
+                await caller.step("begin")
+                await caller.insert()
+                await home.abort_all("other")
+                await home.abort_key("other")
+                self.assertEqual(1, home.open_count)
+                await abort()
+                await self._ended(caller)
+                async with trio.open_nursery() as nursery:
+                    await caller.step("begin")
+                    nursery.start_soon(self._fails_rolled_back, caller)
+                    await trio.sleep(0.0005)
+                    await abort()
+                await self._ended(caller)
+
+        run_home(scenario)
+
+    async def _fails_rolled_back(self, caller: Caller) -> None:
+        with self.assertRaises(TransactionError):
+            await caller.insert()
+
+    def test_failed_statement_rolls_back(self) -> None:
+        # Guards against a commit of the part that its caller does not expect to stand alone.
+        async def scenario(caller: Caller) -> None:
+            await caller.step("begin")
+            await caller.insert()
+            with self.assertRaises(SqlError):
+                await caller.insert()
+            await self._ended(caller)
+
+        run_home(scenario)
+
+    def test_step_without_a_token_is_not_sent(self) -> None:
+        # Guards against statements above the organisation's rate inside transactions.
+        async def scenario(caller: Caller) -> None:
+            await caller.step("begin")
+            with self.assertRaises(RateLimitedError):
+                await caller.insert(token_lifetime_s=0.0)
+            await caller.insert(token_lifetime_s=1.0)
+            await caller.step("commit")
+            self.assertEqual(1, caller.effects())
+
+        run_home(scenario)
+
+    faults = st.sampled_from(("", "", "lost-request", "lost-answer", "late", "stale"))
+
+    @settings(max_examples=60, deadline=None)
+    @given(st.lists(faults, max_size=4), st.integers(0, 4))
+    def test_outcome_is_told_truthfully(self, faults: list[Fault], promote_at: int) -> None:
+        # Guards against a "not run" for a commit whose answer was lost, and a commit that is
+        # acknowledged by a replaced primary.
+        async def scenario(caller: Caller) -> None:
+            caller.group.faults.extend(faults)
+            told = "yes"
+            try:
+                await caller.step("begin")
+                for number in range(2):
+                    if number == promote_at:
+                        caller.group.promote("b")
+                    await caller.insert(str(number))
+                await caller.step("commit")
+            except OutcomeUnknownError:
+                told = "unknown"
+            except TanagerfrontError as error:
+                told = error.executed
+            await trio.sleep(1)
+            expected = {"yes": (2,), "no": (0,), "unknown": (0, 2)}[told]
+            self.assertIn(caller.effects(), expected)
+
+        run_home(scenario)
