--- a/src/tanagerfront/pool.py
+++ b/src/tanagerfront/pool.py
@@ -103,7 +103,7 @@
         read_only: bool,
         timeout_s: float,
     ) -> ExecuteResult:
-        """Run statements; raises DatabaseError for refusals, else ConnectionLostError."""
+        """Run statements; raises DatabaseError, DeadlineExceededError or ConnectionLostError."""
         if self._in_doubt:
             raise ConnectionLostError("the session is in doubt", executed="no")
         if timeout_s <= 0:
