--- a/src/tanagerfront/limits.py
+++ b/src/tanagerfront/limits.py
@@ -19,6 +19,7 @@
 from .seats import SeatRegistry
 
 __all__ = [
+    "LIMIT_ROLE",
     "BucketPart",
     "Grant",
     "LimitSettings",
--- a/src/tanagerfront/vm.py
+++ b/src/tanagerfront/vm.py
@@ -29,8 +29,7 @@
 from .http_client import Address
 from .http_server import HttpLimits, Request, Response, serve_http
 from .kv_etcd import EtcdStore
-from .limiter import LIMIT_OWNERS, FleetLimiter
-from .limits import LIMIT_ROLE
+from .limits import LIMIT_ROLE, LimitSettings, TokenCache, TokenOwner
 from .membership import Membership, MembershipSettings
 from .messages import ConfigOffer, ConfigRequest, Message
 from .metrics import Metrics
@@ -50,6 +49,7 @@
 SECRET_RETRY_S = 0.5
 LISTEN_BACKLOG = 1024
 DEFAULT_WEIGHT = 1.0
+LIMIT_OWNERS = LimitSettings().limit_owners
 _log = structlog.get_logger(__name__)
 
 
@@ -154,8 +154,12 @@
             lambda: self._config.current,
         )
         self._sessions = _Sessions()
-        self._limiter = FleetLimiter(
-            self._network, self._seats, self._lease, lambda: self._config.current
+        self._token_cache = TokenCache(self._network, self._seats)
+        self._token_owner = TokenOwner(
+            self._network,
+            self._seats,
+            self._lease,
+            lambda name: self._config.current.organisations.get(name),
         )
         self._drain_status = DrainStatus(self._unavailable_reason)
         self._callers = CallerConnections(
@@ -201,7 +205,7 @@
         return EntryServices(
             authenticator=authenticator,
             sessions=self._sessions,
-            limiter=self._limiter,
+            limiter=self._token_cache,
             execution=Forwarder(self._homes, calls, choice, self.metrics),
             transactions=self._transactions,
             metrics=self.metrics,
@@ -298,7 +302,8 @@
                 self._lease.run,
                 self._seats.run,
                 self._homes.run,
-                self._limiter.run,
+                self._token_cache.run,
+                self._token_owner.run,
                 self._transactions.run,
                 self._follow_configuration,
                 self._follow_peers,
