--- a/tests/test_transactions.py
+++ b/tests/test_transactions.py
@@ -125,6 +125,7 @@
             spent = 2 if isinstance(outcome, SqlError) else 1
             self.assertEqual(409, (await bench.post(EXECUTE, INSERT)).status)
             self.assertEqual((spent, 0), bench.limiter.settled)
+            self.assertEqual(2, len(bench.limiter.acquired))
             self.assertEqual(409, (await bench.post(COMMIT)).status)
 
     @trio_test
