--- a/src/tanagerfront/vm.py
+++ b/src/tanagerfront/vm.py
@@ -48,6 +48,7 @@
 GAUGE_INTERVAL_S = 1.0
 SECRET_RETRY_S = 0.5
 LISTEN_BACKLOG = 1024
+HOME_IDLE_MARGIN_S = 5.0
 DEFAULT_WEIGHT = 1.0
 LIMIT_OWNERS = LimitSettings().limit_owners
 _log = structlog.get_logger(__name__)
@@ -183,8 +184,9 @@
             weight_of=self._weight_of,
             promotion=PromotionSettings(suspicion_s=settings.timing.suspicion),
             transactions=TransactionSettings(
-                idle_limit_s=settings.limits.transaction_idle,
-                total_limit_s=settings.limits.transaction_limit,
+                # The entry VM ends an idle transaction first, as it can tell the caller why.
+                idle_limit_s=settings.limits.transaction_idle + HOME_IDLE_MARGIN_S,
+                total_limit_s=settings.limits.transaction_limit + HOME_IDLE_MARGIN_S,
             ),
             on_discard=self.metrics.count_discarded,
             on_promotion=self.metrics.count_promotion,
