--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,12 @@
 
 demo: $(VENV)/installed
 	$(BIN)/python tools/demo.py
+
+bench: $(VENV)/installed
+	$(BIN)/tanagerfront-lab bench
+
+measure: $(VENV)/installed
+	$(BIN)/tanagerfront-lab measure
+
+slopes: $(VENV)/installed
+	$(BIN)/tanagerfront-lab slopes
