Replace a primary that is cut off from its replicas

Such a primary answers the homes' probes, but no write is acknowledged while the partition lasts. A promoter now also suspects a primary when no further entry has reached a majority for 1.2 s, and then selects another instance if the others are a majority. Groups that acknowledge on the term alone are exempt, because their writes would be lost.

--- a/src/tanagerfront/promotion.py
+++ b/src/tanagerfront/promotion.py
@@ -9,9 +9,17 @@
 import structlog
 import trio
 
-from .acknowledgement import majority_of
 from .databases import DatabaseSession
 from .errors import ConnectionLostError, DatabaseError
+from .group_health import (
+    StallDetector,
+    caught_up,
+    counts_stalls,
+    has_primary,
+    is_leaving,
+    is_misplaced,
+    reaches_majority,
+)
 from .group_record import GroupRecords
 from .groups import GroupView, InstanceView, OpenSession
 from .kv import KeyValueStore
@@ -49,6 +57,9 @@
 
     # A primary must be unreachable for this long; shorter times promote on brief stalls.
     suspicion_s: float = 0.6
+    # No further entry of the primary reached a majority for this long; it exceeds the time from a
+    # write to its replication under load.
+    stall_s: float = 1.2
     # Each rank waits this much longer; it exceeds the usual time of a complete attempt.
     turn_s: float = 0.4
     confirm_limit_s: float = 1.0
@@ -63,45 +74,6 @@
     attempt: AttemptSettings = AttemptSettings()
 
 
-def _has_primary(view: GroupView) -> bool:
-    return view.primary is not None and view.primary.reachable
-
-
-def _reaches_majority(view: GroupView) -> bool:
-    reachable = sum(1 for instance in view.instances if instance.reachable)
-    return reachable >= majority_of(len(view.instances))
-
-
-def _caught_up(view: GroupView) -> bool:
-    """Tell whether a replica that stays holds everything a leaving primary holds."""
-    primary = view.primary.status if view.primary else None
-    return primary is not None and any(
-        at.status.term == primary.term and at.status.held >= primary.held
-        for at in view.instances
-        if at.status and at.reachable and not at.instance.leaving and at.status.role == "replica"
-    )
-
-
-def _is_leaving(view: GroupView) -> bool:
-    """Tell whether the primary is leaving and an instance that stays could replace it."""
-    return (
-        view.primary is not None
-        and view.primary.reachable
-        and view.primary.instance.leaving
-        and any(at.reachable and not at.instance.leaving for at in view.instances)
-    )
-
-
-def _is_misplaced(at: InstanceView, view: GroupView) -> bool:
-    """Tell whether a reachable instance does not follow the primary of the group's term."""
-    if view.primary is None or not view.primary.reachable or at.status is None:
-        return False
-    name = view.primary.instance.name
-    if not at.reachable or at.instance.name == name:
-        return False
-    return at.status.term < view.term or at.status.primary != name
-
-
 class Promoter:
     """Watch one group at a home and promote when needed.
 
@@ -131,6 +103,7 @@
         self._records = GroupRecords(store, self._group_name, vm)
         self._terms = TermAllocator(self._records, vm)
         self._attempting = trio.Lock()
+        self._stall = StallDetector()
         self._discarded: dict[tuple[str, int], int] = {}
         self._misplaced_since: dict[str, float] = {}
         self._promotions = 0
@@ -153,27 +126,37 @@
             nursery.start_soon(self._hand_over_leaving_primaries)
             nursery.start_soon(self._maintain)
 
+    def reaches_primary(self, term: int) -> bool:
+        """Answer another home that suspects the primary of a term."""
+        view = self._monitor.view
+        return view.term > term or (has_primary(view) and not self._is_stalled(view, 0.5))
+
     async def _replace_failed_primaries(self) -> None:
         while True:
             view = await self._wait_suspicion()
             if await self._is_confirmed(view) and await self._wait_turn(view.term):
-                await self._attempt()
+                await self._attempt(avoid_primary=has_primary(self._monitor.view))
             await trio.sleep(self._settings.retry_s)
 
     async def _wait_suspicion(self) -> GroupView:
-        """Wait until no primary was reachable for a time while a majority is."""
+        """Wait until the primary has failed for a time while a majority is reachable."""
         since, term = trio.current_time(), -1
         while True:
             view = self._monitor.view
-            if _has_primary(view) or view.term != term:
+            if has_primary(view) or view.term != term:
                 # A new term means that another promoter is at work.
                 since, term = trio.current_time(), view.term
             waited_s = trio.current_time() - since
-            if waited_s >= self._settings.suspicion_s and _reaches_majority(view):
+            failed = waited_s >= self._settings.suspicion_s or self._is_stalled(view)
+            if failed and reaches_majority(view):
                 return view
             with trio.move_on_after(max(self._settings.suspicion_s - waited_s, 0.05)):
                 await self._monitor.wait_change()
 
+    def _is_stalled(self, view: GroupView, share: float = 1.0) -> bool:
+        stalled_s = self._stall.stalled_s(view)
+        return counts_stalls(view) and stalled_s >= self._settings.stall_s * share
+
     async def _is_confirmed(self, view: GroupView) -> bool:
         primary = view.primary.instance.name if view.primary else None
         with trio.move_on_after(self._settings.confirm_limit_s):
@@ -188,15 +171,18 @@
         """Wait for this VM's turn; return whether a promotion is still needed."""
 
         def needed() -> bool:
-            return not _has_primary(self._monitor.view) and self._monitor.view.term == term
+            view = self._monitor.view
+            return view.term == term and (not has_primary(view) or self._is_stalled(view))
 
         with trio.move_on_after(self._rank() * self._settings.turn_s):
             while needed():
                 await self._monitor.wait_change()
         return needed()
 
-    async def _attempt(self) -> None:
-        """Take a term and try to promote in it."""
+    async def _attempt(self, *, avoid_primary: bool = False) -> None:
+        """Take a term and try to promote in it, another instance if the primary is cut off."""
+        primary = self._monitor.view.primary
+        avoid = primary.instance.name if primary and avoid_primary else None
         async with self._attempting:
             term = await self._terms.take(self._monitor.view.term)
             if term is None:
@@ -209,10 +195,10 @@
                 self._note_discard,
             )
             try:
-                primary = await attempt.promote()
+                promoted = await attempt.promote(avoid)
                 self._monitor.observe_term(attempt.overtaken_by)
-                if primary is not None:
-                    await self._complete(attempt, term, primary)
+                if promoted is not None:
+                    await self._complete(attempt, term, promoted)
             finally:
                 with trio.CancelScope(shield=True):
                     await attempt.close()
@@ -227,7 +213,7 @@
 
     async def _hand_over_leaving_primaries(self) -> None:
         while True:
-            while not _is_leaving(self._monitor.view):
+            while not is_leaving(self._monitor.view):
                 await self._monitor.wait_change()
             await self._hand_over()
             await trio.sleep(self._settings.hand_over_retry_s)
@@ -236,17 +222,17 @@
         """Hold new work back until a replica has everything, then promote it."""
         self._monitor.set_handing_over(True)
         try:
-            if await self._wait_caught_up():
+            if await self._waitcaught_up():
                 await self._attempt()
         finally:
             self._monitor.set_handing_over(False)
 
-    async def _wait_caught_up(self) -> bool:
+    async def _waitcaught_up(self) -> bool:
         """Wait until it is this VM's turn and a replica has caught up; false at the limit."""
         with trio.move_on_after(self._settings.hand_over_limit_s):
             await trio.sleep(self._rank() * self._settings.turn_s)
-            while _is_leaving(self._monitor.view):
-                if _caught_up(self._monitor.view):
+            while is_leaving(self._monitor.view):
+                if caught_up(self._monitor.view):
                     return True
                 await self._monitor.wait_change()
         return False
@@ -263,7 +249,7 @@
 
     def _due_for_repair(self) -> list[InstanceView]:
         view, now = self._monitor.view, trio.current_time()
-        misplaced = [at for at in view.instances if _is_misplaced(at, view)]
+        misplaced = [at for at in view.instances if is_misplaced(at, view)]
         names = {at.instance.name for at in misplaced}
         since = self._misplaced_since
         self._misplaced_since = {name: since.get(name, now) for name in names}
--- a/src/tanagerfront/promotion_attempt.py
+++ b/src/tanagerfront/promotion_attempt.py
@@ -30,17 +30,23 @@
     straggler_s: float = 0.05
 
 
-def choose_successor(statuses: Mapping[str, InstanceStatus], group: Group) -> InstanceStatus | None:
+def choose_successor(
+    statuses: Mapping[str, InstanceStatus], group: Group, avoid: str | None = None
+) -> InstanceStatus | None:
     """Return the fenced instance with the highest (last_term, held), or None without a majority.
 
     An acknowledged entry is held by a majority, so every majority has a holder, and the highest
     of them has the entry in its history. Among equals an instance that is not leaving is taken.
+    `avoid` names a primary that is cut off from its replicas; it is taken only if the others are
+    no majority.
     """
-    if len(statuses) < majority_of(len(group.instances)):
+    needed = majority_of(len(group.instances))
+    if len(statuses) < needed:
         return None
+    others = [status for name, status in statuses.items() if name != avoid]
     leaving = {instance.name: instance.leaving for instance in group.instances}
     return max(
-        statuses.values(),
+        others if len(others) >= needed else statuses.values(),
         key=lambda at: (at.last_term, at.held, not leaving[at.instance], at.applied, at.instance),
     )
 
@@ -92,12 +98,12 @@
         """Return a higher term that an instance answered with, or 0."""
         return self._overtaken_by
 
-    async def promote(self) -> str | None:
+    async def promote(self, avoid: str | None = None) -> str | None:
         """Fence a majority and promote the successor; return its name, or None on failure."""
         await self._fence_majority()
         if self._overtaken_by:
             return None
-        successor = choose_successor(self._fenced, self._group)
+        successor = choose_successor(self._fenced, self._group, avoid)
         if successor is None:
             return None
         name = successor.instance
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -165,7 +165,9 @@
     async def test_term_check_is_sent_after_the_write(self) -> None:
         # Guards against an acknowledgement on answers that are older than the write.
         async with open_monitor("majority-term") as fixture:
-            self.assertLess(await fixture.acknowledge("x"), 0.01)
+            for number in range(10):
+                await trio.sleep(0.013)
+                self.assertLess(await fixture.acknowledge(f"x{number}"), 0.005)
             fixture.databases.network.block("v1", "b", "c")
             with self.assertRaises(OutcomeUnknownError):
                 await fixture.acknowledge("y")
--- a/tests/test_promotion.py
+++ b/tests/test_promotion.py
@@ -10,13 +10,15 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from fake_databases import NAMES, SERVICE, FakeGroup, Home, make_group
+from fake_databases import NAMES, SERVICE, FakeGroup, FakeStore, Home, Network, make_group
 from support import TestCase, trio_test
 from tanagerfront.acknowledgement import Verdict, decide_replicated
 from tanagerfront.databases import InstanceStatus
 from tanagerfront.entry_id import EntryId
 from tanagerfront.errors import OutcomeUnknownError
-from tanagerfront.group_record import record_key
+from tanagerfront.group_health import StallDetector
+from tanagerfront.group_record import GroupRecords, record_key
+from tanagerfront.groups import GroupView, InstanceView
 from tanagerfront.kv import KeyValue
 from tanagerfront.promotion_attempt import choose_successor
 from tanagerfront_standin.database_state import Refusal
@@ -122,6 +124,26 @@
             self.assertEqual({"x", "y"}, cluster.databases.keys("b"))
             self.assertEqual("c", cluster.record["primary"])
 
+    @trio_test(mock_clock=True)
+    async def test_primary_without_replicas_is_replaced(self) -> None:
+        # Guards against a primary that answers probes but is cut off from its replicas, so that
+        # no write is acknowledged for as long as the partition lasts.
+        async with open_cluster() as cluster:
+            home = cluster.start("v1", 0)
+            await trio.sleep(1)
+            self.assertTrue(await cluster.acknowledged("v1", "kept", "a"))
+            cluster.network.block("a", "b", "c")
+            await trio.sleep(5)
+            self.assertEqual("a", cluster.primary())
+            self.assertFalse(await cluster.acknowledged("v1", "lost", "a"))
+            await home.monitor.wait_primary(trio.current_time() + 1)
+            self.assertIn(cluster.primary(), ("b", "c"))
+            self.assertTrue(await cluster.acknowledged("v1", "later", str(cluster.primary())))
+            cluster.network.heal()
+            await trio.sleep(3)
+            self._check_end(cluster, {"kept", "later"})
+            self.assertEqual(2, len(cluster.databases.primaries))
+
     @trio_test(mock_clock=True)
     async def test_unconfirmed_suspicion_has_no_effect(self) -> None:
         # Guards against a promotion by a VM that alone has lost its path to the primary.
@@ -242,6 +264,20 @@
             await trio.sleep(5)
             self._check_end(cluster, set())
 
+    @trio_test(mock_clock=True)
+    async def test_reserved_term_is_used_by_its_vm_only(self) -> None:
+        # Guards against two VMs that use one reserved term during an outage.
+        async with open_cluster() as cluster:
+            cluster.start("v1", 0)
+            home = cluster.start("v2", 1)
+            await trio.sleep(7)
+            cluster.network.block(SERVICE, "v1", "v2")
+            cluster.network.block("v1", *NAMES)
+            cluster.network.block("a", *NAMES, "v2")
+            await trio.sleep(5)
+            self.assertGreater(home.confirmations, 0)
+            self.assertEqual({(1, "a")}, cluster.databases.primaries)
+
     @trio_test(mock_clock=True)
     async def test_reserved_term_is_used_once(self) -> None:
         # Guards against two promotions in one term while the service stays down.
@@ -405,6 +441,23 @@
         self.assertEqual("b", chosen.instance if chosen else None)
         self.assertIsNone(choose_successor({"a": older}, group))
 
+    @trio_test(mock_clock=True)
+    async def test_slow_replication_is_no_stall(self) -> None:
+        # Guards against a promotion because replicas lag, although they keep receiving.
+        group = make_group()
+        primary = InstanceStatus("a", "primary", 1, 1, 100, 100, 0.0, ((1, 1),), "a")
+        detector = StallDetector()
+        for held in (10, 20, 20, 30):
+            replica = primary._replace(instance="b", role="replica", held=held)
+            views = tuple(
+                InstanceView(instance, status, status is not None, 0.0)
+                for instance, status in zip(group.instances, (primary, replica, None), strict=True)
+            )
+            stalled_s = detector.stalled_s(GroupView(group, 1, views[0], views))
+            self.assertEqual(1.0 if held == 20 and stalled_s else 0.0, stalled_s)
+            await trio.sleep(1)
+        self.assertEqual(1.0, detector.stalled_s(GroupView(group, 1, views[0], views)))
+
     def test_fenced_holder_does_not_count(self) -> None:
         # Guards against an acknowledgement from holders that were fenced before they replied.
         entry = EntryId(1, 10)
@@ -413,3 +466,41 @@
         self.assertEqual(Verdict.PENDING, decide_replicated(entry, [holder, fenced], 3))
         unfenced = holder._replace(instance="b")
         self.assertEqual(Verdict.ACKNOWLEDGED, decide_replicated(entry, [holder, unfenced], 3))
+        # An instance with an entry of term 2 could still be promoted over these two.
+        both = [holder._replace(term=3), fenced._replace(term=3)]
+        self.assertEqual(Verdict.PENDING, decide_replicated(entry, both, 3))
+
+    def test_other_entry_at_the_position_does_not_count(self) -> None:
+        # Guards against an acknowledgement of a discarded entry that another one has replaced.
+        replaced = InstanceStatus("b", "replica", 2, 2, 12, 12, 0.0, ((1, 1), (2, 10)), "a")
+        statuses = [replaced, replaced._replace(instance="a", role="primary")]
+        self.assertEqual(Verdict.LOST, decide_replicated(EntryId(1, 10), statuses, 3))
+        self.assertEqual(Verdict.ACKNOWLEDGED, decide_replicated(EntryId(1, 9), statuses, 3))
+
+
+class RecordTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_lost_answer_is_settled_by_the_nonce(self) -> None:
+        # Guards against a term that a VM uses although its swap did not take effect.
+        data: dict[str, KeyValue] = {}
+        store = FakeStore(data, Network(), "v1")
+        records = GroupRecords(store, "orders-1", "v1")
+        for lose, expected in (("before", False), ("after", True), ("", True)):
+            store.lose_swap = lose
+            term = records.record.term + 1 if records.record else 1
+            won = await records.swap(term=term, primary=None, reserved=None)
+            self.assertEqual((lose, expected), (lose, won is not None))
+            self.assertEqual(expected, KEY in data)
+
+    @trio_test(mock_clock=True)
+    async def test_outdated_copy_does_not_overwrite(self) -> None:
+        # Guards against a VM that overwrites the term another VM has just taken.
+        data: dict[str, KeyValue] = {}
+        network = Network()
+        first, second = (
+            GroupRecords(FakeStore(data, network, vm), "orders-1", vm) for vm in ("v1", "v2")
+        )
+        await second.refresh()
+        self.assertIsNotNone(await first.swap(term=1, primary=None, reserved=None))
+        self.assertIsNone(await second.swap(term=1, primary=None, reserved=None))
+        self.assertEqual("v1", second.record.promoter if second.record else None)
--- a/tests/test_standin_database.py
+++ b/tests/test_standin_database.py
@@ -209,6 +209,8 @@
             group = StandinGroup(["a"])
             await group.start(nursery)
             session = await group.session("a")
+            # Leaves the database's own COMMIT among sqlite3's prepared statements.
+            await write(session, "first")
             for sql, read_only, code in cases:
                 with self.assertRaises(SqlError) as caught:
                     await session.execute(
