Count only served calls as answers of the key-value service

An answer such as "no leader" made the service look reachable, and the refusal of a watch, which is one JSON object without a line end, was dropped. The stand-in gets the fault no_leader. The test of followed versions samples the version in force and repeats old events, so that it sees a version that reverts.

--- a/src/tanagerfront/config_store.py
+++ b/src/tanagerfront/config_store.py
@@ -161,8 +161,6 @@
         Raises ConfigurationError when a digest differs, and KeyValueError when a body is missing
         in the offer and cannot be read from the service.
         """
-        if offer.version <= self.current.version:
-            return False
         for digest, text in offer.bodies.items():
             if digest_of(text) != digest:
                 raise ConfigurationError(f"offered section body differs from digest {digest}")
--- a/src/tanagerfront/kv_etcd.py
+++ b/src/tanagerfront/kv_etcd.py
@@ -170,10 +170,12 @@
             if error.executed == "no":
                 raise KeyValueUnavailableError(message) from error
             raise KeyValueTimeoutError(message) from error
-        self._answered_at = trio.current_time()
         if connection.usable:
             self._idle.append(_Idle(connection, trio.current_time()))
-        return _parse_reply(reply)
+        answer = _parse_reply(reply)
+        # An answer such as "no leader" is no sign that the service works.
+        self._answered_at = trio.current_time()
+        return answer
 
     async def _connect(self, deadline: float) -> HttpConnection:
         while self._idle:
@@ -228,6 +230,9 @@
         for line in lines:
             if line.strip():
                 yield line
+    # A refusal is one JSON object without a line end.
+    if rest.strip():
+        yield rest
 
 
 def _watch_events(line: bytes) -> Iterator[WatchEvent]:
@@ -240,7 +245,8 @@
         raise KeyValueUnavailableError(f"watch refused: {message.get('error', message)}")
     if result.get("canceled"):
         compacted = result.get("compact_revision")
-        reason = f"history up to {compacted} was dropped" if compacted else "canceled"
+        canceled = result.get("cancel_reason", "canceled")
+        reason = f"history up to {compacted} was dropped" if compacted else canceled
         raise KeyValueError(f"watch ended: {reason}")
     for event in result.get("events", ()):
         entry = event["kv"]
--- a/src/tanagerfront_standin/_faults.py
+++ b/src/tanagerfront_standin/_faults.py
@@ -7,7 +7,11 @@
 
 import trio
 
-__all__ = ["CallCounter", "Faults", "Pacer"]
+__all__ = ["CallCounter", "Faults", "NoLeaderError", "Pacer"]
+
+
+class NoLeaderError(Exception):
+    """The service answers, but has no leader that could serve the call."""
 
 
 class Faults:
@@ -17,13 +21,14 @@
         self._changed = trio.Event()
         self._down = False
         self._hang = False
+        self._no_leader = False
         self._slow_ms = 0.0
         self._lose_answers = 0
 
     @property
     def down(self) -> bool:
-        """Tell whether connections end without an answer and without an effect."""
-        return self._down
+        """Tell whether an outage is in force, in which no call has an effect."""
+        return self._down or self._no_leader
 
     @property
     def changed(self) -> trio.Event:
@@ -32,11 +37,12 @@
 
     def set(self, values: dict[str, Any]) -> None:
         """Change the given faults and leave the others; raises ValueError."""
-        unknown = values.keys() - {"down", "hang", "slow_ms", "lose_answers"}
+        unknown = values.keys() - self.describe().keys()
         if unknown:
             raise ValueError(f"unknown faults: {', '.join(sorted(unknown))}")
         self._down = bool(values.get("down", self._down))
         self._hang = bool(values.get("hang", self._hang))
+        self._no_leader = bool(values.get("no_leader", self._no_leader))
         self._slow_ms = float(values.get("slow_ms", self._slow_ms))
         self._lose_answers = int(values.get("lose_answers", self._lose_answers))
         self._changed.set()
@@ -47,12 +53,13 @@
         return {
             "down": self._down,
             "hang": self._hang,
+            "no_leader": self._no_leader,
             "slow_ms": self._slow_ms,
             "lose_answers": self._lose_answers,
         }
 
     async def before_call(self) -> None:
-        """Delay or end a call before it takes effect; raises BrokenResourceError."""
+        """Delay a call, or refuse it; raises BrokenResourceError, NoLeaderError."""
         if self._slow_ms:
             await trio.sleep(self._slow_ms / 1000)
         while self._hang and not self._down:
@@ -60,9 +67,14 @@
         self.check_up()
 
     def check_up(self) -> None:
-        """End the connection while the service is down; raises BrokenResourceError."""
+        """End the connection or refuse the call in an outage.
+
+        Raises BrokenResourceError while the service is down, NoLeaderError without a leader.
+        """
         if self._down:
             raise trio.BrokenResourceError("the service is down")
+        if self._no_leader:
+            raise NoLeaderError
 
     def after_write(self) -> None:
         """End the connection in place of an answer to a write; raises BrokenResourceError."""
--- a/src/tanagerfront_standin/key_value.py
+++ b/src/tanagerfront_standin/key_value.py
@@ -17,7 +17,7 @@
     serve_http,
 )
 
-from ._faults import CallCounter, Faults, Pacer
+from ._faults import CallCounter, Faults, NoLeaderError, Pacer
 from ._key_value_impl import HISTORY_CHANGES, KeyValueModel, LeaseNotFoundError, decode_key
 
 __all__ = ["KeyValueOptions", "KeyValueService"]
@@ -28,6 +28,7 @@
 MAX_VALUE_BYTES = 1024 * 1024
 GRPC_NOT_FOUND = 5
 GRPC_INVALID_ARGUMENT = 3
+GRPC_UNAVAILABLE = 14
 
 
 class KeyValueOptions(NamedTuple):
@@ -103,8 +104,7 @@
                 return _json({})
             case "POST", path if path in CALLS:
                 return await self._call(path, message)
-            case _:
-                return _problem(404, GRPC_NOT_FOUND, "Not Found")
+        return _problem(404, GRPC_NOT_FOUND, "Not Found")
 
     async def _call(self, path: str, message: dict[str, Any]) -> Response:
         kind, is_write, run = CALLS[path]
@@ -169,6 +169,9 @@
             try:
                 await send({"created": True})
                 await self._send_changes(send, start, first, end, progress=progress)
+            except NoLeaderError:
+                # A server without a leader cancels its watches.
+                await send({"canceled": True, "cancel_reason": "etcdserver: no leader"})
             finally:
                 self._calls.waiting_watches -= 1
 
@@ -259,5 +262,7 @@
     async def handle(self, request: Request) -> Response:
         try:
             return await self._service.handle(request)
+        except NoLeaderError:
+            return _problem(503, GRPC_UNAVAILABLE, "etcdserver: no leader")
         except (ValueError, KeyError) as error:
             return _problem(400, GRPC_INVALID_ARGUMENT, f"malformed request: {error!r}")
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -17,7 +17,7 @@
 
 
 class MemoryStore:
-    """KeyValueStore with planned faults; after the plan ends every call succeeds."""
+    """The calls that the configuration needs; after the plan ends every call succeeds."""
 
     def __init__(self, writes: Iterable[str] = (), reads: Iterable[str] = ()) -> None:
         self._entries: dict[str, KeyValue] = {}
@@ -30,10 +30,6 @@
         self.watch_order: Callable[[list[WatchEvent]], list[WatchEvent]] = list
         self.down = False
 
-    @property
-    def last_answer_age_s(self) -> float:
-        return 0.0
-
     def _put(self, key: str, value: bytes, revision: int, lease: int) -> bool:
         found = self._entries.get(key)
         if (found.revision if found else 0) != revision:
@@ -49,21 +45,18 @@
         if self.down or fault == "refused":
             raise KeyValueUnavailableError("refused")
 
-    async def _answer(self) -> None:
-        # The delay after the read models an answer that is overtaken by later ones.
-        await trio.sleep(self._random.random() / 10)
-
     async def get(self, key: str) -> KeyValue | None:
         await self._read()
         found = self._entries.get(key)
-        await self._answer()
+        # Later answers may overtake this one.
+        await trio.sleep(self._random.random() / 10)
         return found
 
     async def range(self, prefix: str) -> tuple[tuple[KeyValue, ...], int]:
         await self._read()
         found = tuple(value for key, value in self._entries.items() if key.startswith(prefix))
         revision = self._revision
-        await self._answer()
+        await trio.sleep(self._random.random() / 10)
         return found, revision
 
     async def put_if(self, key: str, value: bytes, revision: int, *, lease: int = 0) -> bool:
@@ -89,18 +82,6 @@
         while self._late:
             self._late.pop(0)()
 
-    async def delete_if(self, key: str, revision: int) -> bool:
-        raise NotImplementedError
-
-    async def grant(self, ttl_s: int) -> int:
-        raise NotImplementedError
-
-    async def keep_alive(self, lease: int) -> float:
-        raise NotImplementedError
-
-    async def revoke(self, lease: int) -> None:
-        raise NotImplementedError
-
     async def watch(self, prefix: str, start_revision: int) -> AsyncIterator[WatchEvent]:
         seen = start_revision - 1
         while not self.down:
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import functools
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import trio
 
+from support import trio_test
 from tanagerfront.http_client import Address, HttpConnection, HttpReply
 from tanagerfront_standin.key_value import KeyValueOptions, KeyValueService
 
@@ -24,6 +27,18 @@
     return service, address
 
 
+def key_value_test(method: Callable[..., Awaitable[None]]) -> Any:
+    """Run an async test method with a service on the loopback interface and its address."""
+
+    @functools.wraps(method)
+    async def run(self: Any) -> None:
+        async with trio.open_nursery() as nursery:
+            await method(self, *await start_key_value(nursery, self.options))
+            nursery.cancel_scope.cancel()
+
+    return trio_test(run)
+
+
 async def exchange(address: Address, method: str, path: str, **options: Any) -> HttpReply:
     connection = await HttpConnection.open(address)
     try:
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -24,6 +24,7 @@
     KeyValueUnavailableError,
     TanagerfrontError,
 )
+from tanagerfront.kv import WatchEvent
 from tanagerfront.messages import ConfigOffer
 
 TEAMS = ("kumasi", "frost")
@@ -184,19 +185,32 @@
     async def _follow(self, steps: list[str], seed: int) -> None:
         order = random.Random(seed)
         memory = MemoryStore(reads=["ok"] * 3)
-        memory.watch_order = lambda events: order.sample(events * 2, len(events) * 2)
+        delivered: list[WatchEvent] = []
+
+        def repeat_old_events(events: list[WatchEvent]) -> list[WatchEvent]:
+            delivered.extend(events)
+            return order.choices(delivered, k=3 * len(events)) if events else []
+
+        memory.watch_order = repeat_old_events
         editor = ConfigStore(memory)
         store = ConfigStore(memory, reread_interval_s=5)
         offers: list[ConfigOffer] = []
         seen: list[int] = []
 
+        in_force: list[int] = []
+
         async def collect() -> None:
             async for configuration in store.follow():
                 seen.append(configuration.version)
 
+        async def sample() -> None:
+            while True:
+                in_force.append(store.current.version)
+                await trio.sleep(0.01)
+
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(collect)
-            nursery.start_soon(store.run)
+            for task in (collect, sample, store.run):
+                nursery.start_soon(task)
             for step in steps:
                 await self._step(step, memory, editor, store, offers, nursery, order)
                 await trio.sleep(order.random() / 10)
@@ -204,6 +218,7 @@
             await trio.sleep(10)
             nursery.cancel_scope.cancel()
         self.assertEqual(sorted(set(seen)), seen)
+        self.assertEqual(sorted(in_force), in_force)
         self.assertEqual((await editor.read()).version, store.current.version)
         self.assertEqual(editor.current.sections, store.current.sections)
 
--- a/tests/test_key_value.py
+++ b/tests/test_key_value.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from platform_support import exchange, listen, start_key_value
+from platform_support import exchange, key_value_test, listen, start_key_value
 from support import TestCase, trio_test
 from tanagerfront.errors import (
     KeyValueError,
@@ -18,7 +18,7 @@
 from tanagerfront.kv import KeyValue, WatchEvent
 from tanagerfront.kv_etcd import EtcdStore
 from tanagerfront.vm_list import VmList
-from tanagerfront_standin.key_value import KeyValueOptions
+from tanagerfront_standin.key_value import KeyValueOptions, KeyValueService
 from tanagerfront_standin.vm_list import VmListService
 
 
@@ -26,81 +26,81 @@
     return aclosing(cast(Any, store.watch(prefix, revision)))
 
 
-class SwapTest(TestCase):
-    @trio_test
-    async def test_only_one_of_concurrent_swaps_succeeds(self) -> None:
+class KeyValueTest(TestCase):
+    options: KeyValueOptions | None = None
+
+
+class SwapTest(KeyValueTest):
+    @key_value_test
+    async def test_only_one_of_concurrent_swaps_succeeds(
+        self, service: KeyValueService, address: Address
+    ) -> None:
         # Guards against two VMs that both believe they claimed a seat.
-        async with trio.open_nursery() as nursery:
-            _service, address = await start_key_value(nursery)
-            store = EtcdStore(address)
-            results: list[bool] = []
-
-            async def claim(number: int) -> None:
-                results.append(await store.put_if("seat", b"%d" % number, 0))
-
-            async with trio.open_nursery() as claims:
-                for number in range(8):
-                    claims.start_soon(claim, number)
-            self.assertEqual([True], [result for result in results if result])
-            found = await store.get("seat")
-            self.assertIsInstance(found, KeyValue)
-            self.assertFalse(await store.delete_if("seat", cast(KeyValue, found).revision + 1))
-            self.assertTrue(await store.delete_if("seat", cast(KeyValue, found).revision))
-            self.assertIsNone(await store.get("seat"))
-            nursery.cancel_scope.cancel()
+        store = EtcdStore(address)
+        results: list[bool] = []
 
-    @trio_test
-    async def test_range_returns_exactly_the_prefix(self) -> None:
+        async def claim(number: int) -> None:
+            results.append(await store.put_if("seat", b"%d" % number, 0))
+
+        async with trio.open_nursery() as claims:
+            for number in range(8):
+                claims.start_soon(claim, number)
+        self.assertEqual([True], [result for result in results if result])
+        found = await store.get("seat")
+        self.assertIsInstance(found, KeyValue)
+        self.assertFalse(await store.delete_if("seat", cast(KeyValue, found).revision + 1))
+        self.assertTrue(await store.delete_if("seat", cast(KeyValue, found).revision))
+        self.assertIsNone(await store.get("seat"))
+
+    @key_value_test
+    async def test_range_returns_exactly_the_prefix(
+        self, service: KeyValueService, address: Address
+    ) -> None:
         # Guards against a range end that includes neighbours or leaves out the last keys.
-        async with trio.open_nursery() as nursery:
-            _service, address = await start_key_value(nursery)
-            store = EtcdStore(address)
-            for key in ("a", "a/", "a/1", "a/\u00ff", "a0", "b"):
-                await store.put_if(key, key.encode(), 0)
-            found, revision = await store.range("a/")
-            self.assertEqual(["a/", "a/1", "a/\u00ff"], [value.key for value in found])
-            self.assertEqual(7, revision)
-            nursery.cancel_scope.cancel()
+        store = EtcdStore(address)
+        for key in ("a", "a/", "a/1", "a/\u00ff", "a0", "b"):
+            await store.put_if(key, key.encode(), 0)
+        found, revision = await store.range("a/")
+        self.assertEqual(["a/", "a/1", "a/\u00ff"], [value.key for value in found])
+        self.assertEqual(7, revision)
 
 
-class FaultTest(TestCase):
-    @trio_test
-    async def test_lost_answer_of_a_write_is_a_timeout(self) -> None:
+class FaultTest(KeyValueTest):
+    @key_value_test
+    async def test_lost_answer_of_a_write_is_a_timeout(
+        self, service: KeyValueService, address: Address
+    ) -> None:
         # Guards against reporting "no effect" for a write that took effect.
-        async with trio.open_nursery() as nursery:
-            service, address = await start_key_value(nursery)
-            store = EtcdStore(address)
-            service.set_faults({"lose_answers": 1})
-            with self.assertRaises(KeyValueTimeoutError):
-                await store.put_if("k", b"v", 0)
-            self.assertEqual(b"v", cast(KeyValue, await store.get("k")).value)
-            nursery.cancel_scope.cancel()
+        store = EtcdStore(address)
+        service.set_faults({"lose_answers": 1})
+        with self.assertRaises(KeyValueTimeoutError):
+            await store.put_if("k", b"v", 0)
+        self.assertEqual(b"v", cast(KeyValue, await store.get("k")).value)
 
-    @trio_test
-    async def test_unanswered_calls_end_at_the_deadline(self) -> None:
+    @key_value_test
+    async def test_unanswered_calls_end_at_the_deadline(
+        self, service: KeyValueService, address: Address
+    ) -> None:
         # Guards against calls that wait forever for a silent service, also in line for a
         # connection.
-        async with trio.open_nursery() as nursery:
-            service, address = await start_key_value(nursery)
-            store = EtcdStore(address, timeout_s=0.3, connections=1)
-            service.set_faults({"hang": True})
-            raised: list[type[Exception]] = []
-
-            async def write() -> None:
-                try:
-                    await store.put_if("k", b"v", 0)
-                except KeyValueError as error:
-                    raised.append(type(error))
-
-            with trio.fail_after(2):
-                async with trio.open_nursery() as writes:
-                    for _number in range(3):
-                        writes.start_soon(write)
-            self.assertIn(KeyValueTimeoutError, raised)
-            self.assertEqual(3, len(raised))
-            with self.assertRaises(KeyValueUnavailableError):
-                await store.get("k")
-            nursery.cancel_scope.cancel()
+        store = EtcdStore(address, timeout_s=0.3, connections=1)
+        service.set_faults({"hang": True})
+        raised: list[type[Exception]] = []
+
+        async def write() -> None:
+            try:
+                await store.put_if("k", b"v", 0)
+            except KeyValueError as error:
+                raised.append(type(error))
+
+        with trio.fail_after(2):
+            async with trio.open_nursery() as writes:
+                for _number in range(3):
+                    writes.start_soon(write)
+        self.assertIn(KeyValueTimeoutError, raised)
+        self.assertEqual(3, len(raised))
+        with self.assertRaises(KeyValueUnavailableError):
+            await store.get("k")
 
     @trio_test
     async def test_refused_connection_is_unavailable(self) -> None:
@@ -112,6 +112,22 @@
             await EtcdStore(address).put_if("k", b"v", 0)
         self.assertEqual("no", caught.exception.executed)
 
+    @key_value_test
+    async def test_no_leader_is_unavailable_and_no_answer(
+        self, service: KeyValueService, address: Address
+    ) -> None:
+        # Guards against a service without a leader that counts as reached.
+        store = EtcdStore(address)
+        await store.get("k")
+        service.set_faults({"no_leader": True})
+        await trio.sleep(0.2)
+        with self.assertRaises(KeyValueUnavailableError):
+            await store.put_if("k", b"", 0)
+        with self.assertRaisesRegex(KeyValueError, "no leader"):
+            async with watch(store, "k", 1) as events:
+                await anext(events)
+        self.assertGreaterEqual(store.last_answer_age_s, 0.2)
+
     @trio_test
     async def test_calls_above_the_rate_wait_and_are_counted(self) -> None:
         # Guards against a stand-in whose limits do not bind, which would hide overload.
@@ -130,60 +146,55 @@
             nursery.cancel_scope.cancel()
 
 
-class LeaseTest(TestCase):
-    @trio_test
-    async def test_lease_ends_with_its_keys_unless_renewed(self) -> None:
+class LeaseTest(KeyValueTest):
+    @key_value_test
+    async def test_lease_ends_with_its_keys_unless_renewed(
+        self, service: KeyValueService, address: Address
+    ) -> None:
         # Guards against seats that outlive their holder.
-        async with trio.open_nursery() as nursery:
-            _service, address = await start_key_value(nursery)
-            store = EtcdStore(address)
-            renewed, ending = await store.grant(1), await store.grant(1)
-            await store.put_if("renewed", b"", 0, lease=renewed)
-            await store.put_if("ending", b"", 0, lease=ending)
-            for _number in range(3):
-                await trio.sleep(0.4)
-                self.assertEqual(1, await store.keep_alive(renewed))
-            self.assertIsNotNone(await store.get("renewed"))
-            self.assertIsNone(await store.get("ending"))
-            self.assertEqual(0, await store.keep_alive(ending))
-            await store.revoke(renewed)
-            await store.revoke(renewed)
-            self.assertIsNone(await store.get("renewed"))
-            nursery.cancel_scope.cancel()
+        store = EtcdStore(address)
+        renewed, ending = await store.grant(1), await store.grant(1)
+        await store.put_if("renewed", b"", 0, lease=renewed)
+        await store.put_if("ending", b"", 0, lease=ending)
+        for _number in range(3):
+            await trio.sleep(0.4)
+            self.assertEqual(1, await store.keep_alive(renewed))
+        self.assertIsNotNone(await store.get("renewed"))
+        self.assertIsNone(await store.get("ending"))
+        self.assertEqual(0, await store.keep_alive(ending))
+        await store.revoke(renewed)
+        await store.revoke(renewed)
+        self.assertIsNone(await store.get("renewed"))
 
-    @trio_test
-    async def test_outage_extends_leases(self) -> None:
+    @key_value_test
+    async def test_outage_extends_leases(self, service: KeyValueService, address: Address) -> None:
         # Guards against a stand-in that ends leases in an outage, unlike the service.
-        async with trio.open_nursery() as nursery:
-            service, address = await start_key_value(nursery)
-            store = EtcdStore(address)
-            await store.put_if("k", b"", 0, lease=await store.grant(1))
-            service.set_faults({"down": True})
-            await trio.sleep(1.2)
-            service.set_faults({"down": False})
-            await trio.sleep(0.6)
-            self.assertIsNotNone(await store.get("k"))
-            nursery.cancel_scope.cancel()
+        store = EtcdStore(address)
+        await store.put_if("k", b"", 0, lease=await store.grant(1))
+        service.set_faults({"down": True})
+        await trio.sleep(1.2)
+        service.set_faults({"down": False})
+        await trio.sleep(0.6)
+        self.assertIsNotNone(await store.get("k"))
 
 
-class WatchTest(TestCase):
+class WatchTest(KeyValueTest):
     async def _take(self, store: EtcdStore, revision: int, count: int) -> list[WatchEvent]:
         async with watch(store, "w/", revision) as events:
             return [await anext(events) for _number in range(count)]
 
-    @trio_test
-    async def test_watch_starts_at_a_revision(self) -> None:
+    @key_value_test
+    async def test_watch_starts_at_a_revision(
+        self, service: KeyValueService, address: Address
+    ) -> None:
         # Guards against changes lost between a read and the watch that follows it.
-        async with trio.open_nursery() as nursery:
-            _service, address = await start_key_value(nursery)
-            store = EtcdStore(address)
-            await store.put_if("w/a", b"1", 0)
-            await store.put_if("other", b"", 0)
-            await store.put_if("w/a", b"2", 2)
-            await store.delete_if("w/a", 4)
-            expected = [WatchEvent("w/a", b"2", 4), WatchEvent("w/a", None, 5)]
-            self.assertEqual(expected, await self._take(store, 3, 2))
-            nursery.cancel_scope.cancel()
+        store = EtcdStore(address)
+        await store.put_if("w/a", b"1", 0)
+        await store.put_if("other", b"", 0)
+        await store.put_if("w/a", b"2", 2)
+        await store.delete_if("w/a", 4)
+        expected = [WatchEvent("w/a", b"2", 4), WatchEvent("w/a", None, 5)]
+        self.assertEqual(expected, await self._take(store, 3, 2))
 
     @trio_test
     async def test_dropped_history_ends_the_watch(self) -> None:
@@ -198,20 +209,17 @@
                 await self._take(store, 3, 1)
             nursery.cancel_scope.cancel()
 
-    @trio_test
-    async def test_silent_watch_ends(self) -> None:
+    @key_value_test
+    async def test_silent_watch_ends(self, service: KeyValueService, address: Address) -> None:
         # Guards against a watch on a dead connection that looks like one without changes; progress
         # lines keep a live one open.
-        async with trio.open_nursery() as nursery:
-            service, address = await start_key_value(nursery)
-            store = EtcdStore(address, watch_silence_s=0.5)
-            with trio.move_on_after(1.2) as alive:
-                await self._take(store, 1, 1)
-            self.assertTrue(alive.cancelled_caught)
-            service.set_faults({"hang": True})
-            with trio.fail_after(3), self.assertRaises(KeyValueUnavailableError):
-                await self._take(store, 1, 1)
-            nursery.cancel_scope.cancel()
+        store = EtcdStore(address, watch_silence_s=0.5)
+        with trio.move_on_after(1.2) as alive:
+            await self._take(store, 1, 1)
+        self.assertTrue(alive.cancelled_caught)
+        service.set_faults({"hang": True})
+        with trio.fail_after(3), self.assertRaises(KeyValueUnavailableError):
+            await self._take(store, 1, 1)
 
 
 class VmListTest(TestCase):
