Send reads right after a write to replicas; check the primary again after the queue

A read with a stated age waits up to 50 ms for a replica to apply the session's entry that it holds already. Work that waited in the queue of a primary that is leaving or was replaced is sent to the next one.

--- a/src/tanagerfront/execution.py
+++ b/src/tanagerfront/execution.py
@@ -47,6 +47,9 @@
     # Share of the remaining time for one attempt that may be repeated, so that a silent
     # connection leaves time for another attempt before the caller's deadline.
     attempt_share: float = 0.6
+    # Time that a read with a stated age waits for a replica to apply its session's last entry.
+    # Reads that follow a write at once would otherwise all go to the primary.
+    replica_wait_s: float = 0.05
     prune_interval_s: float = 60.0
     prune_timeout_s: float = 2.0
 
@@ -107,11 +110,10 @@
         """Delete one batch of old ledger records; return how many."""
         deadline = trio.current_time() + self._settings.prune_timeout_s
         work = Work(PRUNE_ORGANISATION, RequestClass.BROWSING, ZERO, deadline)
-        choice = await self._access.choose(work, "write")
-        async with self._lease(choice, work) as lease:
+        async with self._access.primary(work, "write") as lease:
             timeout_s = deadline - trio.current_time()
             return await self._ledger.prune(
-                lease.session, choice.term, self._wall_clock(), timeout_s
+                lease.session, lease.choice.term, self._wall_clock(), timeout_s
             )
 
     async def _attempt(self, job: Job) -> ExecuteReply:
@@ -147,13 +149,15 @@
 
     async def _read(self, job: Job) -> ExecuteReply:
         staleness_s = job.request.max_staleness_s
+        if staleness_s is not None:
+            until = min(job.deadline, trio.current_time() + self._settings.replica_wait_s)
+            await self._access.wait_applied(job.work, staleness_s, until)
         choice = await self._access.choose(job.work, "read", staleness_s, frozenset(job.avoid))
         if choice.by_replica:
             reply = await self._replica_read(job, choice)
             if reply is not None:
                 return reply
-            choice = await self._access.choose(job.work, "read", None)
-        return await self._primary_read(job, choice)
+        return await self._primary_read(job)
 
     async def _replica_read(self, job: Job, choice: Choice) -> ExecuteReply | None:
         """Return the answer of a replica, or None if the primary has to serve the read."""
@@ -182,8 +186,8 @@
             if each.instance.name == name
         )
 
-    async def _primary_read(self, job: Job, choice: Choice) -> ExecuteReply:
-        async with self._lease(choice, job.work) as lease:
+    async def _primary_read(self, job: Job) -> ExecuteReply:
+        async with self._access.primary(job.work, "read") as lease:
             result = await self._batch(job, lease, self._attempt_timeout_s(job))
         await self._access.acknowledge(result.reached, job.deadline)
         while not self._access.reflects_session(result.reached, job.work.session):
@@ -192,26 +196,24 @@
             await trio.sleep(POLL_INTERVAL_S)
             if trio.current_time() >= job.deadline:
                 raise OutcomeUnknownError("the answer could not be compared with the session")
-        return job.reply(result, choice.instance.instance.name)
+        return job.reply(result, lease.name)
 
     async def _write(self, job: Job) -> ExecuteReply:
-        choice = await self._access.choose(job.work, "write")
-        async with self._lease(choice, job.work) as lease:
+        async with self._access.primary(job.work, "write") as lease:
             result = await self._batch(job, lease, job.remaining_s())
         await self._access.acknowledge(result.reached, job.deadline)
-        return job.reply(result, choice.instance.instance.name)
+        return job.reply(result, lease.name)
 
     async def _keyed_write(self, job: Job) -> ExecuteReply:
-        choice = await self._access.choose(job.work, "write")
-        async with self._lease(choice, job.work) as lease:
+        async with self._access.primary(job.work, "write") as lease:
             timeout_s = self._attempt_timeout_s(job)
-            await self._ledger.ensure_table(lease.session, choice.term, timeout_s)
+            await self._ledger.ensure_table(lease.session, lease.choice.term, timeout_s)
             result = await self._claim_and_run(job, lease)
             if result is None:
                 return await self._replay(job, lease)
             reached = await self._commit_with_answer(job, lease, result)
         await self._access.acknowledge(reached.reached, job.deadline)
-        return job.reply(reached._replace(results=result.results), choice.instance.instance.name)
+        return job.reply(reached._replace(results=result.results), lease.name)
 
     async def _claim_and_run(self, job: Job, lease: Lease) -> ExecuteResult | None:
         """Run the statements in an open transaction, or return None if the key is taken."""
@@ -273,7 +275,7 @@
         return ExecuteReply(
             results=found.record.results,
             reached=found.result.reached,
-            instance=lease.choice.instance.instance.name,
+            instance=lease.name,
             by_replica=False,
             replayed=True,
         )
@@ -291,8 +293,7 @@
         """Look the request up until its outcome is known or the deadline passes."""
         while trio.current_time() < job.deadline and job.in_doubt:
             try:
-                choice = await self._access.choose(job.work, "write")
-                async with self._lease(choice, job.work) as lease:
+                async with self._access.primary(job.work, "write") as lease:
                     reply = await self._look_up(job, lease)
                 if reply is not None:
                     return reply
--- a/src/tanagerfront/home_transactions.py
+++ b/src/tanagerfront/home_transactions.py
@@ -169,8 +169,7 @@
         request_class = RequestClass(request.request_class)
         work = Work(request.organisation, request_class, request.session, deadline)
         async with self._step(transaction):
-            choice = await self._access.choose(work, "write")
-            transaction.lease = await self._access.lease(choice, work)
+            transaction.lease = await self._access.lease_primary(work, "write")
         return _reply(request, request.session)
 
     async def _execute(
--- a/src/tanagerfront/instance_access.py
+++ b/src/tanagerfront/instance_access.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+from contextlib import asynccontextmanager
 from typing import NamedTuple
 
 import trio
@@ -21,12 +22,13 @@
 )
 from .groups import GroupMonitor, GroupView
 from .pool import ConnectionPool, PooledSession
-from .routing import Choice, choose_instance, reflects
+from .routing import Choice, choose_instance, reflects, replica_is_applying, replica_serves
 from .scheduler import FairScheduler, Slot
 
 __all__ = ["InstanceAccess", "Lease", "Work"]
 
 POLL_INTERVAL_S = 0.005
+APPLY_POLL_INTERVAL_S = 0.002
 # A wait for a primary is interrupted this often, as a replica may become able to serve.
 WAIT_STEP_S = 0.1
 ROLLBACK_TIMEOUT_S = 0.5
@@ -51,9 +53,18 @@
     scheduler: FairScheduler
     pool: ConnectionPool
 
+    @property
+    def name(self) -> str:
+        """Return the name of the instance."""
+        return self.choice.instance.instance.name
+
 
 class InstanceAccess:
-    """The pools and schedulers of one group, by name of the instance."""
+    """The pools and schedulers of one group, by name of the instance.
+
+    `weight_of` returns the weight of an organisation, also of one that is not configured (any
+    more), such as the name under which the ledger is pruned.
+    """
 
     def __init__(
         self,
@@ -90,6 +101,44 @@
                 self._monitor.observe_term(work.session.term)
             await self._wait_step(work.deadline)
 
+    async def wait_applied(self, work: Work, max_staleness_s: float, until: float) -> None:
+        """Wait while a replica applies the session's entry that it has received already."""
+        while trio.current_time() < until:
+            view, now = self._monitor.view, trio.current_time()
+            if any(
+                replica_serves(view, each, work.session, max_staleness_s, now)
+                for each in view.instances
+            ):
+                return
+            if not replica_is_applying(view, work.session, max_staleness_s, now):
+                return
+            await trio.sleep(APPLY_POLL_INTERVAL_S)
+
+    @asynccontextmanager
+    async def primary(self, work: Work, mode: Mode) -> AsyncIterator[Lease]:
+        """Lend a session to the primary for a block."""
+        lease = await self.lease_primary(work, mode)
+        try:
+            yield lease
+        finally:
+            await self.release(lease)
+
+    async def lease_primary(self, work: Work, mode: Mode) -> Lease:
+        """Acquire a slot and a session of the instance that is the primary after the wait."""
+        while True:
+            choice = await self.choose(work, mode)
+            lease = await self.lease(choice, work)
+            # A primary that was replaced or is leaving gets no work that waited in its queue.
+            kept = False
+            try:
+                again = self._try_choose(work, mode, None, frozenset())
+                kept = again is not None and _same_primary(again, choice)
+            finally:
+                if not kept:
+                    await self.release(lease, observe_latency=False)
+            if kept:
+                return lease
+
     async def lease(self, choice: Choice, work: Work) -> Lease:
         """Acquire a slot and a session; raises OverloadedError or an error of opening."""
         name = choice.instance.instance.name
@@ -125,7 +174,7 @@
         timeout_s: float,
     ) -> ExecuteResult:
         """Run statements at the lease's term, reporting what a failure says of the instance."""
-        name = lease.choice.instance.instance.name
+        name = lease.name
         try:
             result = await lease.session.execute(
                 statements,
@@ -155,7 +204,7 @@
         try:
             await lease.session.rollback(timeout_s=ROLLBACK_TIMEOUT_S)
         except TanagerfrontError:
-            self._monitor.report_failure(lease.choice.instance.instance.name)
+            self._monitor.report_failure(lease.name)
 
     async def acknowledge(self, entry: EntryId, deadline: float) -> None:
         """Wait until data at `entry` may be shown; raises OutcomeUnknownError."""
@@ -202,6 +251,10 @@
         await trio.sleep_until(min(deadline, trio.current_time() + POLL_INTERVAL_S))
 
 
+def _same_primary(one: Choice, other: Choice) -> bool:
+    return (one.term, one.instance.instance.name) == (other.term, other.instance.instance.name)
+
+
 def _without(view: GroupView, avoid: frozenset[str]) -> GroupView:
     if not avoid:
         return view
--- a/src/tanagerfront/routing.py
+++ b/src/tanagerfront/routing.py
@@ -11,7 +11,7 @@
 from .errors import SessionLostError
 from .groups import GroupView, InstanceView
 
-__all__ = ["Choice", "choose_instance", "reflects", "replica_serves"]
+__all__ = ["Choice", "choose_instance", "reflects", "replica_is_applying", "replica_serves"]
 
 # A replica in another failure domain is taken only if it is less loaded by this much.
 OTHER_FAILURE_DOMAIN_LOAD = 0.25
@@ -80,6 +80,19 @@
     return session == ZERO or reflects(applied_entry(status), session, status.term_starts)
 
 
+def replica_is_applying(
+    view: GroupView, session: EntryId, max_staleness_s: float, now: float
+) -> bool:
+    """Tell whether some replica has received the session's entry and will serve once applied."""
+    return any(
+        replica_serves(view, each, ZERO, max_staleness_s, now)
+        and each.status is not None
+        and each.status.held >= session.position > each.status.applied
+        and term_at(session.position, each.status.term_starts) == session.term
+        for each in view.instances
+    )
+
+
 def applied_entry(status: InstanceStatus) -> EntryId:
     """Return the last entry visible to readers of an instance."""
     return EntryId(term_at(status.applied, status.term_starts), status.applied)
