--- a/src/tanagerfront/groups.py
+++ b/src/tanagerfront/groups.py
@@ -192,19 +192,25 @@
     async def wait_acknowledged(self, entry: EntryId, deadline: float) -> None:
         """Wait until the write may be acknowledged; raises OutcomeUnknownError."""
         asked_since = trio.current_time()
+        verdict = self._decide(entry, asked_since)
+        if verdict is Verdict.PENDING:
+            # Reads of a primary are mostly replicated already and need no scope for a wait.
+            verdict = await self._wait_verdict(entry, asked_since, deadline)
+        if verdict is not Verdict.ACKNOWLEDGED:
+            raise OutcomeUnknownError(
+                f"entry {entry.position} of term {entry.term} of group {self._group.name} "
+                "is not known to survive a promotion"
+            )
+
+    async def _wait_verdict(self, entry: EntryId, asked_since: float, deadline: float) -> Verdict:
+        """Return the verdict, PENDING if there is none by the deadline."""
         self._request_check(asked_since)
+        verdict = Verdict.PENDING
         with trio.move_on_at(deadline):
-            while True:
-                verdict = self._decide(entry, asked_since)
-                if verdict is Verdict.ACKNOWLEDGED:
-                    return
-                if verdict is Verdict.LOST:
-                    break
+            while verdict is Verdict.PENDING:
                 await self._changed.wait()
-        raise OutcomeUnknownError(
-            f"entry {entry.position} of term {entry.term} of group {self._group.name} "
-            "is not known to survive a promotion"
-        )
+                verdict = self._decide(entry, asked_since)
+        return verdict
 
     def report_failure(self, instance: str) -> None:
         """Reopen the probe's connection, because the instance's others may be silent too."""
--- a/src/tanagerfront/homes.py
+++ b/src/tanagerfront/homes.py
@@ -31,6 +31,8 @@
 # Asking the other homes has to leave room for the rest of a promotion within 7 s.
 CONFIRM_TIMEOUT_S = 0.5
 RECHECK_S = 0.25
+# Finding the homes anew for each request costs more than a wrong choice, which is retried.
+KNOWN_HOMES_S = 0.02
 # A lone home promotes only while the service answers it, as it may be the one that is cut off.
 SERVICE_FRESH_S = 4.0
 _log = structlog.get_logger(__name__)
@@ -53,6 +55,7 @@
         self._seats = seats
         self._configuration = configuration
         self._homes: dict[str, tuple[GroupHome, trio.CancelScope]] = {}
+        self._known_homes: dict[str, tuple[float, Sequence[HomeVm]]] = {}
         network.register(ExecuteRequest, self._execute_for_peer)
         network.register(TransactionRequest, self._transact_for_peer)
         network.register(PrimaryReport, self._answer_primary_report)
@@ -63,7 +66,14 @@
         return {group: home for group, (home, _scope) in self._homes.items()}
 
     def homes(self, group: str) -> Sequence[HomeVm]:
-        """Return the live homes of a group."""
+        """Return the live homes of a group, at most KNOWN_HOMES_S old."""
+        known = self._known_homes.get(group)
+        now = trio.current_time()
+        if known is None or now - known[0] > KNOWN_HOMES_S:
+            known = self._known_homes[group] = (now, self._find_homes(group))
+        return known[1]
+
+    def _find_homes(self, group: str) -> Sequence[HomeVm]:
         holders = set(self._seats.holders(HOME_ROLE, group).values())
         return [
             HomeVm(vm.id, vm.failure_domain)
--- a/src/tanagerfront/http_server.py
+++ b/src/tanagerfront/http_server.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import http
+import math
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any, NamedTuple
 from urllib.parse import parse_qsl, unquote
@@ -181,50 +182,64 @@
 
 
 async def _read_request(
-    stream: trio.abc.Stream, parser: _RequestParser, limits: HttpLimits
+    stream: trio.abc.Stream, parser: _RequestParser, limits: HttpLimits, scope: trio.CancelScope
 ) -> Request | None:
     """Return the next request, or None at the end of the connection; raises BadRequestError."""
     request = parser.next_request()
-    with trio.CancelScope(deadline=trio.current_time() + limits.idle_timeout_s) as scope:
-        while request is None:
-            data = await stream.receive_some(RECEIVE_BYTES)
-            if not data:
-                return None
-            was_started = parser.started
-            parser.feed(data)
-            request = parser.next_request()
-            if parser.started and not was_started:
-                scope.deadline = trio.current_time() + limits.request_read_timeout_s
+    if request is None:
+        scope.deadline = trio.current_time() + limits.idle_timeout_s
+    while request is None:
+        data = await stream.receive_some(RECEIVE_BYTES)
+        if not data:
+            return None
+        was_started = parser.started
+        parser.feed(data)
+        request = parser.next_request()
+        if parser.started and not was_started:
+            scope.deadline = trio.current_time() + limits.request_read_timeout_s
     return request
 
 
 async def _serve_connection(
     stream: trio.abc.Stream, handler: ConnectionHandler, limits: HttpLimits
 ) -> None:
-    parser = _RequestParser(limits)
-    while True:
-        try:
-            request = await _read_request(stream, parser, limits)
-        except BadRequestError as error:
-            response = handler.handle_bad_request(error)
-            with trio.move_on_after(limits.write_timeout_s):
-                await stream.send_all(_head(response, keep_alive=False) + response.body)
-            return
-        if request is None:
-            return
-        response = await handler.handle(request)
-        keep_alive = parser.keep_alive and not response.close and not handler.draining
-        head = _head(response, keep_alive=keep_alive)
-        if response.stream is not None:
-            await stream.send_all(head)
-            await _write_stream(stream, response.stream)
-        else:
-            with trio.move_on_after(limits.write_timeout_s) as scope:
-                await stream.send_all(head + response.body)
-            if scope.cancelled_caught:
-                return
-        if not keep_alive:
-            return
+    # One scope for the whole connection, whose deadline moves: a scope for each read and write
+    # would cost as much as parsing the request.
+    with trio.CancelScope() as scope:
+        parser = _RequestParser(limits)
+        while await _serve_request(stream, handler, limits, parser, scope):
+            pass
+
+
+async def _serve_request(
+    stream: trio.abc.Stream,
+    handler: ConnectionHandler,
+    limits: HttpLimits,
+    parser: _RequestParser,
+    scope: trio.CancelScope,
+) -> bool:
+    """Serve one request; return whether the connection stays open."""
+    try:
+        request = await _read_request(stream, parser, limits, scope)
+    except BadRequestError as error:
+        response = handler.handle_bad_request(error)
+        scope.deadline = trio.current_time() + limits.write_timeout_s
+        await stream.send_all(_head(response, keep_alive=False) + response.body)
+        return False
+    if request is None:
+        return False
+    # The handler keeps the deadlines of its work itself.
+    scope.deadline = math.inf
+    response = await handler.handle(request)
+    keep_alive = parser.keep_alive and not response.close and not handler.draining
+    head = _head(response, keep_alive=keep_alive)
+    if response.stream is not None:
+        await stream.send_all(head)
+        await _write_stream(stream, response.stream)
+    else:
+        scope.deadline = trio.current_time() + limits.write_timeout_s
+        await stream.send_all(head + response.body)
+    return keep_alive
 
 
 async def serve_http(
--- a/src/tanagerfront/scheduler.py
+++ b/src/tanagerfront/scheduler.py
@@ -96,6 +96,9 @@
         self._admit(waiter)
         self._queue.push(waiter)
         self._dispatch()
+        if waiter.granted:
+            # A free slot needs no wait, and a scope for one costs about 30 µs.
+            return Slot(waiter, waiter.granted_at)
         try:
             with trio.move_on_at(deadline):
                 await waiter.event.wait()
--- a/src/tanagerfront/vm.py
+++ b/src/tanagerfront/vm.py
@@ -50,6 +50,8 @@
 LISTEN_BACKLOG = 1024
 HOME_IDLE_MARGIN_S = 5.0
 DEFAULT_WEIGHT = 1.0
+# Looking at all members for each request would cost more than the check of its key.
+FRESHNESS_CHECK_S = 0.02
 LIMIT_OWNERS = LimitSettings().limit_owners
 _log = structlog.get_logger(__name__)
 
@@ -89,6 +91,8 @@
     def __init__(self, store: ConfigStore, lease: VmLease) -> None:
         self._store = store
         self._lease = lease
+        self._fresh = False
+        self._checked_at = float("-inf")
 
     @property
     def current(self) -> Configuration:
@@ -98,7 +102,11 @@
     @property
     def fresh(self) -> bool:
         """Tell whether an edit accepted more than 3 s ago would be known here."""
-        return self._lease.may_serve_keyed()
+        now = trio.current_time()
+        if now - self._checked_at > FRESHNESS_CHECK_S:
+            self._checked_at = now
+            self._fresh = self._lease.may_serve_keyed()
+        return self._fresh
 
 
 class _AdminPort(AdminHandler):
