--- a/src/tanagerfront/execution.py
+++ b/src/tanagerfront/execution.py
@@ -219,6 +219,7 @@
         """Run the statements in an open transaction, or return None if the key is taken."""
         claim = self._ledger.insert(*job.ledger_key, job.request.request_digest, self._wall_clock())
         job.check_token()
+        job.note_sent(lease.choice.term)
         try:
             result = await self._access.run(
                 lease,
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -290,6 +290,28 @@
                 reply = await executor.execute(read("x", reached, max_staleness_s=1.0))
             self.assertEqual(each, reply.by_replica)
 
+    @on_group
+    async def test_wait_for_a_slot_counts_towards_the_age(self, group: FakeGroup) -> None:
+        # Guards against data that was young enough before the wait, but not when it was read.
+        executor = group.executor()
+        slots = [
+            (each, await each.acquire("z", 1, 1, 1e9))
+            for each in group.schedulers.values()
+            for _ in range(4)
+        ]
+        async with trio.open_nursery() as nursery:
+
+            async def send() -> None:
+                reply = await executor.execute(read("x", max_staleness_s=0.1))
+                self.assertFalse(reply.by_replica)
+
+            nursery.start_soon(send)
+            await trio.sleep(0.3)
+            for name in "bc":
+                group.instances[name].age_ms = 300.0
+            for scheduler, slot in slots:
+                scheduler.release(slot)
+
     async def _apply_after(self, replicas: tuple[FakeInstance, ...], delay_s: float) -> None:
         await trio.sleep(delay_s)
         for each in replicas:
@@ -316,6 +338,27 @@
             group.promote("b")
             group.handing_over = False
 
+    @on_group
+    async def test_session_lost_in_the_queue_returns_the_slot(self, group: FakeGroup) -> None:
+        # Guards against slots that leak when the check after the wait refuses the request.
+        executor = group.executor()
+        group.instances["b"].lagging = group.instances["c"].lagging = True
+        await outcome(executor, write("x"))
+        scheduler = group.schedulers["a"]
+        slots = [await scheduler.acquire("z", 1, 1, 1e9) for _ in range(4)]
+        async with trio.open_nursery() as nursery:
+
+            async def send() -> None:
+                with self.assertRaises(SessionLostError):
+                    await executor.execute(write("y", session=EntryId(1, 1)))
+
+            nursery.start_soon(send)
+            await trio.sleep(0.1)
+            group.promote("b")
+            for slot in slots:
+                scheduler.release(slot)
+        self.assertEqual(0, scheduler.in_flight)
+
     @on_group
     async def test_token_is_checked_when_the_statement_leaves(self, group: FakeGroup) -> None:
         # Guards against a statement that runs after its rate token was given to another.
@@ -379,6 +422,12 @@
         for each in group.instances.values():
             each.refuses = True
 
+    @on_group
+    async def test_lock_timeout_is_repeated(self, group: FakeGroup) -> None:
+        # Guards against an error of the caller's SQL that only reports another's transaction.
+        group.faults.append("busy")
+        await group.executor().execute(write("x"))
+
     @on_group
     async def test_read_is_repeated_on_another_replica(self, group: FakeGroup) -> None:
         # Guards against one silent connection that fails reads others could serve.
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -14,7 +14,13 @@
 from support import TestCase, trio_test
 from tanagerfront.databases import ExecuteResult, Statement
 from tanagerfront.entry_id import ZERO
-from tanagerfront.errors import ConnectionLostError, OverloadedError
+from tanagerfront.errors import (
+    ConnectionLostError,
+    DatabaseError,
+    DeadlineExceededError,
+    OverloadedError,
+    TooManyConnectionsError,
+)
 from tanagerfront.pool import ConnectionPool, PooledSession
 
 RUN: dict[str, Any] = {"term": 1, "begin": True, "commit": True, "read_only": True, "timeout_s": 1}
@@ -28,6 +34,7 @@
         self.live = 0
         self.calls: Counter[str] = Counter()
         self.silent = False
+        self.refusal: DatabaseError | None = None
         self.on_change: Callable[[], None] = lambda: None
 
     async def open(self, _timeout_s: float) -> Session:
@@ -52,6 +59,8 @@
         await trio.sleep(timeout_s if self._database.silent else 0.001)
         if self._database.silent:
             raise ConnectionLostError("no answer")
+        if self._database.refusal is not None:
+            raise self._database.refusal
         return ExecuteResult(1, ZERO, ())
 
     async def rollback(self, *, timeout_s: float) -> None:
@@ -179,6 +188,24 @@
             scope.cancel()
             await pool.release(session)
 
+    @trio_test(mock_clock=True)
+    async def test_refusals_that_leave_the_connection_unusable(self) -> None:
+        # Guards against reuse of a connection that the instance closes, or whose answer could
+        # not be read, and against statements that are sent after their deadline.
+        database = Database()
+        pool = ConnectionPool(database.open, 1)
+        refusals = (TooManyConnectionsError(""), DatabaseError("", executed="unknown"))
+        for database.refusal in refusals:
+            (session,) = await borrow(pool, 1)
+            with self.assertRaises(DatabaseError):
+                await session.execute(WORK, **RUN)
+            await pool.release(session)
+            self.assertEqual(0, pool.size)
+        (session,) = await borrow(pool, 1)
+        with self.assertRaises(DeadlineExceededError):
+            await session.execute(WORK, **{**RUN, "timeout_s": 0})
+        self.assertTrue(session.reusable)
+
     @trio_test(mock_clock=True)
     async def test_wait_ends_at_the_deadline(self) -> None:
         # Guards against callers that queue without bound behind lent sessions.
