--- a/src/tanagerfront/execution.py
+++ b/src/tanagerfront/execution.py
@@ -149,10 +149,12 @@
 
     async def _read(self, job: Job) -> ExecuteReply:
         staleness_s = job.request.max_staleness_s
-        if staleness_s is not None:
+        avoid = frozenset(job.avoid)
+        choice = await self._access.choose(job.work, "read", staleness_s, avoid)
+        if staleness_s is not None and not choice.by_replica:
             until = min(job.deadline, trio.current_time() + self._settings.replica_wait_s)
-            await self._access.wait_applied(job.work, staleness_s, until)
-        choice = await self._access.choose(job.work, "read", staleness_s, frozenset(job.avoid))
+            if await self._access.wait_applied(job.work, staleness_s, until):
+                choice = await self._access.choose(job.work, "read", staleness_s, avoid)
         if choice.by_replica:
             reply = await self._replica_read(job, choice)
             if reply is not None:
--- a/src/tanagerfront/fair_queue.py
+++ b/src/tanagerfront/fair_queue.py
@@ -59,25 +59,26 @@
 class _Flow:
     """State of one organisation; `tag` is the virtual time up to which it was served."""
 
-    __slots__ = ("average_s", "class_time", "classes", "tag", "weight")
+    __slots__ = ("average_s", "class_time", "classes", "tag", "waiting", "weight")
 
     def __init__(self, average_s: float) -> None:
         self.weight = 1.0
         self.tag = 0.0
         self.average_s = average_s
         self.class_time = 0.0
+        self.waiting = 0
         self.classes = {name: _ClassQueue(weight) for name, weight in CLASS_WEIGHTS.items()}
 
-    def __len__(self) -> int:
-        return sum(len(queue.waiters) for queue in self.classes.values())
-
     def pop(self) -> Waiter:
         """Take the first request of the class that is furthest behind its share."""
         waiting = [queue for queue in self.classes.values() if queue.waiters]
         queue = min(waiting, key=lambda each: max(each.tag, self.class_time))
+        self.serve(queue)
+        return queue.waiters.popleft()
+
+    def serve(self, queue: _ClassQueue) -> None:
         queue.tag = max(queue.tag, self.class_time)
         self.class_time = queue.tag
-        return queue.waiters.popleft()
 
     def advance(self, waiter: Waiter, cost_s: float) -> None:
         self.tag += cost_s / self.weight
@@ -106,18 +107,25 @@
 
     def length(self, organisation: str) -> int:
         """Return the number of requests of an organisation that wait."""
-        return len(self._flow(organisation))
+        return self._flow(organisation).waiting
 
     def push(self, waiter: Waiter) -> None:
         """Add a request to the end of its class."""
         flow = self._flow(waiter.organisation)
-        if not len(flow):
-            # A debt from earlier slow statements stays; credit for unused shares is bounded.
-            flow.tag = max(flow.tag, self._virtual_time - self._burst_credit_s)
+        if not flow.waiting:
+            self._activate(flow)
             self._backlogged[waiter.organisation] = flow
         flow.classes[waiter.request_class].waiters.append(waiter)
+        flow.waiting += 1
         self._length += 1
 
+    def serve_at_once(self, waiter: Waiter) -> None:
+        """Charge an estimate for a request that is served while nothing waits."""
+        flow = self._flow(waiter.organisation)
+        self._activate(flow)
+        flow.serve(flow.classes[waiter.request_class])
+        self._charge_estimate(flow, waiter)
+
     def pop(self, now: float) -> Waiter | None:
         """Take the next request whose deadline has not passed, charging an estimate for it."""
         while self._length:
@@ -126,9 +134,7 @@
             self._note_removed(waiter.organisation)
             if waiter.deadline <= now:
                 continue
-            self._virtual_time = max(self._virtual_time, flow.tag)
-            waiter.estimate_s = flow.average_s
-            flow.advance(waiter, waiter.estimate_s)
+            self._charge_estimate(flow, waiter)
             return waiter
         return None
 
@@ -166,9 +172,20 @@
         others = sum(each.weight for each in self._backlogged.values() if each is not flow)
         return ahead * flow.average_s * (flow.weight + others) / (flow.weight * limit)
 
+    def _activate(self, flow: _Flow) -> None:
+        # A debt from earlier slow statements stays; credit for unused shares is bounded.
+        flow.tag = max(flow.tag, self._virtual_time - self._burst_credit_s)
+
+    def _charge_estimate(self, flow: _Flow, waiter: Waiter) -> None:
+        self._virtual_time = max(self._virtual_time, flow.tag)
+        waiter.estimate_s = flow.average_s
+        flow.advance(waiter, waiter.estimate_s)
+
     def _note_removed(self, organisation: str) -> None:
         self._length -= 1
-        if not len(self._flows[organisation]):
+        flow = self._flows[organisation]
+        flow.waiting -= 1
+        if not flow.waiting:
             del self._backlogged[organisation]
 
     def _flow(self, organisation: str) -> _Flow:
--- a/src/tanagerfront/instance_access.py
+++ b/src/tanagerfront/instance_access.py
@@ -101,18 +101,19 @@
                 self._monitor.observe_term(work.session.term)
             await self._wait_step(work.deadline)
 
-    async def wait_applied(self, work: Work, max_staleness_s: float, until: float) -> None:
-        """Wait while a replica applies the session's entry that it has received already."""
+    async def wait_applied(self, work: Work, max_staleness_s: float, until: float) -> bool:
+        """Wait while a replica applies the session's entry; return whether one serves now."""
         while trio.current_time() < until:
             view, now = self._monitor.view, trio.current_time()
             if any(
                 replica_serves(view, each, work.session, max_staleness_s, now)
                 for each in view.instances
             ):
-                return
+                return True
             if not replica_is_applying(view, work.session, max_staleness_s, now):
-                return
+                return False
             await trio.sleep(APPLY_POLL_INTERVAL_S)
+        return False
 
     @asynccontextmanager
     async def primary(self, work: Work, mode: Mode) -> AsyncIterator[Lease]:
--- a/src/tanagerfront/routing.py
+++ b/src/tanagerfront/routing.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple
 
 from .configuration import Mode
-from .databases import InstanceStatus
 from .entry_id import ZERO, EntryId, term_at
 from .errors import SessionLostError
 from .groups import GroupView, InstanceView
@@ -75,9 +74,10 @@
         return False
     if status.age_ms / 1000 + (now - replica.observed_at) > max_staleness_s:
         return False
-    if not _in_primary_history(view, status):
+    applied = EntryId(term_at(status.applied, status.term_starts), status.applied)
+    if not _in_primary_history(view, applied):
         return False
-    return session == ZERO or reflects(applied_entry(status), session, status.term_starts)
+    return session == ZERO or reflects(applied, session, status.term_starts)
 
 
 def replica_is_applying(
@@ -93,11 +93,6 @@
     )
 
 
-def applied_entry(status: InstanceStatus) -> EntryId:
-    """Return the last entry visible to readers of an instance."""
-    return EntryId(term_at(status.applied, status.term_starts), status.applied)
-
-
 def reflects(reached: EntryId, session: EntryId, term_starts: tuple[tuple[int, int], ...]) -> bool:
     """Tell whether data at `reached` includes the session's entry.
 
@@ -115,12 +110,12 @@
     )
 
 
-def _in_primary_history(view: GroupView, replica: InstanceStatus) -> bool:
+def _in_primary_history(view: GroupView, applied: EntryId) -> bool:
     primary = view.primary.status if view.primary else None
-    if primary is None or replica.applied > primary.held:
+    if primary is None or applied.position > primary.held:
         # The view of the primary is older than the replica's, or there is none: the term decides.
-        return applied_entry(replica).term >= (primary.last_term if primary else 0)
-    return term_at(replica.applied, primary.term_starts) == applied_entry(replica).term
+        return applied.term >= (primary.last_term if primary else 0)
+    return term_at(applied.position, primary.term_starts) == applied.term
 
 
 def _check_session(view: GroupView, session: EntryId) -> None:
--- a/src/tanagerfront/scheduler.py
+++ b/src/tanagerfront/scheduler.py
@@ -93,6 +93,11 @@
         """Wait for a slot; raises OverloadedError when the deadline cannot be met."""
         waiter = Waiter(organisation, request_class, deadline)
         self._queue.set_weight(organisation, weight)
+        now = trio.current_time()
+        if not len(self._queue) and self._in_flight < self._limit.value and now < deadline:
+            self._queue.serve_at_once(waiter)
+            self._in_flight += 1
+            return Slot(waiter, now)
         self._admit(waiter)
         self._queue.push(waiter)
         self._dispatch()
