Let transactions queue apart from other requests

An open transaction keeps its slot while it waits for its caller, and the share of a home is often a single slot. The ledger is pruned only where a request with a key has created its table.

--- a/src/tanagerfront/execution.py
+++ b/src/tanagerfront/execution.py
@@ -79,7 +79,7 @@
 
     @property
     def access(self) -> InstanceAccess:
-        """Return the access to the group's instances, which transactions share."""
+        """Return the access to the group's instances, whose pools transactions share."""
         return self._access
 
     async def execute(self, request: ExecuteRequest) -> ExecuteReply:
--- a/src/tanagerfront/home_transactions.py
+++ b/src/tanagerfront/home_transactions.py
@@ -93,7 +93,13 @@
 
 
 class HomeTransactions:
-    """The open transactions of one group at a home; `run` has to be running."""
+    """The open transactions of one group at a home; `run` has to be running.
+
+    `access` should have schedulers of its own. A transaction keeps its slot while it waits for its
+    caller, and a home's share of an instance may be a single slot: in one queue with other
+    requests, each open transaction would stop them all. Slots for single steps would not do, as
+    requests that wait for the transaction's locks could hold all of them.
+    """
 
     def __init__(self, access: InstanceAccess, settings: TransactionSettings | None = None) -> None:
         self._access = access
--- a/src/tanagerfront/instance_access.py
+++ b/src/tanagerfront/instance_access.py
@@ -85,6 +85,12 @@
         """Return the monitor of the group."""
         return self._monitor
 
+    def with_schedulers(self, schedulers: Mapping[str, FairScheduler]) -> InstanceAccess:
+        """Return an access to the same instances and pools with queues of its own."""
+        return InstanceAccess(
+            self._monitor, self._pools, schedulers, self._weight_of, self._failure_domain
+        )
+
     async def choose(
         self,
         work: Work,
--- a/src/tanagerfront/ledger.py
+++ b/src/tanagerfront/ledger.py
@@ -98,6 +98,9 @@
 
     async def prune(self, session: PooledSession, term: int, now: float, timeout_s: float) -> int:
         """Delete one batch of records past their retention; return how many."""
+        if self._created_term < 0:
+            # No request with a key came here, so there may be no table.
+            return 0
         await self.ensure_table(session, term, timeout_s)
         statement = Statement(PRUNE, (now - self._retention_s, self._prune_batch))
         result = await self._run(session, (statement,), term, timeout_s)
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -239,14 +239,14 @@
         self.sessions += 1
         return FakeSession(self, self.instances[name])
 
-    def executor(self, **options: Any) -> Executor:
+    def executor(self, slots: int = 4, **options: Any) -> Executor:
         pools = {name: ConnectionPool(self._opener(name), 4) for name in self.instances}
-        schedulers = {name: FairScheduler(4) for name in self.instances}
-        self.pools, self.schedulers = pools, schedulers
-        options = {"rng": random.Random(1), **options}
-        return Executor(
-            self, pools, schedulers, weight_of=lambda _name: 1.0, failure_domain="a", **options
-        )
+        self.pools, self.schedulers = pools, self.queues(slots)
+        options = {"rng": random.Random(1), "weight_of": lambda _name: 1.0, **options}
+        return Executor(self, pools, self.schedulers, failure_domain="a", **options)
+
+    def queues(self, slots: int) -> dict[str, FairScheduler]:
+        return {name: FairScheduler(slots) for name in self.instances}
 
     def _opener(self, name: str) -> Callable[[float], Any]:
         return lambda timeout_s: self.open(name, timeout_s)
--- a/tests/test_home_transactions.py
+++ b/tests/test_home_transactions.py
@@ -15,13 +15,17 @@
 from tanagerfront.entry_id import ZERO
 from tanagerfront.errors import (
     OutcomeUnknownError,
+    OverloadedError,
     RateLimitedError,
     SqlError,
     TanagerfrontError,
     TransactionError,
 )
+from tanagerfront.execution import Executor
 from tanagerfront.home_transactions import HomeTransactions, TransactionSettings
 from tanagerfront.messages import TransactionReply, TransactionRequest, WireStatement
+from tanagerfront.scheduler import FairScheduler
+from test_execution import read
 
 LIMITS = TransactionSettings(idle_limit_s=1.0, total_limit_s=3.0)
 COUNT = "SELECT count(*) FROM effects"
@@ -30,9 +34,17 @@
 class Caller:
     """Sends the steps of one transaction and checks at the end that nothing leaked."""
 
-    def __init__(self, group: FakeGroup, home: HomeTransactions) -> None:
+    def __init__(
+        self,
+        group: FakeGroup,
+        home: HomeTransactions,
+        executor: Executor,
+        queues: dict[str, FairScheduler],
+    ) -> None:
         self.group = group
         self.home = home
+        self.executor = executor
+        self.queues = queues
 
     async def step(self, action: str, sql: str = "", **changes: Any) -> TransactionReply:
         fields: dict[str, Any] = {
@@ -58,15 +70,16 @@
     def used(self) -> tuple[int, int]:
         """Return the slots and sessions in use."""
         pools = self.group.pools.values()
-        slots = sum(each.in_flight for each in self.group.schedulers.values())
+        slots = sum(each.in_flight for each in self.queues.values())
         return slots, sum(pool.size - pool.idle for pool in pools)
 
 
 async def run_home(scenario: Callable[[Caller], Awaitable[None]], group: FakeGroup) -> None:
-    home = HomeTransactions(group.executor().access, LIMITS)
+    executor, queues = group.executor(slots=1), group.queues(1)
+    home = HomeTransactions(executor.access.with_schedulers(queues), LIMITS)
     async with trio.open_nursery() as nursery:
         await nursery.start(home.run)
-        caller = Caller(group, home)
+        caller = Caller(group, home, executor, queues)
         await scenario(caller)
         nursery.cancel_scope.cancel()
     if caller.used() != (0, 0):
@@ -131,6 +144,17 @@
         self.assertLess(trio.current_time() - started, 3.6)
         await self._ended(caller)
 
+    @on_home
+    async def test_open_transactions_do_not_stop_other_requests(self, caller: Caller) -> None:
+        # Guards against an idle transaction that occupies a home's only slot of the primary, and
+        # against more transactions than slots.
+        await caller.step("begin")
+        reply = await caller.executor.execute(read("x"))
+        self.assertEqual("a", reply.instance)
+        with self.assertRaises(OverloadedError):
+            await caller.step("begin", transaction="u", timeout_s=0.1)
+        await caller.step("rollback")
+
     @on_home
     async def test_aborts(self, caller: Caller) -> None:
         # Guards against a transaction that outlives its caller, entry VM or key, also while a
