Limit the history of edits and delete section bodies that nothing names

Each edit left a body of up to 1 MB in the service for good. A body is deleted only while its revision is below the manifest's, and every edit renews the revision of its body, so that the body of an edit in progress stays.

--- a/src/tanagerfront/_config_service.py
+++ b/src/tanagerfront/_config_service.py
@@ -64,9 +64,17 @@
         return text
 
     async def write_body(self, text: str) -> str:
-        """Store a body unless it is stored already, and return its digest."""
+        """Store a body and return its digest; its revision is then above the manifest's.
+
+        `prune` deletes only bodies with a revision below the manifest's, so that it cannot delete
+        one that an edit in progress is about to name.
+        """
         digest = digest_of(text)
-        await self._store.put_if(SECTION_PREFIX + digest, text.encode(), ABSENT)
+        key = SECTION_PREFIX + digest
+        revision = ABSENT
+        while not await self._store.put_if(key, text.encode(), revision):
+            stored = await self._store.get(key)
+            revision = stored.revision if stored else ABSENT
         return digest
 
     async def read_edit(self, edit_id: str) -> Edit | None:
@@ -83,3 +91,20 @@
         records, _revision = await self._store.range(EDIT_PREFIX)
         edits = (decode_edit(record.value) for record in records)
         return tuple(sorted(edits, key=lambda edit: edit.version))
+
+    async def prune(self, keep: int) -> None:
+        """Delete all but the last `keep` records, and the bodies that only deleted ones name."""
+        stored = await self.read_manifest()
+        edits = await self.read_edits()
+        old, kept = edits[:-keep], edits[-keep:]
+        needed = {entry.digest for entry in stored.manifest.sections.values()}
+        needed |= {edit.digest for edit in kept}
+        for digest in sorted({edit.digest for edit in old} - needed):
+            body = await self._store.get(SECTION_PREFIX + digest)
+            if body and body.revision < stored.revision:
+                await self._store.delete_if(body.key, body.revision)
+        # Records go last: they name the bodies that a later call still has to delete.
+        for edit in old:
+            record = await self._store.get(EDIT_PREFIX + edit.id)
+            if record:
+                await self._store.delete_if(record.key, record.revision)
--- a/src/tanagerfront/config_store.py
+++ b/src/tanagerfront/config_store.py
@@ -7,7 +7,7 @@
 import secrets
 import time
 from collections.abc import AsyncGenerator, AsyncIterator, Callable, Mapping
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 from typing import cast
 
 import structlog
@@ -33,6 +33,10 @@
 # and drawn at random, so that the fleet does not return to it at one moment.
 FIRST_RECOVERY_S = 0.2
 LAST_RECOVERY_S = 2.0
+# The history is limited because each edit may leave a body of 1 MB in the service. An edit repeated
+# after its record was deleted conflicts with itself, but is not made twice.
+HISTORY_EDITS = 2000
+PRUNE_INTERVAL_EDITS = 100
 SECRET_KEY = "tanagerfront/session-secret"
 SECRET_BYTES = 32
 
@@ -49,12 +53,16 @@
         clock: Callable[[], float] = time.time,
         apply_timeout_s: float = APPLY_TIMEOUT_S,
         reread_interval_s: float = REREAD_INTERVAL_S,
+        history_edits: int = HISTORY_EDITS,
+        prune_interval_edits: int = PRUNE_INTERVAL_EDITS,
     ) -> None:
         self._store = store
         self._service = ConfigService(store)
         self._clock = clock
         self._apply_timeout_s = apply_timeout_s
         self._reread_interval_s = reread_interval_s
+        self._history_edits = history_edits
+        self._prune_interval_edits = prune_interval_edits
         self._document = Document.empty()
         self._changed = trio.Event()
 
@@ -75,7 +83,7 @@
         return self.current
 
     async def history(self) -> tuple[Edit, ...]:
-        """Return the accepted edits, the oldest first; raises KeyValueError."""
+        """Return the last accepted edits, the oldest first; raises KeyValueError."""
         records = await self._service.read_edits()
         last = (await self._service.read_manifest()).manifest.edit
         if last and last not in records:
@@ -99,7 +107,12 @@
         if not EDIT_ID.fullmatch(edit_id):
             raise BadRequestError(f"edit id {edit_id!r}: allowed are {EDIT_ID_RULE}")
         request = EditRequest(team, text, base_version, edit_id, self._clock())
-        return await apply_edit(self._service, self._load, request, self._apply_timeout_s)
+        result = await apply_edit(self._service, self._load, request, self._apply_timeout_s)
+        if result.edit.version % self._prune_interval_edits == 0 and not result.repeated:
+            # A later edit prunes what this one cannot.
+            with suppress(KeyValueError):
+                await self._service.prune(self._history_edits)
+        return result
 
     async def follow(self) -> AsyncIterator[Configuration]:
         """Yield the configuration in force and each newer one that `run` or a peer brings in."""
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -82,6 +82,18 @@
         while self._late:
             self._late.pop(0)()
 
+    async def delete_if(self, key: str, revision: int) -> bool:
+        await trio.sleep(self._random.random() / 100)
+        found = self._entries.get(key)
+        if not found or found.revision != revision:
+            return False
+        self._revision += 1
+        del self._entries[key]
+        return True
+
+    def keys(self, prefix: str) -> list[str]:
+        return [key for key in self._entries if key.startswith(prefix)]
+
     async def watch(self, prefix: str, start_revision: int) -> AsyncIterator[WatchEvent]:
         seen = start_revision - 1
         while not self.down:
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -13,7 +13,10 @@
 from hypothesis import strategies as st
 
 from memory_store import READ_FAULTS, WRITE_FAULTS, MemoryStore
+from platform_support import key_value_test
 from support import TestCase, trio_test
+from tanagerfront._config_service import ConfigService
+from tanagerfront._manifest import digest_of
 from tanagerfront.config_store import ConfigStore, Edit, read_or_create_secret
 from tanagerfront.errors import (
     BadRequestError,
@@ -24,8 +27,11 @@
     KeyValueUnavailableError,
     TanagerfrontError,
 )
+from tanagerfront.http_client import Address
 from tanagerfront.kv import WatchEvent
+from tanagerfront.kv_etcd import EtcdStore
 from tanagerfront.messages import ConfigOffer
+from tanagerfront_standin.key_value import KeyValueOptions, KeyValueService
 
 TEAMS = ("kumasi", "frost")
 
@@ -43,6 +49,12 @@
         await store.read()
 
 
+async def wait_version(store: ConfigStore, version: int) -> None:
+    async for configuration in store.follow():
+        if configuration.version >= version:
+            return
+
+
 class Outcome(NamedTuple):
     edit_id: str
     team: str
@@ -111,6 +123,56 @@
         last = {edit.team: texts[edit.id] for edit in history}
         self.assertEqual(last, dict(final.sections))
 
+    @given(st.lists(st.sampled_from(TEAMS), min_size=2, max_size=5), st.integers(0, 30), WRITES)
+    @settings(max_examples=80, deadline=None)
+    def test_pruning_keeps_what_is_needed(
+        self, teams: list[str], seed: int, writes: list[str]
+    ) -> None:
+        # Guards against a store that grows with each edit, and against a pruned body that the
+        # manifest names, also when an edit in progress returns to an old text.
+        run(self._prune, teams, seed, writes)
+
+    async def _prune(self, teams: list[str], seed: int, writes: list[str]) -> None:
+        memory = MemoryStore(writes)
+        order = random.Random(seed)
+
+        async def edit(number: int, team: str) -> None:
+            store = ConfigStore(memory, history_edits=2, prune_interval_edits=1)
+            for step in range(4):
+                text = section(team, order.choice("abc"))
+                # With a history of 2 edits, a body may be pruned between the read of the manifest
+                # and its own; only what is missing at the end is lost.
+                with suppress(TanagerfrontError):
+                    await store.read()
+                    entry = store.manifest.sections.get(team)
+                    base = entry.version if entry else 0
+                    await store.apply(team, text, base, f"edit-{number:03}-{step}")
+
+        async with trio.open_nursery() as nursery:
+            for number, team in enumerate(teams):
+                nursery.start_soon(edit, number, team)
+        memory.end_faults()
+        final = ConfigStore(memory, history_edits=2, prune_interval_edits=1)
+        await final.read()
+        entry = final.manifest.sections.get("kumasi")
+        base = entry.version if entry else 0
+        await final.apply("kumasi", section("kumasi", "end"), base, "edit-end")
+        self.assertIn("; end", (await final.read()).sections["kumasi"])
+        self.assertLessEqual(len(memory.keys("tanagerfront/config/edit/")), 2)
+
+    @trio_test(mock_clock=True)
+    async def test_pruning_spares_the_body_of_an_edit_in_progress(self) -> None:
+        # Guards against an edit accepted after the old body that it names was pruned.
+        memory = MemoryStore()
+        store, service = ConfigStore(memory), ConfigService(memory)
+        for version, note in enumerate("abc"):
+            await store.apply("kumasi", section("kumasi", note), version, f"edit-{version:04}")
+        digest = await service.write_body(section("kumasi", "a"))
+        await service.prune(1)
+        current = digest_of(section("kumasi", "c"))
+        prefix = "tanagerfront/config/section/"
+        self.assertEqual({prefix + digest, prefix + current}, set(memory.keys(prefix)))
+
     def _check_outcomes(self, outcomes: list[Outcome], history: Sequence[Edit]) -> None:
         accepted = {edit.id: edit.version for edit in history}
         self.assertEqual(len(history), len(accepted))
@@ -349,3 +411,30 @@
         memory.end_faults()
         self.assertEqual(1, len(set(found)))
         self.assertEqual(found[0], await read_or_create_secret(memory))
+
+
+class ServiceTest(TestCase):
+    options = KeyValueOptions(progress_interval_s=0.1)
+
+    @key_value_test
+    async def test_edits_and_followers_over_the_service(
+        self, service: KeyValueService, address: Address
+    ) -> None:
+        # Guards against a client whose errors the store does not expect: lost answers, an outage,
+        # dropped history.
+        editor, store = (ConfigStore(EtcdStore(address, watch_silence_s=0.5)) for _ in "ab")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(store.run)
+            version = 0
+            for fault in ({}, {"lose_answers": 3}, {"down": True}, {"no_leader": True}):
+                service.set_faults(fault)
+                await trio.sleep(0.3)
+                service.set_faults({"down": False, "no_leader": False})
+                text = section("kumasi", f"{version}")
+                edit = (await editor.apply("kumasi", text, version, f"edit-{version:06}")).edit
+                self.assertEqual(version + 1, edit.version)
+                version = edit.version
+                service.model.compact()
+                with trio.fail_after(3):
+                    await wait_version(store, version)
+            nursery.cancel_scope.cancel()
