--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -49,6 +49,19 @@
         await store.read()
 
 
+async def edit_next(editor: ConfigStore) -> ConfigOffer:
+    version = (await editor.read()).version
+    await editor.apply("kumasi", section("kumasi", f"{version}"), version, f"edit-{version:06}")
+    await editor.read()
+    return offered(editor, 0)
+
+
+def offered(store: ConfigStore, version: int) -> ConfigOffer:
+    offer = store.offer(version)
+    assert offer is not None
+    return offer
+
+
 async def wait_version(store: ConfigStore, version: int) -> None:
     async for configuration in store.follow():
         if configuration.version >= version:
@@ -274,7 +287,14 @@
             for task in (collect, sample, store.run):
                 nursery.start_soon(task)
             for step in steps:
-                await self._step(step, memory, editor, store, offers, nursery, order)
+                if step == "edit" and not memory.down:
+                    offers.append(await edit_next(editor))
+                elif step == "offer" and offers:
+                    await store.adopt(order.choice(offers))
+                elif step == "read":
+                    nursery.start_soon(read_if_possible, store)
+                elif step == "outage":
+                    memory.down = not memory.down
                 await trio.sleep(order.random() / 10)
             memory.down = False
             await trio.sleep(10)
@@ -284,32 +304,6 @@
         self.assertEqual((await editor.read()).version, store.current.version)
         self.assertEqual(editor.current.sections, store.current.sections)
 
-    async def _step(
-        self,
-        step: str,
-        memory: MemoryStore,
-        editor: ConfigStore,
-        store: ConfigStore,
-        offers: list[ConfigOffer],
-        nursery: trio.Nursery,
-        order: random.Random,
-    ) -> None:
-        if step == "edit" and not memory.down:
-            await editor.read()
-            entry = editor.manifest.sections.get("kumasi")
-            version = editor.current.version
-            text = section("kumasi", f"{version}")
-            base = entry.version if entry else 0
-            await editor.apply("kumasi", text, base, f"edit-{version:06}")
-            await editor.read()
-            offers += [offer for offer in (editor.offer(0),) if offer]
-        elif step == "offer" and offers:
-            await store.adopt(order.choice(offers))
-        elif step == "read" and not memory.down:
-            nursery.start_soon(read_if_possible, store)
-        elif step == "outage":
-            memory.down = not memory.down
-
     @trio_test(mock_clock=True)
     async def test_slow_read_does_not_replace_a_later_version(self) -> None:
         # Guards against a body read that ends after a later version was adopted.
@@ -333,8 +327,7 @@
             memory.get = real  # type: ignore[method-assign]
             await editor.apply("kumasi", section("kumasi", "new"), 1, "edit-new")
             await editor.read()
-            offer = editor.offer(0)
-            assert offer is not None
+            offer = offered(editor, 0)
             self.assertTrue(await store.adopt(offer))
             gate.set()
         self.assertEqual(2, store.current.version)
@@ -366,13 +359,11 @@
         await editor.read()
         memory.down = True
         store = ConfigStore(memory)
-        offer = editor.offer(0)
-        assert offer is not None
+        offer = offered(editor, 0)
         self.assertTrue(await store.adopt(offer))
         self.assertEqual(2, store.current.version)
         self.assertIsNone(editor.offer(2))
-        partial = editor.offer(1)
-        assert partial is not None
+        partial = offered(editor, 1)
         self.assertEqual([section("frost")], list(partial.bodies.values()))
 
     @trio_test(mock_clock=True)
@@ -381,8 +372,7 @@
         editor = ConfigStore(MemoryStore())
         await editor.apply("kumasi", section("kumasi"), 0, "edit-one")
         await editor.read()
-        offer = editor.offer(0)
-        assert offer is not None
+        offer = offered(editor, 0)
         altered = {digest: text + "; more\n" for digest, text in offer.bodies.items()}
         store = ConfigStore(MemoryStore())
         with self.assertRaises(ConfigurationError):
