Require three connections for each home of a group

Change: the document is refused unless connections is at least three times homes: a probe, a connection for promotions and one for statements. The test documents state budgets that are valid under the rule.

--- a/src/tanagerfront/_configuration_impl.py
+++ b/src/tanagerfront/_configuration_impl.py
@@ -26,6 +26,8 @@
 # The key-value service stores values up to this size.
 MAX_SECTION_BYTES = 1024 * 1024
 MAX_HOMES = 63
+# A home needs a probe, a connection for promotions and one for statements.
+MIN_CONNECTIONS_PER_HOME = 3
 MAX_WEIGHT = 1000.0
 MAX_RATE = 1e9
 MAX_CONNECTIONS = 10_000
@@ -111,7 +113,8 @@
     homes = options.integer("homes", default=3, minimum=1, maximum=MAX_HOMES)
     slots = options.integer("slots", minimum=1, maximum=MAX_CONNECTIONS)
     # Every home needs a connection, and every slot one on which its statement runs.
-    connections = options.integer("connections", minimum=max(homes, slots), maximum=MAX_CONNECTIONS)
+    least = max(homes * MIN_CONNECTIONS_PER_HOME, slots)
+    connections = options.integer("connections", minimum=least, maximum=MAX_CONNECTIONS)
     values = [each.value for each in Acknowledge]
     return Group(
         options.name,
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -224,7 +224,7 @@
     async def test_whole_document_is_checked(self) -> None:
         # Guards against two sections that are valid alone and invalid together.
         store = ConfigStore(MemoryStore())
-        group = "[group g]\ninstances = adum@127.0.0.1:{}\nconnections = 4\nslots = 2\n"
+        group = "[group g]\ninstances = adum@127.0.0.1:{}\nconnections = 9\nslots = 2\n"
         await store.apply("kumasi", section("kumasi") + group.format(1), 0, "edit-one")
         with self.assertRaisesRegex(ConfigurationError, "group g"):
             await store.apply("frost", section("frost") + group.format(2), 0, "edit-two")
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -25,7 +25,7 @@
     defaults = {
         f"team {name}": {"owners": DIGEST},
         "organisation foremen": {"keys": DIGEST, "rate": "5", "burst": "9", "groups": "g"},
-        "group g": {"instances": "adum@127.0.0.1:1", "connections": "4", "slots": "2"},
+        "group g": {"instances": "adum@127.0.0.1:1", "connections": "9", "slots": "2"},
         "route r": {"group": "g", "mode": "write", "statement.1": "DELETE FROM t WHERE a = :a"},
     }
     kinds = {header.split()[0]: header for header in defaults}
@@ -91,7 +91,7 @@
             ("group", "instances", "adum@127.0.0.1:0", "65535"),
             ("group", "instances", "127.0.0.1:1", "FAILURE-DOMAIN"),
             ("group", "instances", "", "at least one"),
-            ("group", "connections", "2", "3 to"),
+            ("group", "connections", "8", "9 to"),
             ("group", "slots", "2.5", "whole number"),
             ("group", "homes", "0", "1 to 63"),
             ("group", "acknowledge", "always", "replicated or majority-term"),
@@ -137,9 +137,9 @@
     def test_sections_are_checked_against_each_other(self) -> None:
         # Guards against definitions that contradict each other over sections.
         cases = (
-            ("[group g]\ninstances = adum@127.0.0.1:2\nconnections = 4\nslots = 2\n", "group g"),
+            ("[group g]\ninstances = adum@127.0.0.1:2\nconnections = 9\nslots = 2\n", "group g"),
             (
-                "[group h]\ninstances = suame@127.0.0.1:1\nconnections = 4\nslots = 2\n",
+                "[group h]\ninstances = suame@127.0.0.1:1\nconnections = 9\nslots = 2\n",
                 "instances = 127.0.0.1:1",
             ),
             (f"[organisation o]\nkeys = {DIGEST}\nrate=1\nburst=1\ngroups=g\n", "keys = sha256"),
