--- a/src/tanagerfront/adaptive_limit.py
+++ b/src/tanagerfront/adaptive_limit.py
@@ -18,9 +18,10 @@
 
 
 class AdaptiveLimit:
-    """Between this VM's share of the slots, at least 1, and twice that share."""
+    """Between this VM's share of the slots, at least 1, and `factor` times that share."""
 
-    def __init__(self, share: float) -> None:
+    def __init__(self, share: float, factor: float = 2.0) -> None:
+        self._factor = factor
         self._baseline_s: dict[Hashable, float] = {}
         self._ratio = 1.0
         self._current = 1.0
@@ -34,7 +35,7 @@
     def set_share(self, share: float) -> None:
         """Change the share of the slots and keep the limit within the new bounds."""
         self._lower = max(1, math.floor(share))
-        self._upper = max(self._lower, math.ceil(2 * share))
+        self._upper = max(self._lower, math.ceil(self._factor * share))
         self._current = min(max(self._current, float(self._lower)), float(self._upper))
 
     def observe(self, key: Hashable, elapsed_s: float, *, saturated: bool) -> None:
--- a/src/tanagerfront/scheduler.py
+++ b/src/tanagerfront/scheduler.py
@@ -29,6 +29,8 @@
     # Time in the slots that an organisation of weight 1 may catch up on after it used less than
     # its share. Without credit, a short burst waits behind an organisation that sends too much.
     burst_credit_s: float = 0.02
+    # Upper bound of the work in flight as a multiple of this VM's share of the slots.
+    limit_factor: float = 2.0
 
 
 class Slot:
@@ -47,7 +49,7 @@
 
     def __init__(self, slot_share: float, settings: SchedulerSettings | None = None) -> None:
         self._settings = settings or SchedulerSettings()
-        self._limit = AdaptiveLimit(slot_share)
+        self._limit = AdaptiveLimit(slot_share, self._settings.limit_factor)
         self._queue = FairQueue(self._settings.first_estimate_s, self._settings.burst_credit_s)
         self._in_flight = 0
 
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -57,19 +57,10 @@
         for position, term in enumerate(self.history, 1):
             if not starts or starts[-1][0] != term:
                 starts.append((term, position))
-        held = len(self.history)
-        last = self.history[-1] if held else 0
-        return InstanceStatus(
-            self.name,
-            self.role,
-            self.term,
-            last,
-            held,
-            held - self.unapplied,
-            self.age_ms,
-            tuple(starts),
-            None,
-        )
+        last, held = self.reached()
+        applied = held - self.unapplied
+        known = (self.name, self.role, self.term, last, held, applied, self.age_ms)
+        return InstanceStatus(*known, tuple(starts), None)
 
     def reached(self) -> EntryId:
         return EntryId(self.history[-1] if self.history else 0, len(self.history))
@@ -129,13 +120,7 @@
             self._end("ROLLBACK")
 
     async def _run(
-        self,
-        statements: Sequence[Statement],
-        *,
-        term: int,
-        begin: bool,
-        commit: bool,
-        read_only: bool,
+        self, statements: Sequence[Statement], term: int, begin: bool, commit: bool, read_only: bool
     ) -> ExecuteResult:
         instance = self._instance
         if term < instance.term:
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import trio
@@ -10,6 +11,7 @@
 
 from fake_group import FakeGroup, FakeInstance, Fault, on_group, run_group
 from support import TestCase
+from tanagerfront.configuration import RequestClass
 from tanagerfront.entry_id import ZERO, EntryId
 from tanagerfront.errors import (
     ConnectionLostError,
@@ -59,6 +61,18 @@
         return error.executed, None
 
 
+async def occupy(group: FakeGroup, names: str) -> Callable[[], None]:
+    """Take all slots of the named instances; return a function that releases them."""
+    queues = [group.schedulers[name] for name in names for _ in range(4)]
+    taken = [(queue, await queue.acquire("z", 1, RequestClass.ORDERS, 1e9)) for queue in queues]
+
+    def free() -> None:
+        for queue, slot in taken:
+            queue.release(slot)
+
+    return free
+
+
 class AtMostOnceTest(TestCase):
     keys = st.sampled_from((None, None, "k1", "k2"))
     events = st.lists(
@@ -294,11 +308,7 @@
     async def test_wait_for_a_slot_counts_towards_the_age(self, group: FakeGroup) -> None:
         # Guards against data that was young enough before the wait, but not when it was read.
         executor = group.executor()
-        slots = [
-            (each, await each.acquire("z", 1, 1, 1e9))
-            for each in group.schedulers.values()
-            for _ in range(4)
-        ]
+        free = await occupy(group, "abc")
         async with trio.open_nursery() as nursery:
 
             async def send() -> None:
@@ -309,8 +319,7 @@
             await trio.sleep(0.3)
             for name in "bc":
                 group.instances[name].age_ms = 300.0
-            for scheduler, slot in slots:
-                scheduler.release(slot)
+            free()
 
     async def _apply_after(self, replicas: tuple[FakeInstance, ...], delay_s: float) -> None:
         await trio.sleep(delay_s)
@@ -323,7 +332,7 @@
     async def test_queued_work_is_not_sent_to_a_primary_that_leaves(self, group: FakeGroup) -> None:
         # Guards against new work for a leaving instance from requests that waited in its queue.
         executor = group.executor()
-        slots = [await group.schedulers["a"].acquire("z", 1, 1, 1e9) for _ in range(4)]
+        free = await occupy(group, "a")
         async with trio.open_nursery() as nursery:
 
             async def send() -> None:
@@ -332,8 +341,7 @@
             nursery.start_soon(send)
             await trio.sleep(0.1)
             group.handing_over = True
-            for slot in slots:
-                group.schedulers["a"].release(slot)
+            free()
             await trio.sleep(0.1)
             group.promote("b")
             group.handing_over = False
@@ -344,8 +352,7 @@
         executor = group.executor()
         group.instances["b"].lagging = group.instances["c"].lagging = True
         await outcome(executor, write("x"))
-        scheduler = group.schedulers["a"]
-        slots = [await scheduler.acquire("z", 1, 1, 1e9) for _ in range(4)]
+        free = await occupy(group, "a")
         async with trio.open_nursery() as nursery:
 
             async def send() -> None:
@@ -355,15 +362,14 @@
             nursery.start_soon(send)
             await trio.sleep(0.1)
             group.promote("b")
-            for slot in slots:
-                scheduler.release(slot)
-        self.assertEqual(0, scheduler.in_flight)
+            free()
+        self.assertEqual(0, group.schedulers["a"].in_flight)
 
     @on_group
     async def test_token_is_checked_when_the_statement_leaves(self, group: FakeGroup) -> None:
         # Guards against a statement that runs after its rate token was given to another.
         executor = group.executor()
-        slots = [await group.schedulers["a"].acquire("z", 1, 1, 1e9) for _ in range(4)]
+        free = await occupy(group, "a")
         async with trio.open_nursery() as nursery:
 
             async def send() -> None:
@@ -372,8 +378,7 @@
 
             nursery.start_soon(send)
             await trio.sleep(0.6)
-            for slot in slots:
-                group.schedulers["a"].release(slot)
+            free()
         self.assertEqual(0, group.rows(COUNT, "x")[0][0])
 
     @on_group
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -19,6 +19,7 @@
 from tanagerfront.scheduler import FairScheduler, SchedulerSettings
 
 ORDERS, STANDARD, BROWSING = RequestClass
+FIXED = SchedulerSettings(limit_factor=1.0)
 
 
 class Tenant(NamedTuple):
@@ -65,8 +66,7 @@
 
 
 async def trial(tenants: list[Tenant], seconds: float, slots: int = 2) -> Trial:
-    result = Trial(FairScheduler(slots))
-    result.scheduler._limit._upper = slots  # the stand-in below has no more than these slots
+    result = Trial(FairScheduler(slots, FIXED))
     async with trio.open_nursery() as nursery:
         for seed, tenant in enumerate(tenants):
             nursery.start_soon(result.send, tenant, seed, trio.current_time() + seconds)
@@ -88,8 +88,7 @@
     ) -> None:
         # Guards against an organisation with slow statements that gets more than its share.
         async def main() -> None:
-            result = Trial(FairScheduler(slots), timeout_s=100)
-            result.scheduler._limit._upper = slots
+            result = Trial(FairScheduler(slots, FIXED), timeout_s=100)
             named = [Tenant(str(i), 0, c, w) for i, (w, c) in enumerate(chosen)]
             async with trio.open_nursery() as nursery:
                 for each in named:
