--- a/src/tanagerfront_standin/key_value.py
+++ b/src/tanagerfront_standin/key_value.py
@@ -264,5 +264,5 @@
             return await self._service.handle(request)
         except NoLeaderError:
             return _problem(503, GRPC_UNAVAILABLE, "etcdserver: no leader")
-        except (ValueError, KeyError) as error:
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
             return _problem(400, GRPC_INVALID_ARGUMENT, f"malformed request: {error!r}")
--- a/src/tanagerfront_standin/vm_list.py
+++ b/src/tanagerfront_standin/vm_list.py
@@ -100,5 +100,5 @@
     async def handle(self, request: Request) -> Response:
         try:
             return await self._service.handle(request)
-        except (ValueError, KeyError) as error:
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
             return _json({"error": repr(error)}, 400)
--- a/tests/test_key_value.py
+++ b/tests/test_key_value.py
@@ -171,9 +171,13 @@
         # Guards against a stand-in that ends leases in an outage, unlike the service.
         store = EtcdStore(address)
         await store.put_if("k", b"", 0, lease=await store.grant(1))
-        service.set_faults({"down": True})
+        await exchange(address, "POST", "/debug/faults", body=b'{"down": true}')
         await trio.sleep(1.2)
-        service.set_faults({"down": False})
+        with self.assertRaises(KeyValueUnavailableError):
+            await store.get("k")
+        await exchange(address, "POST", "/debug/faults", body=b'{"down": false}')
+        refused = await exchange(address, "POST", "/debug/faults", body=b'{"dwon": true}')
+        self.assertEqual(400, refused.status)
         await trio.sleep(0.6)
         self.assertIsNotNone(await store.get("k"))
 
