Guard token lifetimes, reconnects and slow keep-alives by directed tests

A VM whose lease has ended asks for a new one at once. A requester no longer asks an owner again at once that has tokens but grants none near the end of its validity.

--- a/src/tanagerfront/_seats_lease.py
+++ b/src/tanagerfront/_seats_lease.py
@@ -150,23 +150,28 @@
         return self._settings.retry_s if isolated else self._settings.keep_alive_s
 
     async def _renew(self) -> None:
+        if self._lease and not await self._renew_existing(self._lease):
+            _log.warning("the lease has ended; all seats are lost")
+            self._lease = 0
+            self._renewed_until = self._extended_until = NEVER
+        if not self._lease and not self._releasing:
+            await self._grant()
+
+    async def _renew_existing(self, lease: int) -> bool:
+        """Renew and tell whether the lease has not ended."""
         sent_at = trio.current_time()
-        if not self._lease:
-            lease = await self._kv.grant(self._settings.ttl_s)
-            if self._releasing:
-                await self._kv.revoke(lease)
-                return
-            self._lease = lease
-            self._renewed_until = sent_at + self._settings.ttl_s - self._settings.drift_margin_s
-            return
-        lease = self._lease
         ttl_s = await self._kv.keep_alive(lease)
-        if lease != self._lease:
-            return
-        if ttl_s > 0:
+        if ttl_s > 0 and lease == self._lease:
+            # The service counts from its receipt of the call, which cannot be before the sending.
             until = sent_at + ttl_s - self._settings.drift_margin_s
             self._renewed_until = max(self._renewed_until, until)
+        return ttl_s > 0
+
+    async def _grant(self) -> None:
+        sent_at = trio.current_time()
+        lease = await self._kv.grant(self._settings.ttl_s)
+        if self._releasing:
+            await self._kv.revoke(lease)
             return
-        _log.warning("the lease has ended; all seats are lost")
-        self._lease = 0
-        self._renewed_until = self._extended_until = NEVER
+        self._lease = lease
+        self._renewed_until = sent_at + self._settings.ttl_s - self._settings.drift_margin_s
--- a/src/tanagerfront/limits.py
+++ b/src/tanagerfront/limits.py
@@ -309,6 +309,7 @@
         if grant.count:
             account.stock.add(HeldGrant(vm, grant, sent_at + grant.lifetime_s))
             account.serve_waiters()
-        if grant.available < 1:
+        # An owner near the end of its validity has tokens that it does not grant.
+        if grant.available < 1 or not grant.count:
             wait_s = min(grant.retry_after_s, self._settings.max_retry_s)
             part.retry_at = trio.current_time() + max(wait_s, self._settings.min_retry_s)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -21,6 +21,7 @@
 
 KV_TIMEOUT_S = 2.0
 LATENCY_S = 0.002
+KV_LATENCY_S = 0.002
 
 
 class Listed(NamedTuple):
@@ -156,13 +157,13 @@
     async def _call(self, change: Callable[[], Any]) -> Any:
         self.calls += 1
         await self._faults.while_paused(self._vm)
-        await trio.sleep(LATENCY_S)
+        await trio.sleep(KV_LATENCY_S)
         if not self._reachable():
             await trio.sleep(KV_TIMEOUT_S)
             raise KeyValueUnavailableError("the service cannot be reached")
         self._service.expire()
         result = change()
-        await trio.sleep(LATENCY_S)
+        await trio.sleep(KV_LATENCY_S)
         await self._faults.while_paused(self._vm)
         if self._faults.take_lost_answer(self._vm) or not self._reachable():
             await trio.sleep(KV_TIMEOUT_S)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -5,19 +5,21 @@
 import contextlib
 import random
 from collections.abc import Iterable
+from unittest import mock
 
 import trio
 import trio.testing
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from fleet import PROFILE, STEPS, Fleet, Vm, apply_step, fleet
 from support import TestCase, trio_test
-from tanagerfront._limits_owner import TRANSIT_MARGIN_S
+from tanagerfront._limits_owner import LIFETIME_S, TRANSIT_MARGIN_S
 from tanagerfront.configuration import Organisation
 from tanagerfront.errors import KeyValueError, PeerUnreachableError, RateLimitedError
 from tanagerfront.limits import BucketPart, TokenCache, TokenOwner
 from tanagerfront.messages import TokenRequest
+from tanagerfront.seats import SeatRegistry
 
 VIRTUAL_S = 10_000
 # The burst takes ten seconds to come back, so that tokens admitted twice show.
@@ -108,7 +110,7 @@
         for action, vms, seconds in steps:
             apply_step(running, action, vms)
             if action == "lose":
-                await hand_over(running, min(vms))
+                running.nursery.start_soon(hand_over, running, min(vms))
             await trio.sleep(seconds)
         await trio.sleep(3)
     excess = worst_excess(admitted, ORGANISATION.rate, ORGANISATION.burst)
@@ -181,6 +183,17 @@
             max_size=40,
         )
     )
+    # A repeated report of returned tokens, with the grant's other tokens spent later.
+    @example(
+        [
+            ("grant", 12, 0.0),
+            ("return", 5, 0.0),
+            ("report", 4, 0.0),
+            ("grant", 12, 0.0),
+            ("spend", 12, 0.0),
+            ("spend", 11, 0.0),
+        ]
+    )
     @settings(max_examples=1500, deadline=None)
     def test_part_never_exceeds_rate_and_burst(self, steps: list[tuple[str, int, float]]) -> None:
         # Guards against tokens that count twice: after expiry, takeover or repeated reports.
@@ -214,6 +227,63 @@
                         self.assertLessEqual(ends_at, running.vms[vm].lease.valid_until)
                     await trio.sleep(0.1)
 
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_tokens_under_way_count_until_they_cannot_be_used(self) -> None:
+        # Guards against new tokens while a home may still use those that are on the way to it,
+        # and against the use of a token that has expired.
+        async with fleet("abc") as running:
+            admitted: list[float] = []
+            limited = [LimitedVm(running, vm, admitted) for vm in running.vms.values()]
+            for one in limited:
+                running.nursery.start_soon(one.run)
+            await trio.sleep(30)
+            cache = limited[0].cache
+            tokens = [
+                await cache.acquire(ORGANISATION, trio.current_time() + 1) for _ in range(118)
+            ]
+            await trio.sleep(1.8)
+            arrives_at = trio.current_time() + 0.9
+            ends_at = arrives_at + min(cache.lifetime_s(token) for token in tokens)
+            while trio.current_time() < ends_at:
+                with contextlib.suppress(RateLimitedError):
+                    await cache.acquire(ORGANISATION, ends_at)
+                    admitted.append(ends_at)
+                await trio.sleep(0.01)
+            admitted += [ends_at] * len(tokens)
+            excess = worst_excess(admitted, ORGANISATION.rate, ORGANISATION.burst)
+            self.assertLessEqual(excess, TOLERANCE)
+            self.assertFalse(cache.confirm(tokens[0]))
+
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_lifetime_counts_from_the_request(self) -> None:
+        # Guards against tokens that live longer at the requester than the owner counts them.
+        async with fleet("abc") as running:
+            limited = [LimitedVm(running, vm, []) for vm in running.vms.values()]
+            for one in limited:
+                running.nursery.start_soon(one.run)
+            await trio.sleep(15)
+            with mock.patch("fakes.LATENCY_S", 0.1):
+                token = await limited[0].cache.acquire(ORGANISATION, trio.current_time() + 1)
+                # The request and its answer took 0.1 s each.
+                self.assertLessEqual(
+                    limited[0].cache.lifetime_s(token), LIFETIME_S - 0.2 + TOLERANCE
+                )
+
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_claimed_again_part_is_empty(self) -> None:
+        # Guards against going on with a part that another VM owned in between.
+        async with fleet("abc") as running:
+            limited = {vm.id: LimitedVm(running, vm, []) for vm in running.vms.values()}
+            await trio.sleep(15)
+            [vm] = running.valid_holders()[("limit", "x", 0)]
+            await limited[vm].owner._grant("other", TokenRequest("x", 0, 1))
+            await trio.sleep(5)
+            grant = await limited[vm].owner._grant("other", TokenRequest("x", 0, 1))
+            self.assertEqual(1, grant.count)
+            with mock.patch.object(SeatRegistry, "holding", return_value={0: 10**6}):
+                grant = await limited[vm].owner._grant("other", TokenRequest("x", 0, 1))
+            self.assertEqual(0, grant.count)
+
     @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
     async def test_one_busy_vm_gets_the_whole_rate(self) -> None:
         # Guards against refusing requests within the rate when one VM has all the traffic.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -52,9 +52,12 @@
 
             async def ask(number: int) -> None:
                 # Some callers give up before their reply, so that late replies arrive too.
-                timeout_s = 0.03 if number % 3 == 0 else 5.0
-                with contextlib.suppress(ConnectionLostError):
-                    replies[number] = await first.call("b", ServiceProbe(str(number)), timeout_s)
+                probe = ServiceProbe(str(number))
+                if number % 3:
+                    replies[number] = await first.call("b", probe, 30)
+                    return
+                with contextlib.suppress(ConnectionLostError, PeerUnreachableError):
+                    replies[number] = await first.call("b", probe, 0.03)
 
             async with trio.open_nursery() as nursery:
                 for number in range(100):
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -167,7 +167,15 @@
             running.faults.service_cuts = set("abcde")
             await trio.sleep(20)
             self.assertIn(holder, running.valid_holders()[("home", "g", 0)])
-            running.faults.service_cuts = set("abcde") - {min(set("abcde") - {holder})}
+            claimant = running.vms[min(set("abcde") - {holder})]
+            ended = claimant.lease.lease
+            running.faults.service_cuts = set("abcde") - {claimant.id}
+            for _ in range(500):
+                if claimant.lease.lease not in (0, ended):
+                    break
+                await trio.sleep(0.01)
+            self.assertNotIn(claimant.lease.lease, (0, ended))
+            await claimant.seats._claim(Seat("home", "g", 0))
             await assert_one_holder(running, 40)
             self.assertNotIn([holder], running.valid_holders().values())
 
@@ -197,3 +205,11 @@
             await trio.sleep(1.8)
             running.faults.resume("a")
             self.assertFalse(lease.settled)
+
+    @trio_test(mock_clock=True, timeout_s=VIRTUAL_S)
+    async def test_slow_service_does_not_lengthen_the_validity(self) -> None:
+        # Guards against counting a lease from the arrival of the answer to its keep-alive.
+        async with fleet("abc") as running:
+            await trio.sleep(15)
+            with mock.patch("fakes.KV_LATENCY_S", 1.5):
+                await assert_one_holder(running, 20)
