Keep a defect in one peer stream from ending the VM

An unexpected error of a stream is logged and the stream is replaced, as after a broken connection. Test that a restarted peer is reached again.

--- a/src/tanagerfront/_peers_link.py
+++ b/src/tanagerfront/_peers_link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 from typing import Any
 
 import msgspec
@@ -39,6 +40,9 @@
 STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError, msgspec.MsgspecError)
 
 
+_log = logging.getLogger(__name__)
+
+
 class PeerLink:
     """The calling side of one peer: a stream that is opened on demand and replaced when broken."""
 
@@ -102,7 +106,10 @@
                 await self._outbox.wait()
                 try:
                     await self._run_stream()
-                except (TimeoutError, *STREAM_ERRORS) as error:
+                except Exception as error:
+                    if not isinstance(error, (TimeoutError, *STREAM_ERRORS)):
+                        # A defect in the handling of one stream must not end the whole VM.
+                        _log.exception("stream to VM %s failed", self._vm)
                     self._fail_waiters(f"stream to VM {self._vm} ended: {error!r}")
         finally:
             self._closed = True
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -151,6 +151,26 @@
             await first.call("b", ServiceProbe("100"), 5)
             nursery.cancel_scope.cancel()
 
+    @trio_test
+    async def test_restarted_peer_is_reached_again(self) -> None:
+        # Guards against a stream that is not opened anew after its peer's process was replaced.
+        async with two_networks() as (first, second), trio.open_nursery() as nursery:
+            old = PeerNetwork("c", LOOPBACK)
+            async with trio.open_nursery() as old_nursery:
+                old.register(ServiceProbe, echo_late)
+                await old_nursery.start(old.run)
+                first.set_peers({"c": old.listen_address})
+                await first.call("c", ServiceProbe("100"), 5)
+                old_nursery.cancel_scope.cancel()
+            with self.assertRaises(TanagerfrontError):
+                await first.call("c", ServiceProbe("100"), 5)
+            new = PeerNetwork("c", old.listen_address)
+            new.register(ServiceProbe, echo_late)
+            await nursery.start(new.run)
+            await trio.sleep(0.5)
+            await first.call("c", ServiceProbe("100"), 5)
+            nursery.cancel_scope.cancel()
+
     @trio_test
     async def test_slow_handler_is_no_silence(self) -> None:
         # Guards against replacing a stream only because one handler takes long.
