--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -161,8 +161,24 @@
         result = Trial(FairScheduler(1), timeout_s=0.5)
         await result.request(Tenant("one", 0, 60))
         for _ in range(3):
-            await result.request(Tenant("one", 0, 0.01))
-        self.assertEqual(4, len(result.order))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(result.request, Tenant("two", 0, 0.1))
+                await trio.sleep(0.01)
+                nursery.start_soon(result.request, Tenant("one", 0, 0.01))
+        self.assertEqual((4, 3), (result.order.count("one"), result.order.count("two")))
+
+    @trio_test(mock_clock=True)
+    async def test_idle_time_earns_only_the_bounded_credit(self) -> None:
+        # Guards against an organisation that stops another for as long as it was idle before.
+        result = Trial(FairScheduler(1, FIXED), timeout_s=100)
+        for _ in range(400):
+            await result.request(Tenant("busy", 0))
+        result.order.clear()
+        async with trio.open_nursery() as nursery:
+            for name in ("idle", "busy"):
+                for _ in range(30):
+                    nursery.start_soon(result.request, Tenant(name, 0))
+        self.assertGreaterEqual(result.order[:30].count("busy"), 10)
 
     @trio_test(mock_clock=True)
     async def test_full_queue_gives_way_to_more_urgent_requests(self) -> None:
