--- a/src/tanagerfront/home.py
+++ b/src/tanagerfront/home.py
@@ -73,6 +73,9 @@
         self._monitor = LiveGroupMonitor(group)
         self._pools: dict[str, ConnectionPool] = {}
         self._schedulers: dict[str, FairScheduler] = {}
+        # An idle transaction would occupy the only slot that a home may have in a shared queue.
+        self._transaction_schedulers: dict[str, FairScheduler] = {}
+        self._nursery: trio.Nursery | None = None
         for instance in group.instances:
             self._add_instance(instance)
         self._executor = Executor(
@@ -82,7 +85,10 @@
             weight_of=services.weight_of,
             failure_domain=services.failure_domain,
         )
-        self._transactions = HomeTransactions(self._executor.access, services.transactions)
+        self._transactions = HomeTransactions(
+            self._executor.access.with_schedulers(self._transaction_schedulers),
+            services.transactions,
+        )
         self._promoter = Promoter(
             self._monitor,
             services.store,
@@ -122,6 +128,9 @@
         """Serve the group until cancelled; then close all sessions."""
         try:
             async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                for pool in self._pools.values():
+                    nursery.start_soon(pool.run)
                 await nursery.start(self._monitor.run)
                 await nursery.start(self._transactions.run)
                 nursery.start_soon(self._executor.run)
@@ -142,18 +151,24 @@
         wanted = {instance.name: instance for instance in group.instances}
         for name in set(self._pools) - set(wanted):
             await self._pools.pop(name).close()
-            del self._schedulers[name]
+            del self._schedulers[name], self._transaction_schedulers[name]
         for name, instance in wanted.items():
             if name not in self._pools:
                 self._add_instance(instance)
             await self._pools[name].set_share(connection_share(group, seats))
-            self._schedulers[name].set_slot_share(slot_share(group, seats))
+            share = slot_share(group, seats)
+            self._schedulers[name].set_slot_share(share)
+            self._transaction_schedulers[name].set_slot_share(share)
 
     def _add_instance(self, instance: Instance) -> None:
         open_session = functools.partial(_open_session, instance.address)
-        share = connection_share(self._group, self._seats)
-        self._pools[instance.name] = ConnectionPool(open_session, share)
-        self._schedulers[instance.name] = FairScheduler(slot_share(self._group, self._seats))
+        pool = ConnectionPool(open_session, connection_share(self._group, self._seats))
+        self._pools[instance.name] = pool
+        share = slot_share(self._group, self._seats)
+        self._schedulers[instance.name] = FairScheduler(share)
+        self._transaction_schedulers[instance.name] = FairScheduler(share)
+        if self._nursery is not None:
+            self._nursery.start_soon(pool.run)
 
     async def _count_promotions(self) -> None:
         counted = 0
--- a/src/tanagerfront/vm.py
+++ b/src/tanagerfront/vm.py
@@ -29,7 +29,7 @@
 from .http_client import Address
 from .http_server import HttpLimits, Request, Response, serve_http
 from .kv_etcd import EtcdStore
-from .limits import LIMIT_ROLE, LimitSettings, TokenCache, TokenOwner
+from .limits import LIMIT_ROLE, LimitSettings, TokenCache, TokenOwner, part_count
 from .membership import Membership, MembershipSettings
 from .messages import ConfigOffer, ConfigRequest, Message
 from .metrics import Metrics
@@ -342,7 +342,10 @@
             homes = {
                 (HOME_ROLE, group.name): group.homes for group in configuration.groups.values()
             }
-            owners = {(LIMIT_ROLE, name): LIMIT_OWNERS for name in configuration.organisations}
+            owners = {
+                (LIMIT_ROLE, found.name): part_count(found.rate, found.burst, LIMIT_OWNERS)
+                for found in configuration.organisations.values()
+            }
             self._seats.set_wanted(homes | owners)
 
     async def _follow_peers(self) -> None:
