--- a/src/tanagerfront_standin/cli.py
+++ b/src/tanagerfront_standin/cli.py
@@ -43,17 +43,28 @@
 
     Parameters
     ----------
-    name: Name of the instance.
-    listen: HOST:PORT; port 0 picks a free one, which is printed.
-    primary: Start as primary of term 1; the others find it through their peers.
-    peers: The other instances of the group as NAME=HOST:PORT, separated by commas.
-    connections: Open connections the instance accepts.
-    slots: Statements it runs concurrently.
-    open_delay_ms: Time until a new connection gets its first response.
-    receive_delay_ms: Time from a pull's answer until a replica holds the entries.
-    apply_delay_ms: Time from holding an entry until it is visible to readers.
-    statement_ms: Time a statement holds a slot.
-    seed_sql: SQL script that every instance of the group starts from.
+    name
+        Name of the instance.
+    listen
+        HOST:PORT; port 0 picks a free one, which is printed.
+    primary
+        Start as primary of term 1; the others find it through their peers.
+    peers
+        The other instances of the group as NAME=HOST:PORT, separated by commas.
+    connections
+        Open connections the instance accepts.
+    slots
+        Statements it runs concurrently.
+    open_delay_ms
+        Time until a new connection gets its first response.
+    receive_delay_ms
+        Time from a pull's answer until a replica holds the entries.
+    apply_delay_ms
+        Time from holding an entry until it is visible to readers.
+    statement_ms
+        Time a statement holds a slot.
+    seed_sql
+        SQL script that every instance of the group starts from.
     """
     delays = Delays(
         open_delay_ms / 1000, receive_delay_ms / 1000, apply_delay_ms / 1000, statement_ms / 1000
