--- /dev/null
+++ b/tests/system_support.py
@@ -0,0 +1,243 @@
+"""Start a small deployment of real processes and judge what its callers saw."""
+
+from __future__ import annotations
+
+import base64
+import random
+import time
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+from typing import Any, NamedTuple
+
+import msgspec
+import trio
+
+from tanagerfront.admin_client import AdminClient
+from tanagerfront.errors import TanagerfrontError
+from tanagerfront.http_client import Address, HttpConnection, HttpReply
+from tanagerfront_lab.checker import Violation, check_history
+from tanagerfront_lab.deployments import KUMASI, TEAM, caller_key, owner_key
+from tanagerfront_lab.experiments import read_rows
+from tanagerfront_lab.history import History, Operation
+from tanagerfront_lab.load import LoadPlan, Recorder, VmBalancer, run_load
+from tanagerfront_lab.measures import failover_gaps
+from tanagerfront_lab.processes import (
+    Cluster,
+    ClusterOptions,
+    DatabaseProcess,
+    VmProcess,
+    request_once,
+)
+from tanagerfront_standin.link import TcpLink
+
+GROUP = KUMASI.groups[0]
+ORGANISATION = "foremen"
+OTHER_ORGANISATION = "carvers"
+ADD = "INSERT INTO records (ref, session, seq) VALUES (?, ?, ?)"
+# Targets of docs/design.md, section 1, in seconds.
+IN_EFFECT_S = 3.0
+FAILOVER_S = 7.0
+SETTLE_S = 1.0
+POLL_S = 0.05
+SEED = 1
+
+Fault = Callable[[Cluster, VmBalancer], Awaitable[None]]
+
+
+class Observed(NamedTuple):
+    """The calls of one load and the rows at its end; `since` is on the clock of the calls."""
+
+    history: History
+    since: float
+
+    @property
+    def operations(self) -> Sequence[Operation]:
+        return self.history.operations
+
+    @property
+    def violations(self) -> list[Violation]:
+        return check_history(self.history)
+
+    @property
+    def acknowledged_writes(self) -> int:
+        return sum(1 for op in self.operations if op.kind == "write" and op.acknowledged)
+
+    @property
+    def write_gap_s(self) -> float:
+        return max(failover_gaps(self.operations, self.since).values(), default=float("inf"))
+
+
+def small_cluster(**settings: dict[str, str]) -> Cluster:
+    """Return three VMs in front of one group of three databases, not started."""
+    return Cluster(KUMASI, ClusterOptions(vms=3, groups=1, settings=settings))
+
+
+def plan(organisation: str, rate: float, seconds: float, **changes: Any) -> LoadPlan:
+    """Return the load of one organisation, half of it writes."""
+    load = LoadPlan(organisation, rate, seconds, read_share=0.5, groups=(GROUP,))
+    return load._replace(**changes)
+
+
+async def observe(
+    cluster: Cluster, plans: Sequence[LoadPlan], fault: Fault | None = None, *, after_s: float = 2.0
+) -> Observed:
+    """Run load with a fault that begins after a while, and read the rows at the end."""
+    recorder = Recorder()
+    balancer = VmBalancer(cluster.vms, random.Random(SEED))
+    since = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        if fault is not None:
+            nursery.start_soon(_inject, cluster, balancer, fault, after_s)
+        await run_load(plans, balancer, recorder, seed=SEED)
+    await trio.sleep(SETTLE_S)
+    await balancer.close()
+    rows = await read_rows(cluster, GROUP)
+    return Observed(History(recorder.operations, tuple(rows)), since)
+
+
+async def _inject(cluster: Cluster, balancer: VmBalancer, fault: Fault, after_s: float) -> None:
+    await trio.sleep(after_s)
+    await fault(cluster, balancer)
+
+
+class Caller:
+    """One caller connection to one VM."""
+
+    def __init__(self, connection: HttpConnection, organisation: str) -> None:
+        self._connection = connection
+        self._headers = [("authorization", f"Bearer {caller_key(organisation)}")]
+
+    @classmethod
+    async def connect(cls, vm: VmProcess, organisation: str = ORGANISATION) -> Caller:
+        return cls(await HttpConnection.open(vm.callers), organisation)
+
+    async def post(self, path: str, body: Any = None, *, timeout_s: float = 5.0) -> HttpReply:
+        """Make one call; raises ConnectionLostError."""
+        headers = [*self._headers, ("request-timeout", f"{timeout_s:g}")]
+        content = b"" if body is None else msgspec.json.encode(body)
+        return await self._connection.request(
+            "POST", path, content, headers=headers, timeout_s=timeout_s + 1
+        )
+
+    async def add(self, ref: str, **options: Any) -> HttpReply:
+        """Write one row through the route."""
+        params = {"ref": ref, "session": ref, "seq": 1}
+        return await self.post(f"/v1/routes/{GROUP}-add", {"params": params}, **options)
+
+    async def begin(self) -> HttpReply:
+        return await self.post(f"/v1/groups/{GROUP}/transaction")
+
+    async def execute(self, sql: str, *params: Any) -> HttpReply:
+        """Run one statement of the open transaction."""
+        return await self.post(
+            "/v1/transaction/execute", {"statements": [{"sql": sql, "params": params}]}
+        )
+
+    async def add_in_transaction(self, ref: str) -> HttpReply:
+        return await self.execute(ADD, ref, ref, 1)
+
+    async def commit(self) -> HttpReply:
+        return await self.post("/v1/transaction/commit")
+
+    async def close(self) -> None:
+        await self._connection.close()
+
+
+def rows_of(reply: HttpReply) -> list[list[Any]]:
+    """Return the rows of the first result."""
+    rows: list[list[Any]] = msgspec.json.decode(reply.body)["results"][0]["rows"]
+    return rows
+
+
+async def refs(cluster: Cluster) -> set[str]:
+    """Return the refs of the committed rows."""
+    return {row.ref for row in await read_rows(cluster, GROUP)}
+
+
+async def executions(databases: Iterable[DatabaseProcess]) -> list[dict[str, Any]]:
+    """Return the steps the databases recorded, with times of the machine's monotonic clock."""
+    found: list[dict[str, Any]] = []
+    for database in databases:
+        reply = await request_once(database.address, "GET", "/debug/executions")
+        found += msgspec.json.decode(reply.body)["executions"]
+    return found
+
+
+async def set_service_faults(cluster: Cluster, **faults: Any) -> None:
+    """Change the faults of the key-value service."""
+    await request_once(cluster.platform, "POST", "/debug/faults", msgspec.json.encode(faults))
+
+
+async def seat_holders(cluster: Cluster) -> list[str]:
+    """Return what the seat keys in the key-value service hold."""
+    prefix = b"tanagerfront/seat/"
+    first, end = (base64.b64encode(key).decode() for key in (prefix, prefix[:-1] + b"0"))
+    body = msgspec.json.encode({"key": first, "range_end": end})
+    reply = await request_once(cluster.platform, "POST", "/v3/kv/range", body)
+    entries = msgspec.json.decode(reply.body).get("kvs", [])
+    return [base64.b64decode(entry["value"]).decode() for entry in entries]
+
+
+def admin(vm: VmProcess) -> AdminClient:
+    """Return a client with the key of the team that owns the document."""
+    return AdminClient(vm.admin, owner_key())
+
+
+async def edit(cluster: Cluster, old: str, new: str, *, vm: int = 0) -> int:
+    """Replace a part of the document through one VM and return the accepted version."""
+    section = await admin(cluster.vms[vm]).section(TEAM)
+    if old not in section.text:
+        raise ValueError(f"the document has no {old!r}")
+    text = section.text.replace(old, new)
+    return await cluster.apply_configuration(text, version=section.version, vm=vm)
+
+
+async def version_on(vm: VmProcess) -> int | None:
+    """Return the version in force on a VM, None while it does not answer."""
+    try:
+        reply = await request_once(vm.admin, "GET", "/status", timeout_s=1)
+    except TanagerfrontError:
+        return None
+    return int(msgspec.json.decode(reply.body)["configuration_version"])
+
+
+async def wait_until(condition: Callable[[], Awaitable[bool]], limit_s: float) -> float:
+    """Return the seconds until the condition holds, or infinity when it does not in time."""
+    start = time.monotonic()
+    while time.monotonic() - start < limit_s:
+        if await condition():
+            return time.monotonic() - start
+        await trio.sleep(POLL_S)
+    return float("inf")
+
+
+class LinkedCluster(Cluster):
+    """A small cluster whose VMs reach the databases over links."""
+
+    def __init__(self) -> None:
+        super().__init__(KUMASI, ClusterOptions(vms=3, groups=1))
+        self._links: dict[Address, tuple[TcpLink, Address]] = {}
+
+    async def start_links(self, nursery: trio.Nursery) -> None:
+        """Start the links; to be called before the processes start."""
+        for database in self.databases:
+            link = TcpLink(database.address)
+            self._links[database.address] = (link, await nursery.start(link.run))
+
+    def link(self, database: DatabaseProcess) -> TcpLink:
+        """Return the link to a database."""
+        return self._links[database.address][0]
+
+    def _name(self, database: DatabaseProcess) -> str:
+        return str(self._links[database.address][1])
+
+    def instance_names(self) -> dict[str, Sequence[str]]:
+        names = [f"{db.failure_domain}@{self._name(db)}" for db in self.databases]
+        return {GROUP: names}
+
+    def _database_command(self, database: DatabaseProcess) -> list[str]:
+        command = super()._database_command(database)
+        others = [db for db in self.databases if db is not database]
+        command[command.index("--name") + 1] = self._name(database)
+        peers = ",".join(f"{self._name(db)}={db.address}" for db in others)
+        command[command.index("--peers") + 1] = peers
+        return command
--- /dev/null
+++ b/tests/test_system_failover.py
@@ -0,0 +1,50 @@
+"""Callers see no violation and a short gap when a primary or a VM fails."""
+
+from __future__ import annotations
+
+from support import TestCase, trio_test
+from system_support import (
+    FAILOVER_S,
+    ORGANISATION,
+    OTHER_ORGANISATION,
+    Fault,
+    observe,
+    plan,
+    small_cluster,
+)
+from tanagerfront_lab.faults import freeze_primary, kill_primary, kill_vm
+
+LOAD_S = 11.0
+RATE = 15.0
+
+
+class SystemFailoverTest(TestCase):
+    """Check the history of two organisations, one of which sends no idempotency keys."""
+
+    async def _check(self, fault: Fault) -> None:
+        plans = [
+            plan(ORGANISATION, RATE, LOAD_S),
+            plan(OTHER_ORGANISATION, RATE, LOAD_S, idempotency_keys=False),
+        ]
+        async with small_cluster() as cluster:
+            seen = await observe(cluster, plans, fault)
+        self.assertEqual([], seen.violations)
+        self.assertLessEqual(seen.write_gap_s, FAILOVER_S)
+        # A gap is also short when nothing is acknowledged after the fault.
+        last = max(op.ended for op in seen.operations if op.kind == "write" and op.acknowledged)
+        self.assertGreater(last, seen.since + LOAD_S - 1)
+
+    @trio_test
+    async def test_killed_primary(self) -> None:
+        """Guards against lost, doubled or wrongly refused writes when the primary ends."""
+        await self._check(kill_primary)
+
+    @trio_test
+    async def test_frozen_primary_that_returns(self) -> None:
+        """Guards against a replaced primary that still acknowledges or serves its own tail."""
+        await self._check(freeze_primary)
+
+    @trio_test
+    async def test_killed_vm(self) -> None:
+        """Guards against writes that are lost or run twice when their VM ends before the answer."""
+        await self._check(kill_vm)
