--- a/tests/system_support.py
+++ b/tests/system_support.py
@@ -66,9 +66,9 @@
         return max(failover_gaps(self.operations, self.since).values(), default=float("inf"))
 
 
-def small_cluster(**settings: dict[str, str]) -> Cluster:
-    """Return three VMs in front of one group of three databases, not started."""
-    return Cluster(KUMASI, ClusterOptions(vms=3, groups=1, settings=settings))
+def small_cluster(vms: int = 3, slots: int = KUMASI.slots) -> Cluster:
+    """Return a few VMs in front of one group of three databases, not started."""
+    return Cluster(KUMASI._replace(slots=slots), ClusterOptions(vms=vms, groups=1))
 
 
 def plan(organisation: str, rate: float, seconds: float, **changes: Any) -> LoadPlan:
@@ -123,6 +123,11 @@
         params = {"ref": ref, "session": ref, "seq": 1}
         return await self.post(f"/v1/routes/{GROUP}-add", {"params": params}, **options)
 
+    async def list(self, session: str) -> list[list[Any]]:
+        """Return the rows of a session as the primary has them."""
+        reply = await self.post(f"/v1/routes/{GROUP}-list", {"params": {"session": session}})
+        return rows_of(reply)
+
     async def begin(self) -> HttpReply:
         return await self.post(f"/v1/groups/{GROUP}/transaction")
 
@@ -138,12 +143,17 @@
     async def commit(self) -> HttpReply:
         return await self.post("/v1/transaction/commit")
 
+    async def rollback(self) -> HttpReply:
+        return await self.post("/v1/transaction/rollback")
+
     async def close(self) -> None:
         await self._connection.close()
 
 
 def rows_of(reply: HttpReply) -> list[list[Any]]:
-    """Return the rows of the first result."""
+    """Return the rows of the first result; raises ValueError for a refusal."""
+    if reply.status != 200:
+        raise ValueError(f"refused: {reply.body!r}")
     rows: list[list[Any]] = msgspec.json.decode(reply.body)["results"][0]["rows"]
     return rows
 
