--- /dev/null
+++ b/tests/test_system_transactions.py
@@ -0,0 +1,106 @@
+"""Interactive transactions stay apart, and end with their caller or its VM."""
+
+from __future__ import annotations
+
+import msgspec
+import trio
+
+from support import TestCase, trio_test
+from system_support import (
+    GROUP,
+    ORGANISATION,
+    OTHER_ORGANISATION,
+    Caller,
+    executions,
+    refs,
+    rows_of,
+    small_cluster,
+    wait_until,
+)
+from tanagerfront_lab.processes import Cluster, VmProcess, request_once
+
+# Each open transaction occupies a slot of its home.
+SLOTS = 12
+# A home ends a transaction that stays idle for this long, whatever became of its entry VM.
+HOME_IDLE_LIMIT_S = 10.0
+SELECT = "SELECT ref FROM records"
+
+
+class SystemTransactionTest(TestCase):
+    """Run transactions of two organisations on one group."""
+
+    async def _begin_with_row(self, vm: VmProcess, organisation: str, ref: str) -> Caller:
+        caller = await Caller.connect(vm, organisation)
+        self.assertEqual(200, (await caller.begin()).status)
+        self.assertEqual(200, (await caller.add_in_transaction(ref)).status)
+        return caller
+
+    async def _check_rolled_back(
+        self, cluster: Cluster, vm: VmProcess, ref: str, limit_s: float
+    ) -> None:
+        async def rolled_back() -> bool:
+            steps = await executions(cluster.databases)
+            begun = {step["transaction"] for step in steps if ref in step["params"]}
+            ends = {step["kind"] for step in steps if step["transaction"] in begun}
+            return "rollback" in ends
+
+        self.assertLessEqual(await wait_until(rolled_back, limit_s), limit_s)
+        # A transaction that kept the write lock would hold up this write.
+        other = await Caller.connect(vm, OTHER_ORGANISATION)
+        self.assertEqual(200, (await other.add(f"after-{ref}")).status)
+        self.assertNotIn(ref, await refs(cluster))
+
+    @trio_test
+    async def test_interleaved_and_abandoned(self) -> None:
+        """Guards against rows shown before their commit, and locks kept after a caller left."""
+        async with small_cluster(slots=SLOTS) as cluster:
+            await self._check_interleaved(cluster.vms[0])
+            self.assertEqual({"committed"}, await refs(cluster))
+            abandoned = await self._begin_with_row(cluster.vms[1], ORGANISATION, "abandoned")
+            await abandoned.close()
+            # The home's own limit would end it as well, but later.
+            vm = cluster.vms[0]
+            await self._check_rolled_back(cluster, vm, "abandoned", HOME_IDLE_LIMIT_S / 2)
+
+    async def _check_interleaved(self, vm: VmProcess) -> None:
+        first = await self._begin_with_row(vm, ORGANISATION, "rolled-back")
+        second = await Caller.connect(vm, OTHER_ORGANISATION)
+        self.assertEqual(200, (await second.begin()).status)
+        reader = await Caller.connect(vm, OTHER_ORGANISATION)
+        self.assertEqual([], await reader.list("rolled-back"))
+        seen: list[list[str]] = []
+
+        async def read_in_second() -> None:
+            reply = await second.execute(SELECT)
+            self.assertEqual(200, reply.status, reply.body.decode())
+            seen.extend(rows_of(reply))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read_in_second)
+            await trio.sleep(0.5)
+            self.assertEqual(1, len(rows_of(await first.execute(SELECT))))
+            self.assertEqual(200, (await first.rollback()).status)
+        self.assertEqual([], seen)
+        self.assertEqual(200, (await second.add_in_transaction("committed")).status)
+        self.assertEqual([], await reader.list("committed"))
+        self.assertEqual(200, (await second.commit()).status)
+        self.assertEqual([[1]], await reader.list("committed"))
+
+    @trio_test
+    async def test_entry_vm_killed_in_the_middle(self) -> None:
+        """Guards against a home that keeps the transaction of an entry VM that is gone."""
+        async with small_cluster(vms=4, slots=SLOTS) as cluster:
+            entry = await self._vm_without_home(cluster)
+            await self._begin_with_row(entry, ORGANISATION, "orphaned")
+            cluster.kill(entry.name)
+            other = next(vm for vm in cluster.vms if vm != entry)
+            await self._check_rolled_back(cluster, other, "orphaned", HOME_IDLE_LIMIT_S)
+
+    async def _vm_without_home(self, cluster: Cluster) -> VmProcess:
+        """Return a VM that forwards the group's statements to another one."""
+        for vm in cluster.vms:
+            reply = await request_once(vm.admin, "GET", "/status")
+            groups = msgspec.json.decode(reply.body)["groups"]
+            if any(group["group"] == GROUP and "term" not in group for group in groups):
+                return vm
+        raise AssertionError("every VM is a home of the group")
