--- a/tests/system_support.py
+++ b/tests/system_support.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import functools
 import random
 import time
 from collections.abc import Awaitable, Callable, Iterable, Sequence
@@ -36,6 +37,7 @@
 # Targets of docs/design.md, section 1, in seconds.
 IN_EFFECT_S = 3.0
 FAILOVER_S = 7.0
+READY_S = 10.0
 SETTLE_S = 1.0
 POLL_S = 0.05
 SEED = 1
@@ -66,9 +68,28 @@
         return max(failover_gaps(self.operations, self.since).values(), default=float("inf"))
 
 
-def small_cluster(vms: int = 3, slots: int = KUMASI.slots) -> Cluster:
-    """Return a few VMs in front of one group of three databases, not started."""
-    return Cluster(KUMASI._replace(slots=slots), ClusterOptions(vms=vms, groups=1))
+class SmallCluster(Cluster):
+    """A few VMs in front of one group of three databases; serves every organisation once started.
+
+    A VM reports ready before the owners of the rate limits are known, and refuses until then.
+    """
+
+    def __init__(self, vms: int = 3, slots: int = KUMASI.slots) -> None:
+        options = ClusterOptions(vms=vms, groups=1)
+        super().__init__(KUMASI._replace(slots=slots), options)
+
+    async def _start_all(self) -> None:
+        await super()._start_all()
+        for tenant in KUMASI.tenants:
+            await wait_until(functools.partial(self._served, tenant.name), READY_S)
+
+    async def _served(self, organisation: str) -> bool:
+        for vm in self.vms:
+            caller = await Caller.connect(vm, organisation)
+            path, body = f"/v1/routes/{GROUP}-list", {"params": {"session": ""}}
+            if (await caller.post(path, body)).status != 200:
+                return False
+        return True
 
 
 def plan(organisation: str, rate: float, seconds: float, **changes: Any) -> LoadPlan:
@@ -172,11 +193,41 @@
     return found
 
 
+async def open_connections(database: DatabaseProcess) -> int:
+    """Return how many connections the VMs have open to a database."""
+    reply = await request_once(database.address, "GET", "/debug/connections")
+    return int(msgspec.json.decode(reply.body)["open"])
+
+
 async def set_service_faults(cluster: Cluster, **faults: Any) -> None:
     """Change the faults of the key-value service."""
     await request_once(cluster.platform, "POST", "/debug/faults", msgspec.json.encode(faults))
 
 
+async def service_faults(cluster: Cluster) -> dict[str, Any]:
+    """Return the faults of the key-value service that are in force."""
+    reply = await request_once(cluster.platform, "GET", "/debug/faults")
+    faults: dict[str, Any] = msgspec.json.decode(reply.body)
+    return faults
+
+
+async def vm_status(vm: VmProcess) -> dict[str, Any]:
+    """Return the state that a VM reports to operators."""
+    reply = await request_once(vm.admin, "GET", "/status")
+    status: dict[str, Any] = msgspec.json.decode(reply.body)
+    return status
+
+
+async def homes(cluster: Cluster) -> dict[str, dict[str, Any]]:
+    """Return the state of the group at its homes, by VM."""
+    found = {}
+    for vm in cluster.vms:
+        group = (await vm_status(vm))["groups"][0]
+        if "term" in group:
+            found[vm.name] = group
+    return found
+
+
 async def seat_holders(cluster: Cluster) -> list[str]:
     """Return what the seat keys in the key-value service hold."""
     prefix = b"tanagerfront/seat/"
@@ -220,11 +271,11 @@
     return float("inf")
 
 
-class LinkedCluster(Cluster):
+class LinkedCluster(SmallCluster):
     """A small cluster whose VMs reach the databases over links."""
 
     def __init__(self) -> None:
-        super().__init__(KUMASI, ClusterOptions(vms=3, groups=1))
+        super().__init__()
         self._links: dict[Address, tuple[TcpLink, Address]] = {}
 
     async def start_links(self, nursery: trio.Nursery) -> None:
--- a/tests/test_system_configuration.py
+++ b/tests/test_system_configuration.py
@@ -13,11 +13,11 @@
     OTHER_ORGANISATION,
     POLL_S,
     Caller,
+    SmallCluster,
     edit,
     executions,
     refs,
     set_service_faults,
-    small_cluster,
     version_on,
     wait_until,
 )
@@ -56,7 +56,7 @@
     @trio_test
     async def test_withdrawn_key_on_open_connections(self) -> None:
         """Guards against keys that go on working on connections or transactions opened before."""
-        async with small_cluster() as cluster:
+        async with SmallCluster() as cluster:
             open_calls = [await Caller.connect(vm) for vm in cluster.vms]
             for number, caller in enumerate(open_calls):
                 self.assertEqual(200, (await caller.add(f"before-{number}")).status)
@@ -91,7 +91,7 @@
     @trio_test
     async def test_edit_reaches_every_vm_and_stays(self) -> None:
         """Guards against VMs that miss an edit or return to an older one."""
-        async with small_cluster() as cluster, trio.open_nursery() as nursery:
+        async with SmallCluster() as cluster, trio.open_nursery() as nursery:
             watch = _VersionWatch(cluster)
             for vm in cluster.vms:
                 nursery.start_soon(watch.follow, vm)
--- a/tests/test_system_failover.py
+++ b/tests/test_system_failover.py
@@ -8,9 +8,9 @@
     ORGANISATION,
     OTHER_ORGANISATION,
     Fault,
+    SmallCluster,
     observe,
     plan,
-    small_cluster,
 )
 from tanagerfront_lab.faults import freeze_primary, kill_primary, kill_vm
 
@@ -26,7 +26,7 @@
             plan(ORGANISATION, RATE, LOAD_S),
             plan(OTHER_ORGANISATION, RATE, LOAD_S, idempotency_keys=False),
         ]
-        async with small_cluster() as cluster:
+        async with SmallCluster() as cluster:
             seen = await observe(cluster, plans, fault)
         self.assertEqual([], seen.violations)
         self.assertLessEqual(seen.write_gap_s, FAILOVER_S)
--- a/tests/test_system_maintenance.py
+++ b/tests/test_system_maintenance.py
@@ -15,13 +15,13 @@
     OTHER_ORGANISATION,
     Caller,
     Observed,
+    SmallCluster,
     edit,
     executions,
     observe,
     plan,
     refs,
     seat_holders,
-    small_cluster,
 )
 from tanagerfront_lab.faults import BALANCER_DELAY_S
 from tanagerfront_lab.load import VmBalancer
@@ -45,7 +45,7 @@
     async def test_stop_interrupts_nothing(self) -> None:
         """Guards against requests cut off by a stop, and against seats that stay held."""
         plans = [plan(name, RATE, 8) for name in (ORGANISATION, OTHER_ORGANISATION)]
-        async with small_cluster() as cluster:
+        async with SmallCluster() as cluster:
             seen = await observe(cluster, plans, self._stop)
             self.check_all_served(seen)
             self.assertIn("in-transaction", await refs(cluster))
@@ -76,14 +76,14 @@
     @trio_test
     async def test_leaving_replica(self) -> None:
         """Guards against statements that still go to a replica that is leaving."""
-        async with small_cluster() as cluster:
+        async with SmallCluster() as cluster:
             replica = cluster.databases[1]
             await self._check_leaving(cluster, replica)
 
     @trio_test
     async def test_leaving_primary(self) -> None:
         """Guards against a hand-over that fails requests or leaves work on the old primary."""
-        async with small_cluster() as cluster:
+        async with SmallCluster() as cluster:
             primary = cluster.databases[0]
             await self._check_leaving(cluster, primary)
             self.assertNotEqual(primary, await cluster.primary(primary.group))
--- /dev/null
+++ b/tests/test_system_service.py
@@ -0,0 +1,74 @@
+"""Callers and editors keep working while the key-value service fails."""
+
+from __future__ import annotations
+
+import uuid
+
+import trio
+
+from support import TestCase, trio_test
+from system_support import (
+    IN_EFFECT_S,
+    ORGANISATION,
+    OTHER_ORGANISATION,
+    SmallCluster,
+    admin,
+    observe,
+    plan,
+    service_faults,
+    set_service_faults,
+    version_on,
+    wait_until,
+)
+from tanagerfront_lab.deployments import TEAM
+from tanagerfront_lab.load import VmBalancer
+from tanagerfront_lab.processes import Cluster
+
+# Longer than the lease of 10 s, which the VMs then hold by their own agreement only.
+OUTAGE_S = 11.5
+RATE = 15.0
+# An edit makes three changes; more lost answers than that also reach its repetitions.
+LOST_ANSWERS = 4
+
+
+class SystemServiceTest(TestCase):
+    """Take the service away under load, or take its answers."""
+
+    @trio_test
+    async def test_outage_longer_than_the_lease(self) -> None:
+        """Guards against VMs that stop serving, or disagree on seats, without the service."""
+        plans = [plan(name, RATE, OUTAGE_S + 2) for name in (ORGANISATION, OTHER_ORGANISATION)]
+        async with SmallCluster() as cluster:
+            seen = await observe(cluster, plans, self._outage, after_s=1.0)
+        self.assertEqual([], seen.violations)
+        failed = [(op.problem, op.executed) for op in seen.operations if not op.acknowledged]
+        self.assertEqual([], failed)
+
+    async def _outage(self, cluster: Cluster, _balancer: VmBalancer) -> None:
+        await set_service_faults(cluster, down=True)
+        await trio.sleep(OUTAGE_S)
+        await set_service_faults(cluster, down=False)
+
+    @trio_test
+    async def test_lost_answers_to_an_edit(self) -> None:
+        """Guards against edits that are made twice or reported as failed after they took effect."""
+        async with SmallCluster() as cluster:
+            client = admin(cluster.vms[0])
+            section = await client.section(TEAM)
+            before = await client.history()
+            text = section.text.replace("rate = 200\n", "rate = 210\n")
+            edit_id = uuid.uuid4().hex
+            await set_service_faults(cluster, lose_answers=LOST_ANSWERS)
+            accepted = await client.apply(TEAM, text, section.version, edit_id)
+            self.assertEqual(0, (await service_faults(cluster))["lose_answers"])
+            await self._check_in_effect(cluster, accepted.version)
+            edits = await client.history()
+            self.assertEqual(len(before) + 1, len(edits))
+            self.assertEqual([edit_id], [edit["id"] for edit in edits[len(before) :]])
+            self.assertEqual(text, (await client.section(TEAM)).text)
+
+    async def _check_in_effect(self, cluster: Cluster, version: int) -> None:
+        async def everywhere() -> bool:
+            return {await version_on(vm) for vm in cluster.vms} == {version}
+
+        self.assertLessEqual(await wait_until(everywhere, IN_EFFECT_S), IN_EFFECT_S)
--- a/tests/test_system_transactions.py
+++ b/tests/test_system_transactions.py
@@ -2,22 +2,21 @@
 
 from __future__ import annotations
 
-import msgspec
 import trio
 
 from support import TestCase, trio_test
 from system_support import (
-    GROUP,
     ORGANISATION,
     OTHER_ORGANISATION,
     Caller,
+    SmallCluster,
     executions,
+    homes,
     refs,
     rows_of,
-    small_cluster,
     wait_until,
 )
-from tanagerfront_lab.processes import Cluster, VmProcess, request_once
+from tanagerfront_lab.processes import Cluster, VmProcess
 
 # Each open transaction occupies a slot of its home.
 SLOTS = 12
@@ -53,7 +52,7 @@
     @trio_test
     async def test_interleaved_and_abandoned(self) -> None:
         """Guards against rows shown before their commit, and locks kept after a caller left."""
-        async with small_cluster(slots=SLOTS) as cluster:
+        async with SmallCluster(slots=SLOTS) as cluster:
             await self._check_interleaved(cluster.vms[0])
             self.assertEqual({"committed"}, await refs(cluster))
             abandoned = await self._begin_with_row(cluster.vms[1], ORGANISATION, "abandoned")
@@ -89,7 +88,7 @@
     @trio_test
     async def test_entry_vm_killed_in_the_middle(self) -> None:
         """Guards against a home that keeps the transaction of an entry VM that is gone."""
-        async with small_cluster(vms=4, slots=SLOTS) as cluster:
+        async with SmallCluster(vms=4, slots=SLOTS) as cluster:
             entry = await self._vm_without_home(cluster)
             await self._begin_with_row(entry, ORGANISATION, "orphaned")
             cluster.kill(entry.name)
@@ -98,9 +97,5 @@
 
     async def _vm_without_home(self, cluster: Cluster) -> VmProcess:
         """Return a VM that forwards the group's statements to another one."""
-        for vm in cluster.vms:
-            reply = await request_once(vm.admin, "GET", "/status")
-            groups = msgspec.json.decode(reply.body)["groups"]
-            if any(group["group"] == GROUP and "term" not in group for group in groups):
-                return vm
-        raise AssertionError("every VM is a home of the group")
+        at_homes = await homes(cluster)
+        return next(vm for vm in cluster.vms if vm.name not in at_homes)
