Run the maintenance of a home's connection pools

Cause: no task ran ConnectionPool.run, so a home kept no warm sessions and checked idle ones only when a request needed them. A pool that was closed during its maintenance kept a checked session open and opened warm sessions for ever. Change: GroupHome runs each pool; a closed pool opens no warm session and closes a checked one. Before: test_home found 0 sessions instead of 6, test_pool did not end. After: both pass.

--- a/src/tanagerfront/home.py
+++ b/src/tanagerfront/home.py
@@ -73,6 +73,7 @@
         self._monitor = LiveGroupMonitor(group)
         self._pools: dict[str, ConnectionPool] = {}
         self._schedulers: dict[str, FairScheduler] = {}
+        self._nursery: trio.Nursery | None = None
         for instance in group.instances:
             self._add_instance(instance)
         self._executor = Executor(
@@ -122,6 +123,9 @@
         """Serve the group until cancelled; then close all sessions."""
         try:
             async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                for pool in self._pools.values():
+                    nursery.start_soon(pool.run)
                 await nursery.start(self._monitor.run)
                 await nursery.start(self._transactions.run)
                 nursery.start_soon(self._executor.run)
@@ -152,7 +156,9 @@
     def _add_instance(self, instance: Instance) -> None:
         open_session = functools.partial(_open_session, instance.address)
         share = connection_share(self._group, self._seats)
-        self._pools[instance.name] = ConnectionPool(open_session, share)
+        pool = self._pools[instance.name] = ConnectionPool(open_session, share)
+        if self._nursery is not None:
+            self._nursery.start_soon(pool.run)
         self._schedulers[instance.name] = FairScheduler(slot_share(self._group, self._seats))
 
     async def _count_promotions(self) -> None:
--- a/src/tanagerfront/pool.py
+++ b/src/tanagerfront/pool.py
@@ -257,12 +257,23 @@
             if session in self._idle:
                 self._idle.remove(session)
                 if await self._usable(session, margin=0.5):
-                    self._idle.insert(0, session)
-                    self._wake()
-        while self._size < min(self._settings.warm_sessions, self._share) and not self._waiters:
+                    await self._return_checked(session)
+        while self._wants_warm():
             deadline = trio.current_time() + self._settings.open_timeout_s
             await self.release(await self._open(deadline))
 
+    def _wants_warm(self) -> bool:
+        wanted = min(self._settings.warm_sessions, self._share)
+        return not self._closed and not self._waiters and self._size < wanted
+
+    async def _return_checked(self, session: PooledSession) -> None:
+        """Put a session back behind the others; the pool may have been closed meanwhile."""
+        if self._closed:
+            await self._close(session)
+            return
+        self._idle.insert(0, session)
+        self._wake()
+
     def _available(self) -> bool:
         return bool(self._idle) or self._size < self._share
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -28,6 +28,7 @@
         self.live = 0
         self.calls: Counter[str] = Counter()
         self.silent = False
+        self.answer_s = 0.001
         self.on_change: Callable[[], None] = lambda: None
 
     async def open(self, _timeout_s: float) -> Session:
@@ -49,7 +50,7 @@
         self, statements: Sequence[Statement], *, timeout_s: float, **_options: Any
     ) -> ExecuteResult:
         self._database.calls[statements[0].sql] += 1
-        await trio.sleep(timeout_s if self._database.silent else 0.001)
+        await trio.sleep(timeout_s if self._database.silent else self._database.answer_s)
         if self._database.silent:
             raise ConnectionLostError("no answer")
         return ExecuteResult(1, ZERO, ())
@@ -171,3 +172,20 @@
             await pool.acquire(started + 1)
             self.assertEqual(started, trio.current_time())
             nursery.cancel_scope.cancel()
+
+    @trio_test(mock_clock=True)
+    async def test_pool_closed_during_a_check(self) -> None:
+        # Guards against a checked session that is put back into a closed pool and stays open, and
+        # against a closed pool that opens warm sessions for ever.
+        database = Database()
+        database.answer_s = 0.02
+        pool = ConnectionPool(database.open, 2)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(pool.run)
+            for _step in range(10_000):
+                await trio.sleep(0.0005)
+                if database.calls:
+                    break
+            self.assertEqual(1, pool.idle)
+            await pool.close()
+        self.assertEqual((0, 0), (pool.size, database.live))
