Answer other homes' suspicion with the promoter's own view

Cause: a primary that is cut off from its replicas but answers probes was reported as reachable, so no second home confirmed the suspicion. Change: the answer comes from Promoter.reaches_primary, which counts a primary whose writes reach no majority as not reached.

--- a/src/tanagerfront/home.py
+++ b/src/tanagerfront/home.py
@@ -115,6 +115,11 @@
         """Return the open transactions."""
         return self._transactions
 
+    @property
+    def promoter(self) -> Promoter:
+        """Return the promoter."""
+        return self._promoter
+
     @property
     def connections(self) -> int:
         """Return the number of open sessions, without probes."""
--- a/src/tanagerfront/homes.py
+++ b/src/tanagerfront/homes.py
@@ -149,9 +149,9 @@
         entry = self._homes.get(report.group)
         if entry is None:
             raise UnavailableError(f"this VM is not a home of group {report.group}")
-        view = entry[0].view
-        reachable = view.primary is not None and view.primary.reachable
-        return PrimaryReply(reachable, view.term, self._services.failure_domain)
+        home = entry[0]
+        reachable = home.promoter.reaches_primary(report.term)
+        return PrimaryReply(reachable, home.view.term, self._services.failure_domain)
 
     def _rank(self, group: str) -> int:
         """Return this VM's place among the homes of a group."""
