--- a/tests/test_system_silence.py
+++ b/tests/test_system_silence.py
@@ -19,7 +19,9 @@
 )
 from tanagerfront.errors import ConnectionLostError
 from tanagerfront.http_client import HttpReply
+from tanagerfront_lab.experiments import read_rows
 from tanagerfront_lab.processes import VmProcess
+from tanagerfront_standin.link import Direction
 
 # A silent connection may cost one request its deadline; a working one answers far sooner.
 DEADLINE_S = 2.0
@@ -27,6 +29,9 @@
 CALLS = 15
 WARM_UP_CALLS = 8
 CALLERS_PER_VM = 3
+# Short enough that no promotion begins, which takes 0.6 s of suspicion.
+CUT_AFTER_S = 0.1
+CUT_S = 0.2
 
 
 class SystemSilenceTest(TestCase):
@@ -42,10 +47,41 @@
         """Guards against requests that lose their deadline behind one on a silent connection."""
         await self._run(concurrent=True)
 
-    async def _run(self, *, concurrent: bool) -> None:
+    @trio_test
+    async def test_answers_lost_after_the_effect(self) -> None:
+        """Guards against a "not run" or a repeat when an answer was lost after the write ran."""
+        self._clear()
+        cluster = LinkedCluster()
+        async with trio.open_nursery() as nursery:
+            await cluster.start_links(nursery)
+            async with cluster:
+                await self._lose_answers(cluster)
+            nursery.cancel_scope.cancel()
+
+    async def _lose_answers(self, cluster: LinkedCluster) -> None:
+        link = cluster.link(await cluster.primary(GROUP))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._call_all, cluster.vms * CALLERS_PER_VM, "lost", CALLS)
+            await trio.sleep(CUT_AFTER_S)
+            link.half_cut(Direction.TO_CLIENT)
+            await trio.sleep(CUT_S)
+            await link.reset_existing()
+            link.restore()
+        stored = [row.ref for row in await read_rows(cluster, GROUP)]
+        present = set(stored)
+        self.assertEqual(len(present), len(stored), "a write ran twice")
+        self.assertEqual(set(), self._not_run & present)
+        self.assertEqual(set(), self._acknowledged - present)
+        # Without such a write nothing was tested.
+        self.assertNotEqual(set(), present - self._acknowledged)
+
+    def _clear(self) -> None:
         self._not_run: set[str] = set()
         self._acknowledged: set[str] = set()
         self._seconds: list[float] = []
+
+    async def _run(self, *, concurrent: bool) -> None:
+        self._clear()
         cluster = LinkedCluster()
         async with trio.open_nursery() as nursery:
             await cluster.start_links(nursery)
--- a/tests/test_system_transactions.py
+++ b/tests/test_system_transactions.py
@@ -22,6 +22,8 @@
 SLOTS = 12
 # A home ends a transaction that stays idle for this long, whatever became of its entry VM.
 HOME_IDLE_LIMIT_S = 10.0
+# A call takes a few milliseconds; an idle transaction is ended after 5 s.
+OTHER_DEADLINE_S = 1.0
 SELECT = "SELECT ref FROM records"
 
 
@@ -95,6 +97,22 @@
             other = next(vm for vm in cluster.vms if vm != entry)
             await self._check_rolled_back(cluster, other, "orphaned", HOME_IDLE_LIMIT_S / 2)
 
+    @trio_test
+    async def test_idle_transactions_of_another_organisation(self) -> None:
+        """Guards against idle transactions that take the slots from other organisations."""
+        async with SmallCluster() as cluster:
+            idle = [await Caller.connect(vm, ORGANISATION) for vm in cluster.vms]
+            statuses: list[int] = []
+            async with trio.open_nursery() as nursery:
+                for caller in idle:
+                    nursery.start_soon(caller.begin)
+                await trio.sleep(0.5)
+                for vm in cluster.vms:
+                    other = await Caller.connect(vm, OTHER_ORGANISATION)
+                    reply = await other.add(f"on-{vm.name}", timeout_s=OTHER_DEADLINE_S)
+                    statuses.append(reply.status)
+            self.assertEqual([200] * len(cluster.vms), statuses)
+
     async def _vm_without_home(self, cluster: Cluster) -> VmProcess:
         """Return a VM that forwards the group's statements to another one."""
         at_homes = await homes(cluster)
