Let the next request run when a slot is held for 0.25 s

A request on a connection that went silent held it until its deadline, and the requests queued behind it lost theirs too: 9 of 9 concurrent calls took 2 s. Change: a slot that is held for 0.25 s lets another request run; the sessions of the pool still bound the work in flight. The database's status is not read from a refusal any more in the lab.

--- a/src/tanagerfront/home.py
+++ b/src/tanagerfront/home.py
@@ -24,6 +24,9 @@
 
 # Each home seat keeps one probe connection to an instance and opens one more for a promotion.
 CONTROL_CONNECTIONS_PER_HOME = 2
+# Many times the usual duration of a statement, and short against the deadlines of requests.
+OVERDUE_S = 0.25
+OVERDUE_CHECK_S = 0.05
 _log = structlog.get_logger(__name__)
 
 
@@ -141,6 +144,7 @@
                 nursery.start_soon(self._executor.run)
                 nursery.start_soon(self._promoter.run)
                 nursery.start_soon(self._count_promotions)
+                nursery.start_soon(self._release_overdue_slots)
                 task_status.started()
         finally:
             with trio.CancelScope(shield=True):
@@ -175,6 +179,12 @@
         if self._nursery is not None:
             self._nursery.start_soon(pool.run)
 
+    async def _release_overdue_slots(self) -> None:
+        while True:
+            await trio.sleep(OVERDUE_CHECK_S)
+            for scheduler in self._schedulers.values():
+                scheduler.release_overdue(OVERDUE_S)
+
     async def _count_promotions(self) -> None:
         counted = 0
         while True:
--- a/src/tanagerfront/scheduler.py
+++ b/src/tanagerfront/scheduler.py
@@ -36,12 +36,14 @@
 class Slot:
     """Permission for one request to use the instance; `granted_at` is in trio's clock."""
 
-    __slots__ = ("granted_at", "released", "waiter")
+    __slots__ = ("granted_at", "overdue", "released", "waiter")
 
     def __init__(self, waiter: Waiter, granted_at: float) -> None:
         self.waiter = waiter
         self.granted_at = granted_at
         self.released = False
+        # Another request may use the instance in place of this one.
+        self.overdue = False
 
 
 class FairScheduler:
@@ -52,6 +54,7 @@
         self._limit = AdaptiveLimit(slot_share, self._settings.limit_factor)
         self._queue = FairQueue(self._settings.first_estimate_s, self._settings.burst_credit_s)
         self._in_flight = 0
+        self._held: set[Slot] = set()
 
     @property
     def limit(self) -> int:
@@ -99,13 +102,13 @@
         if not len(self._queue) and self._in_flight < self._limit.value and now < deadline:
             self._queue.serve_at_once(waiter)
             self._in_flight += 1
-            return Slot(waiter, now)
+            return self._hold(waiter, now)
         self._admit(waiter)
         self._queue.push(waiter)
         self._dispatch()
         if waiter.granted:
             # A free slot needs no wait, and a scope for one costs about 30 µs.
-            return Slot(waiter, waiter.granted_at)
+            return self._hold(waiter, waiter.granted_at)
         try:
             with trio.move_on_at(deadline):
                 await waiter.event.wait()
@@ -113,7 +116,7 @@
             self._abandon(waiter)
             raise
         if waiter.granted:
-            return Slot(waiter, waiter.granted_at)
+            return self._hold(waiter, waiter.granted_at)
         self._queue.remove(waiter)
         raise self._overloaded(waiter, "no slot became free before the deadline")
 
@@ -126,14 +129,35 @@
         if slot.released:
             return
         slot.released = True
+        self._held.discard(slot)
         elapsed_s = trio.current_time() - slot.granted_at
-        self._in_flight -= 1
+        if not slot.overdue:
+            self._in_flight -= 1
         self._queue.charge(slot.waiter, elapsed_s)
         if observe_latency:
             saturated = len(self._queue) > 0
             self._limit.observe(slot.waiter.flow_key, elapsed_s, saturated=saturated)
         self._dispatch()
 
+    def release_overdue(self, limit_s: float) -> None:
+        """Let other requests run in place of those that have held a slot for `limit_s` seconds.
+
+        A connection that went silent would otherwise block the slot until its request's deadline.
+        The sessions of the pool still bound what is in flight when statements are only slow.
+        """
+        since = trio.current_time() - limit_s
+        overdue = [slot for slot in self._held if slot.granted_at < since and not slot.overdue]
+        for slot in overdue:
+            slot.overdue = True
+            self._in_flight -= 1
+        if overdue:
+            self._dispatch()
+
+    def _hold(self, waiter: Waiter, granted_at: float) -> Slot:
+        slot = Slot(waiter, granted_at)
+        self._held.add(slot)
+        return slot
+
     def _admit(self, waiter: Waiter) -> None:
         """Refuse a request that its queue has no room for or that would wait too long."""
         if self._queue.length(waiter.organisation) >= self._settings.max_queued:
@@ -159,7 +183,7 @@
 
     def _abandon(self, waiter: Waiter) -> None:
         if waiter.granted:
-            self.release(Slot(waiter, waiter.granted_at))
+            self.release(self._hold(waiter, waiter.granted_at))
         else:
             self._queue.remove(waiter)
 
--- a/src/tanagerfront_lab/processes.py
+++ b/src/tanagerfront_lab/processes.py
@@ -17,7 +17,7 @@
 import msgspec
 import trio
 
-from tanagerfront.errors import TanagerfrontError
+from tanagerfront.errors import TanagerfrontError, TooManyConnectionsError
 from tanagerfront.http_client import Address, HttpConnection, HttpReply
 
 from .deployments import SCHEMA_SQL, TEAM, Deployment, digest, document, owner_key
@@ -350,6 +350,8 @@
     async def database_status(self, database: DatabaseProcess) -> dict[str, object]:
         """Return the status of a database."""
         reply = await request_once(database.address, "GET", "/status", timeout_s=2)
+        if reply.status != 200:
+            raise TooManyConnectionsError(f"{database.name} answered {reply.status}")
         status: dict[str, object] = msgspec.json.decode(reply.body)
         return status
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -227,3 +227,34 @@
     def _observe(self, limit: AdaptiveLimit, elapsed_s: float, **options: Any) -> None:
         for _ in range(100):
             limit.observe("one", elapsed_s, **options)
+
+
+class OverdueTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_overdue_slot_lets_the_next_request_run(self) -> None:
+        # Guards against a silent connection that blocks all requests behind it until its deadline.
+        scheduler = FairScheduler(1)
+        limit = scheduler.limit
+        silent = [
+            await scheduler.acquire("org", 1, RequestClass.ORDERS, trio.current_time() + 9)
+            for _ in range(limit)
+        ]
+        granted = trio.Event()
+
+        async def next_request() -> None:
+            slot = await scheduler.acquire("org", 1, RequestClass.ORDERS, trio.current_time() + 9)
+            granted.set()
+            scheduler.release(slot)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(next_request)
+            await trio.sleep(0.2)
+            scheduler.release_overdue(0.25)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertFalse(granted.is_set())
+            await trio.sleep(0.1)
+            scheduler.release_overdue(0.25)
+            await granted.wait()
+        for slot in silent:
+            scheduler.release(slot)
+        self.assertEqual(0, scheduler.in_flight)
