--- a/src/tanagerfront/kv_etcd.py
+++ b/src/tanagerfront/kv_etcd.py
@@ -38,23 +38,30 @@
 
 
 class EtcdStore:
-    """KeyValueStore over a small pool of connections."""
+    """KeyValueStore over a small pool of connections to one of the service's addresses."""
 
     def __init__(
         self,
-        address: Address,
-        *,
+        *addresses: Address,
         timeout_s: float = CALL_TIMEOUT_S,
         connections: int = CONNECTIONS,
         watch_silence_s: float = WATCH_SILENCE_S,
     ) -> None:
-        self._address = address
+        self._addresses = addresses
+        self._chosen = 0
         self._timeout_s = timeout_s
         self._watch_silence_s = watch_silence_s
         self._slots = trio.Semaphore(connections)
         self._idle: list[_Idle] = []
         self._answered_at = float("-inf")
 
+    @property
+    def _address(self) -> Address:
+        return self._addresses[self._chosen]
+
+    def _use_next_address(self) -> None:
+        self._chosen = (self._chosen + 1) % len(self._addresses)
+
     @property
     def last_answer_age_s(self) -> float:
         """Return the seconds since the service last answered a call of this client."""
@@ -166,6 +173,7 @@
         except ConnectionLostError as error:
             # The other idle connections use the same path and may be dead as well.
             await self.close()
+            self._use_next_address()
             message = f"key-value service: {error}"
             if error.executed == "no":
                 raise KeyValueUnavailableError(message) from error
--- a/src/tanagerfront/vm.py
+++ b/src/tanagerfront/vm.py
@@ -139,7 +139,7 @@
         self._settings = settings
         self.metrics = Metrics()
         platform, vm, timing = settings.platform, settings.vm, settings.timing
-        self._store = EtcdStore(platform.key_value[0], timeout_s=platform.key_value_timeout)
+        self._store = EtcdStore(*platform.key_value, timeout_s=platform.key_value_timeout)
         self._vm_list = VmList(platform.vm_list, timeout_s=platform.vm_list_timeout)
         self._config = ConfigStore(self._store)
         self._network = PeerNetwork(vm.id, settings.listen.peers)
--- a/tests/test_key_value.py
+++ b/tests/test_key_value.py
@@ -262,3 +262,18 @@
             service.put("vm-1", "not an address", "adum")
             self.assertEqual(first, await vm_list.fetch())
             nursery.cancel_scope.cancel()
+
+
+class AddressesTest(KeyValueTest):
+    @key_value_test
+    async def test_next_address_is_used_after_a_failure(
+        self, service: KeyValueService, address: Address
+    ) -> None:
+        # Guards against a client that stays with an address that does not answer.
+        listeners, closed = await listen()
+        await listeners[0].aclose()
+        store = EtcdStore(closed, address)
+        with self.assertRaises(KeyValueUnavailableError):
+            await store.get("a")
+        self.assertIsNone(await store.get("a"))
+        await store.close()
