Split the VM's module by concern; give each process of an experiment its own port

Cause of the second: a port that was free for one process was handed out again for another, and a VM refused its settings. Change: all ports of an experiment are bound together before the first is used.

--- a/src/tanagerfront/vm.py
+++ b/src/tanagerfront/vm.py
@@ -6,20 +6,17 @@
 from contextlib import suppress
 from typing import Any
 
-import msgspec
 import structlog
 import trio
 
-from . import __version__
-from .admin import AdminHandler
+from .admin_port import AdminPort
 from .authentication import Authenticator
 from .caller_connections import CallerConnections
-from .config_store import ConfigStore, read_or_create_secret
-from .configuration import Configuration
+from .config_store import ConfigStore
+from .configuration_sync import ConfigurationInForce, ConfigurationSync, Sessions
 from .drain import Drain, DrainStatus, DrainTiming
-from .entry_id import EntryId
 from .entry_services import CallerTimeouts, EntryServices
-from .errors import KeyValueError, TanagerfrontError, UnavailableError
+from .errors import KeyValueError
 from .forwarding import Forwarder
 from .home import HomeServices
 from .home_calls import HomeCalls
@@ -27,117 +24,35 @@
 from .home_transactions import TransactionSettings
 from .homes import HOME_ROLE, Homes
 from .http_client import Address
-from .http_server import HttpLimits, Request, Response, serve_http
+from .http_server import HttpLimits, serve_http
 from .kv_etcd import EtcdStore
 from .limits import LIMIT_ROLE, LimitSettings, TokenCache, TokenOwner, part_count
 from .membership import Membership, MembershipSettings
-from .messages import ConfigOffer, ConfigRequest, Message
 from .metrics import Metrics
 from .peers import PeerNetwork
 from .promotion import PromotionSettings
 from .seats import LeaseSettings, SeatRegistry, VmLease
-from .sessions import SessionToken
 from .settings import Settings
 from .transactions import TransactionLimits, Transactions
 from .vm_list import VmList
+from .vm_status import VmStatus
 
 __all__ = ["Vm", "run_vm"]
 
-CONFIG_CALL_TIMEOUT_S = 2.0
-CONFIG_RETRY_S = 0.2
 GAUGE_INTERVAL_S = 1.0
-SECRET_RETRY_S = 0.5
 LISTEN_BACKLOG = 1024
 HOME_IDLE_MARGIN_S = 5.0
 DEFAULT_WEIGHT = 1.0
-# Looking at all members for each request would cost more than the check of its key.
-FRESHNESS_CHECK_S = 0.02
 LIMIT_OWNERS = LimitSettings().limit_owners
 _log = structlog.get_logger(__name__)
 
 
-class _Sessions:
-    """Session tokens under the deployment's secret, which may arrive after the start."""
-
-    def __init__(self) -> None:
-        self._secret: bytes | None = None
-
-    @property
-    def secret(self) -> bytes | None:
-        """Return the secret, or None before it is known."""
-        return self._secret
-
-    def set_secret(self, secret: bytes) -> None:
-        """Set the deployment's secret."""
-        self._secret = secret
-
-    def decode(self, text: str, organisation: str) -> Mapping[str, EntryId]:
-        """Return the entries by group; raises SessionTokenError."""
-        return SessionToken.decode(text, self._known_secret(), organisation).entries
-
-    def encode(self, entries: Mapping[str, EntryId], organisation: str) -> str:
-        """Return the token for these entries; raises SessionTokenError."""
-        return SessionToken(entries).encode(self._known_secret(), organisation)
-
-    def _known_secret(self) -> bytes:
-        if self._secret is None:
-            raise UnavailableError("the session secret is not known on this VM yet")
-        return self._secret
-
-
-class _ConfigurationInForce:
-    """The configuration as the authenticator needs it."""
-
-    def __init__(self, store: ConfigStore, lease: VmLease) -> None:
-        self._store = store
-        self._lease = lease
-        self._fresh = False
-        self._checked_at = float("-inf")
-
-    @property
-    def current(self) -> Configuration:
-        """Return the configuration, of version 0 before the first one has arrived."""
-        return self._store.current
-
-    @property
-    def fresh(self) -> bool:
-        """Tell whether an edit accepted more than 3 s ago would be known here."""
-        now = trio.current_time()
-        if now - self._checked_at > FRESHNESS_CHECK_S:
-            self._checked_at = now
-            self._fresh = self._lease.may_serve_keyed()
-        return self._fresh
-
-
-class _AdminPort(AdminHandler):
-    """Probes, metrics and status beside the administration API."""
-
-    def __init__(self, vm: Vm, config: ConfigStore, bootstrap_key: str | None) -> None:
-        super().__init__(config, vm.versions, bootstrap_key_digest=bootstrap_key)
-        self._vm = vm
-
-    async def handle_other(self, request: Request) -> Response:
-        """Return the response to a request outside the administration API."""
-        match request.method, request.path:
-            case "GET", "/healthz":
-                return Response(200, b'{"status": "ok"}')
-            case "GET", "/readyz":
-                reason = self._vm.not_ready_reason
-                body = msgspec.json.encode({"status": reason or "ok"})
-                return Response(503 if reason else 200, body)
-            case "GET", "/metrics":
-                return Response(200, self._vm.metrics.render(), content_type="text/plain")
-            case "GET", "/status":
-                return Response(200, msgspec.json.encode(self._vm.status()))
-        return await super().handle_other(request)
-
-
 class Vm:
     """The parts of one VM."""
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self.metrics = Metrics()
+        self._metrics = Metrics()
         platform, vm, timing = settings.platform, settings.vm, settings.timing
         self._store = EtcdStore(*platform.key_value, timeout_s=platform.key_value_timeout)
         self._vm_list = VmList(platform.vm_list, timeout_s=platform.vm_list_timeout)
@@ -162,7 +77,10 @@
             self._seats,
             lambda: self._config.current,
         )
-        self._sessions = _Sessions()
+        self._sessions = Sessions()
+        self._config_sync = ConfigurationSync(
+            self._store, self._config, self._sessions, self._network, self._membership
+        )
         self._token_cache = TokenCache(self._network, self._seats)
         self._token_owner = TokenOwner(
             self._network,
@@ -172,10 +90,24 @@
         )
         self._drain_status = DrainStatus(self._unavailable_reason)
         self._callers = CallerConnections(
-            self._entry_services(), self.metrics, settings.limits.max_connections
+            self._entry_services(), self._metrics, settings.limits.max_connections
+        )
+        self._status = VmStatus(
+            self._store,
+            self._config,
+            self._membership,
+            self._lease,
+            self._homes,
+            self._drain_status,
+            self._callers,
+            self._transactions,
         )
-        self._admin_port = _AdminPort(self, self._config, settings.admin.bootstrap_key)
-        self._network.register(ConfigRequest, self._answer_config_request)
+        self._admin_port = AdminPort(self, self._config, settings.admin.bootstrap_key)
+
+    @property
+    def metrics(self) -> Metrics:
+        """Return the metrics."""
+        return self._metrics
 
     @property
     def not_ready_reason(self) -> str | None:
@@ -196,13 +128,13 @@
                 idle_limit_s=settings.limits.transaction_idle + HOME_IDLE_MARGIN_S,
                 total_limit_s=settings.limits.transaction_limit + HOME_IDLE_MARGIN_S,
             ),
-            on_discard=self.metrics.count_discarded,
-            on_promotion=self.metrics.count_promotion,
+            on_discard=self._metrics.count_discarded,
+            on_promotion=self._metrics.count_promotion,
         )
 
     def _entry_services(self) -> EntryServices:
         settings = self._settings
-        source = _ConfigurationInForce(self._config, self._lease)
+        source = ConfigurationInForce(self._config, self._lease)
         authenticator = Authenticator(source)
         calls = HomeCalls(settings.vm.id, self._homes, self._network)
         self._choice = choice = HomeChoice(settings.vm.id, settings.vm.failure_domain)
@@ -216,9 +148,9 @@
             authenticator=authenticator,
             sessions=self._sessions,
             limiter=self._token_cache,
-            execution=Forwarder(self._homes, calls, choice, self.metrics),
+            execution=Forwarder(self._homes, calls, choice, self._metrics),
             transactions=self._transactions,
-            metrics=self.metrics,
+            metrics=self._metrics,
             readiness=self._drain_status,
             timeouts=CallerTimeouts(settings.limits.default_timeout, settings.limits.max_timeout),
         )
@@ -250,50 +182,7 @@
 
     def status(self) -> Mapping[str, Any]:
         """Return the state of the VM for operators."""
-        live = self._membership.live()
-        return {
-            "vm": self._settings.vm.id,
-            "failure_domain": self._settings.vm.failure_domain,
-            "version": __version__,
-            "state": self._drain_status.state.value,
-            "not_ready_reason": self.not_ready_reason,
-            "configuration_version": self._config.current.version,
-            "key_value_age_s": self._store.last_answer_age_s,
-            "seats_valid": self._lease.valid,
-            "caller_connections": self._callers.count,
-            "open_transactions": self._transactions.count,
-            "vms": [
-                {
-                    "id": vm.id,
-                    "failure_domain": vm.failure_domain,
-                    "draining": vm.draining,
-                    "configuration_version": vm.config_version,
-                }
-                for vm in live
-            ],
-            "groups": [self._group_status(name) for name in self._config.current.groups],
-        }
-
-    def _group_status(self, name: str) -> Mapping[str, Any]:
-        homes = ", ".join(home.vm for home in self._homes.homes(name))
-        home = self._homes.active.get(name)
-        if home is None:
-            return {"group": name, "homes": homes}
-        view = home.view
-        return {
-            "group": name,
-            "homes": homes,
-            "term": view.term,
-            "primary": view.primary.instance.name if view.primary else None,
-            "reachable": sum(1 for each in view.instances if each.reachable),
-            "sessions": home.connections,
-        }
-
-    async def _answer_config_request(self, _vm: str, request: ConfigRequest) -> Message:
-        offer = self._config.offer(request.version)
-        if offer is None:
-            return ConfigOffer(0, b"", {}, self._sessions.secret or b"")
-        return msgspec.structs.replace(offer, session_secret=self._sessions.secret or b"")
+        return self._status.document()
 
     async def run(self) -> None:
         """Serve until a signal asks for the shutdown and it is done."""
@@ -321,8 +210,7 @@
                 self._token_owner.run,
                 self._transactions.run,
                 self._follow_configuration,
-                self._follow_peers,
-                self._fetch_secret,
+                self._config_sync.run,
                 self._update_gauges,
             )
             for task in background:
@@ -353,48 +241,14 @@
             }
             self._seats.set_wanted(homes | owners)
 
-    async def _follow_peers(self) -> None:
-        """Keep the streams to the live VMs open and take newer configurations from them."""
-        while True:
-            behind = self._config.current.version
-            newer = [vm for vm in self._membership.live() if vm.config_version > behind]
-            if newer or self._sessions.secret is None:
-                for vm in newer or self._membership.live():
-                    if vm.id != self._settings.vm.id and await self._ask_for_config(vm.id):
-                        break
-                await trio.sleep(CONFIG_RETRY_S)
-            else:
-                await self._membership.wait_changed()
-
-    async def _ask_for_config(self, vm: str) -> bool:
-        request = ConfigRequest(self._config.current.version)
-        try:
-            offer = await self._network.call(vm, request, CONFIG_CALL_TIMEOUT_S)
-            if not isinstance(offer, ConfigOffer):
-                return False
-            if offer.session_secret and self._sessions.secret is None:
-                self._sessions.set_secret(offer.session_secret)
-            return await self._config.adopt(offer)
-        except TanagerfrontError as error:
-            _log.info("configuration_not_taken_from_peer", peer=vm, reason=str(error))
-            return False
-
-    async def _fetch_secret(self) -> None:
-        while self._sessions.secret is None:
-            try:
-                self._sessions.set_secret(await read_or_create_secret(self._store))
-            except KeyValueError as error:
-                _log.warning("session_secret_not_read", reason=str(error))
-                await trio.sleep(SECRET_RETRY_S)
-
     async def _update_gauges(self) -> None:
         while True:
             self._choice.forget({vm.id for vm in self._membership.live()})
             homes = self._homes.active.values()
-            self.metrics.set_connections("databases", sum(home.connections for home in homes))
+            self._metrics.set_connections("databases", sum(home.connections for home in homes))
             for home in homes:
                 for instance, length in home.queue_lengths().items():
-                    self.metrics.set_queue_length(instance, length)
+                    self._metrics.set_queue_length(instance, length)
             await trio.sleep(GAUGE_INTERVAL_S)
 
 
--- /dev/null
+++ b/src/tanagerfront/vm_status.py
@@ -0,0 +1,83 @@
+"""The state of one VM for operators."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from . import __version__
+from .caller_connections import CallerConnections
+from .config_store import ConfigStore
+from .drain import DrainStatus
+from .homes import Homes
+from .kv import KeyValueStore
+from .membership import Membership
+from .seats import VmLease
+from .transactions import Transactions
+
+__all__ = ["VmStatus"]
+
+
+class VmStatus:
+    """Collect what `/status` shows."""
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        config: ConfigStore,
+        membership: Membership,
+        lease: VmLease,
+        homes: Homes,
+        drain_status: DrainStatus,
+        callers: CallerConnections,
+        transactions: Transactions,
+    ) -> None:
+        self._store = store
+        self._config = config
+        self._membership = membership
+        self._lease = lease
+        self._homes = homes
+        self._drain_status = drain_status
+        self._callers = callers
+        self._transactions = transactions
+
+    def document(self) -> Mapping[str, Any]:
+        """Return the state of the VM for operators."""
+        live = self._membership.live()
+        return {
+            "vm": self._membership.vm_id,
+            "failure_domain": self._membership.own.failure_domain,
+            "version": __version__,
+            "state": self._drain_status.state.value,
+            "not_ready_reason": self._drain_status.not_ready_reason,
+            "configuration_version": self._config.current.version,
+            "key_value_age_s": self._store.last_answer_age_s,
+            "seats_valid": self._lease.valid,
+            "caller_connections": self._callers.count,
+            "open_transactions": self._transactions.count,
+            "vms": [
+                {
+                    "id": vm.id,
+                    "failure_domain": vm.failure_domain,
+                    "draining": vm.draining,
+                    "configuration_version": vm.config_version,
+                }
+                for vm in live
+            ],
+            "groups": [self._group_status(name) for name in self._config.current.groups],
+        }
+
+    def _group_status(self, name: str) -> Mapping[str, Any]:
+        homes = ", ".join(home.vm for home in self._homes.homes(name))
+        home = self._homes.active.get(name)
+        if home is None:
+            return {"group": name, "homes": homes}
+        view = home.view
+        return {
+            "group": name,
+            "homes": homes,
+            "term": view.term,
+            "primary": view.primary.instance.name if view.primary else None,
+            "reachable": sum(1 for each in view.instances if each.reachable),
+            "sessions": home.connections,
+        }
--- a/src/tanagerfront_lab/processes.py
+++ b/src/tanagerfront_lab/processes.py
@@ -63,10 +63,13 @@
     address: Address
 
 
-def _free_address(host: str) -> Address:
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return Address(host, probe.getsockname()[1])
+def _free_addresses(host: str, count: int) -> list[Address]:
+    """Return different addresses; all stay bound until the last is found."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((host, 0))
+        return [Address(host, probe.getsockname()[1]) for probe in probes]
 
 
 async def request_once(
@@ -95,10 +98,12 @@
         self._folder = Path(tempfile.mkdtemp(prefix="tanagerfront-"))
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._commands: dict[str, list[str]] = {}
-        self._platform = _free_address("127.0.0.1")
-        self._vm_list = _free_address("127.0.0.1")
-        self._databases = tuple(self._plan_databases())
-        self._vms = tuple(self._plan_vms())
+        databases = len(self.groups) * deployment.instances
+        addresses = iter(_free_addresses("127.0.0.1", 2 + databases + 3 * options.vms))
+        self._platform = next(addresses)
+        self._vm_list = next(addresses)
+        self._databases = tuple(self._plan_databases(addresses))
+        self._vms = tuple(self._plan_vms(addresses))
 
     @property
     def deployment(self) -> Deployment:
@@ -135,18 +140,18 @@
         """Return the folder with settings and logs."""
         return self._folder
 
-    def _plan_databases(self) -> Iterator[DatabaseProcess]:
+    def _plan_databases(self, addresses: Iterator[Address]) -> Iterator[DatabaseProcess]:
         for group_index, group in enumerate(self.groups):
             for index in range(self._deployment.instances):
                 domain = self._deployment.instance_domain(group_index, index)
                 name = f"{group}-{index + 1}"
-                yield DatabaseProcess(name, group, domain, _free_address("127.0.0.1"))
+                yield DatabaseProcess(name, group, domain, next(addresses))
 
-    def _plan_vms(self) -> Iterator[VmProcess]:
+    def _plan_vms(self, addresses: Iterator[Address]) -> Iterator[VmProcess]:
         for index in range(self._options.vms):
-            addresses = [_free_address("127.0.0.1") for _ in range(3)]
             domain = self._deployment.vm_domain(index)
-            yield VmProcess(f"vm-{index + 1}", domain, *addresses)
+            callers, admin, peers = next(addresses), next(addresses), next(addresses)
+            yield VmProcess(f"vm-{index + 1}", domain, callers, admin, peers)
 
     def group_databases(self, group: str) -> tuple[DatabaseProcess, ...]:
         """Return the databases of one group."""
