--- a/src/tanagerfront_lab/slopes.py
+++ b/src/tanagerfront_lab/slopes.py
@@ -9,7 +9,8 @@
 import tracemalloc
 from collections.abc import Callable, Iterator, Sequence
 from pathlib import Path
-from typing import NamedTuple
+from types import SimpleNamespace
+from typing import Any, NamedTuple
 
 import msgspec
 import trio
@@ -19,6 +20,7 @@
 from tanagerfront.configuration import Configuration
 from tanagerfront.http_client import Address
 from tanagerfront.membership import LiveVm
+from tanagerfront.seats import PREFIX, SeatRegistry
 
 from .bench import cpu_seconds, resident_kb
 from .deployments import KUMASI, TEAM, Deployment, Tenant, document
@@ -34,6 +36,7 @@
 CONNECTION_SIZES = (500, 1000, 1500, 2000)
 ORGANISATION_SIZES = (100, 400, 1000, 2000)
 LIVE_SIZES = (4, 8, 16, 32)
+SEAT_SIZES = (300, 1500, 3000, 6000)
 GRANT_SIZES = (1000, 4000, 8000, 16000)
 
 
@@ -212,9 +215,49 @@
     yield fit("token grants and their reports", "ms", "grant", points)
 
 
+def _seat_registry(seats: int) -> SeatRegistry:
+    """Return a registry that knows `seats` seats, three for each group, all held by others."""
+    own = LiveVm("vm-0", "i", "domain-0", Address("127.0.0.1", 1), False, 1)
+    live = [own._replace(id=f"vm-{n}", failure_domain=f"domain-{n % 7}") for n in range(16)]
+    membership: Any = SimpleNamespace(own=own, vm_id=own.id, live=lambda: tuple(live))
+    lease: Any = SimpleNamespace(settled=True, valid=True, lease=1)
+    store: Any = None
+    registry = SeatRegistry(store, lease, membership)
+    registry.set_wanted({("home", f"group-{n}"): 3 for n in range(seats // 3)})
+    for number in range(seats):
+        record = {
+            "vm": f"vm-{number % 5200 + 1}",
+            "incarnation": "i",
+            "failure_domain": f"domain-{number % 7}",
+            "lease": number + 2,
+        }
+        key = f"{PREFIX}home/group-{number // 3}/{number % 3}"
+        registry._accept(key, msgspec.json.encode(record), number + 1)
+    return registry
+
+
+async def _seat_table() -> list[Slope]:
+    """Measure what it costs each VM to know all seats of the fleet."""
+    memory, check = [], []
+    for size in SEAT_SIZES:
+        gc.collect()
+        tracemalloc.start()
+        registry = _seat_registry(size)
+        memory.append((size, tracemalloc.get_traced_memory()[0] / 1000))
+        tracemalloc.stop()
+        started = time.perf_counter()
+        await registry._check_seats()
+        check.append((size, (time.perf_counter() - started) * 1000))
+    return [
+        fit("known seats, memory", "KB", "seat", memory),
+        fit("known seats, one check", "ms", "seat", check),
+    ]
+
+
 async def measure_slopes() -> tuple[Slope, ...]:
     """Run all measurements one after the other."""
     slopes = [*_configuration(), *_seat_order(), *_grants()]
+    slopes += await _seat_table()
     slopes += await _connections()
     slopes += await _fleet()
     slopes += await _groups()
