Send requests to other homes while one drains; wait for them before its seats go

Cause: a home that stops no longer learns that its writes are replicated, so requests of peers in progress at that moment ended with unknown outcome. Change: a draining VM is announced to its peers at once, they use other homes, and it releases its seats when no request is in progress, after 1.5 s at most.

--- a/src/tanagerfront/drain.py
+++ b/src/tanagerfront/drain.py
@@ -81,7 +81,7 @@
 
 
 class Drain:
-    """Shut one VM down in stages; `release` gives up its seats."""
+    """Shut one VM down in stages; `announce` tells its peers, `release` gives up its seats."""
 
     def __init__(
         self,
@@ -90,12 +90,15 @@
         callers: CallerSide,
         listeners: Sequence[trio.abc.Listener[Any]],
         release: Callable[[], Awaitable[None]],
+        *,
+        announce: Callable[[], None] = lambda: None,
     ) -> None:
         self._status = status
         self._timing = timing
         self._callers = callers
         self._listeners = listeners
         self._release = release
+        self._announce = announce
         self._requested = trio.Event()
         self._hurried = trio.Event()
 
@@ -119,6 +122,7 @@
         """Wait for a request to shut down and carry it out; returns when the VM may exit."""
         await self._requested.wait()
         self._status.enter(DrainState.ANNOUNCED)
+        self._announce()
         # Callers that keep a connection busy move away already while the balancer learns of it.
         self._callers.close_after_requests()
         await self._hurried_within(self._timing.delay_s)
--- a/src/tanagerfront/homes.py
+++ b/src/tanagerfront/homes.py
@@ -31,6 +31,7 @@
 # Asking the other homes has to leave room for the rest of a promotion within 7 s.
 CONFIRM_TIMEOUT_S = 0.5
 RECHECK_S = 0.25
+IDLE_CHECK_S = 0.02
 # Finding the homes anew for each request costs more than a wrong choice, which is retried.
 KNOWN_HOMES_S = 0.02
 # A lone home promotes only while the service answers it, as it may be the one that is cut off.
@@ -55,6 +56,7 @@
         self._seats = seats
         self._configuration = configuration
         self._homes: dict[str, tuple[GroupHome, trio.CancelScope]] = {}
+        self._in_progress = 0
         self._known_homes: dict[str, tuple[float, Sequence[HomeVm]]] = {}
         network.register(ExecuteRequest, self._execute_for_peer)
         network.register(TransactionRequest, self._transact_for_peer)
@@ -74,19 +76,36 @@
         return known[1]
 
     def _find_homes(self, group: str) -> Sequence[HomeVm]:
+        """Return the live homes; those that are shutting down only if there are no others."""
         holders = set(self._seats.holders(HOME_ROLE, group).values())
-        return [
-            HomeVm(vm.id, vm.failure_domain)
-            for vm in self._membership.live()
-            if vm.id in holders and self._serves(vm.id, group)
+        serving = [
+            vm for vm in self._membership.live() if vm.id in holders and self._serves(vm.id, group)
         ]
+        staying = [vm for vm in serving if not vm.draining]
+        return [HomeVm(vm.id, vm.failure_domain) for vm in staying or serving]
 
     def _serves(self, vm: str, group: str) -> bool:
         return vm != self._membership.vm_id or group in self._homes
 
     async def execute(self, request: ExecuteRequest) -> ExecuteReply:
         """Run one batch at this VM; raises TanagerfrontError."""
-        return await self._home(request.group).executor.execute(request)
+        home = self._home(request.group)
+        self._in_progress += 1
+        try:
+            return await home.executor.execute(request)
+        finally:
+            self._in_progress -= 1
+
+    async def wait_idle(self, timeout_s: float) -> None:
+        """Wait until no batch or transaction is in progress here, at most `timeout_s`."""
+        with trio.move_on_after(timeout_s):
+            # Only a shutdown waits here, so the requests need not pay for an event.
+            while self._busy():  # noqa: ASYNC110
+                await trio.sleep(IDLE_CHECK_S)
+
+    def _busy(self) -> bool:
+        open_transactions = sum(home.transactions.open_count for home in self.active.values())
+        return self._in_progress + open_transactions > 0
 
     async def transact(self, request: TransactionRequest) -> TransactionReply:
         """Run one step of a transaction at this VM; raises TanagerfrontError."""
--- a/src/tanagerfront/vm.py
+++ b/src/tanagerfront/vm.py
@@ -42,6 +42,8 @@
 GAUGE_INTERVAL_S = 1.0
 LISTEN_BACKLOG = 1024
 HOME_IDLE_MARGIN_S = 5.0
+# Leaves time to release the seats within the limit that the shutdown has for both.
+HOMES_IDLE_TIMEOUT_S = 1.5
 DEFAULT_WEIGHT = 1.0
 LIMIT_OWNERS = LimitSettings().limit_owners
 _log = structlog.get_logger(__name__)
@@ -195,6 +197,8 @@
             self._callers,
             caller_listeners,
             self._release,
+            # The peers then send their requests to other homes.
+            announce=self._membership.set_draining,
         )
         http_limits = HttpLimits(limits.max_head_bytes, limits.max_body_bytes)
         async with trio.open_nursery() as nursery:
@@ -225,7 +229,8 @@
         _log.info("vm_stopped", vm=self._settings.vm.id)
 
     async def _release(self) -> None:
-        self._membership.set_draining()
+        # A home that stops no longer learns that its writes are replicated.
+        await self._homes.wait_idle(HOMES_IDLE_TIMEOUT_S)
         with suppress(KeyValueError):
             await self._seats.release_all()
 
