--- a/src/tanagerfront/vm.py
+++ b/src/tanagerfront/vm.py
@@ -99,6 +99,7 @@
             self._config,
             self._membership,
             self._lease,
+            self._seats,
             self._homes,
             self._drain_status,
             self._callers,
--- a/src/tanagerfront/vm_status.py
+++ b/src/tanagerfront/vm_status.py
@@ -11,8 +11,9 @@
 from .drain import DrainStatus
 from .homes import Homes
 from .kv import KeyValueStore
+from .limits import LIMIT_ROLE
 from .membership import Membership
-from .seats import VmLease
+from .seats import SeatRegistry, VmLease
 from .transactions import Transactions
 
 __all__ = ["VmStatus"]
@@ -27,6 +28,7 @@
         config: ConfigStore,
         membership: Membership,
         lease: VmLease,
+        seats: SeatRegistry,
         homes: Homes,
         drain_status: DrainStatus,
         callers: CallerConnections,
@@ -36,6 +38,7 @@
         self._config = config
         self._membership = membership
         self._lease = lease
+        self._seats = seats
         self._homes = homes
         self._drain_status = drain_status
         self._callers = callers
@@ -65,6 +68,7 @@
                 for vm in live
             ],
             "groups": [self._group_status(name) for name in self._config.current.groups],
+            "rates": [self._rate_status(name) for name in self._config.current.organisations],
         }
 
     def _group_status(self, name: str) -> Mapping[str, Any]:
@@ -81,3 +85,7 @@
             "reachable": sum(1 for each in view.instances if each.reachable),
             "sessions": home.connections,
         }
+
+    def _rate_status(self, name: str) -> Mapping[str, Any]:
+        owners = self._seats.holders(LIMIT_ROLE, name)
+        return {"organisation": name, "owners": ", ".join(owners.values())}
