--- a/src/tanagerfront/vm.py
+++ b/src/tanagerfront/vm.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 from collections.abc import Mapping
 from contextlib import suppress
 from typing import Any
@@ -41,8 +40,6 @@
 __all__ = ["Vm", "run_vm"]
 
 GAUGE_INTERVAL_S = 1.0
-# A request allocates some hundred objects that reference counting frees; collections find little.
-GC_ALLOCATIONS = 50_000
 LISTEN_BACKLOG = 1024
 HOME_IDLE_MARGIN_S = 5.0
 # Leaves time to release the seats within the limit that the shutdown has for both.
@@ -227,7 +224,6 @@
                 serve_http, admin_listeners, lambda _stream: self._admin_port, http_limits
             )
             await nursery.start(serve_http, caller_listeners, self._callers.handler, http_limits)
-            _tune_garbage_collection()
             _log.info("vm_started", vm=self._settings.vm.id, callers=str(listen.callers))
             await drain.run()
             nursery.cancel_scope.cancel()
@@ -262,13 +258,6 @@
             await trio.sleep(GAUGE_INTERVAL_S)
 
 
-def _tune_garbage_collection() -> None:
-    """Leave the objects of the start out of collections and collect less often."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_ALLOCATIONS)
-
-
 async def _listen(address: Address) -> list[trio.SocketListener]:
     return await trio.open_tcp_listeners(address.port, host=address.host, backlog=LISTEN_BACKLOG)
 
