Ask the owners of tokens less often while none has any

Cause: an organisation that sends five times its rate has waiters on every VM, and each VM asked each of its three owners every 10 to 15 ms; a call costs both VMs most of a millisecond when few are in flight. Change: an empty part is asked again after 50 ms at the earliest, and arrivals meanwhile do not wake the task that asks. Ruled out: refusing early by the tokens granted lately, tried together with the 50 ms while another test ran, refused 19 of 857 calls of the others.

--- a/src/tanagerfront/limits.py
+++ b/src/tanagerfront/limits.py
@@ -31,6 +31,9 @@
 ]
 
 
+WAITERS_CHECK_S = 0.01
+
+
 class LimitSettings(NamedTuple):
     """Times of the requester's side."""
 
@@ -39,7 +42,9 @@
     call_timeout_s: float = 0.25
     # An owner that did not answer is left out for this long.
     backoff_s: float = 0.5
-    min_retry_s: float = 0.01
+    # With shorter pauses the requests for tokens of one flooding organisation used most of the
+    # processor time of every VM.
+    min_retry_s: float = 0.05
     max_retry_s: float = 0.1
     # Tokens kept in stock, as a time of the recent demand.
     prefetch_s: float = 0.1
@@ -104,6 +109,10 @@
             waiter.token = token
             waiter.done.set()
 
+    def earliest_retry(self) -> float:
+        """Return the time at which a part may be asked again, -inf if one may be asked now."""
+        return min((part.retry_at for part in self.parts.values()), default=-math.inf)
+
     def target(self, prefetch_s: float) -> int:
         """Return how many tokens to keep in stock; never more than an eighth of the burst."""
         wanted = self.demand.per_second * prefetch_s
@@ -241,10 +250,13 @@
         settings = self._settings
         with trio.move_on_after(settings.max_retry_s) as scope:
             if account.waiters:
-                scope.deadline = trio.current_time() + settings.min_retry_s
+                scope.deadline = trio.current_time() + WAITERS_CHECK_S
             await account.wake.wait()
         if not account.waiters:
             await trio.sleep(settings.report_interval_s)
+        elif (earliest := account.earliest_retry()) > trio.current_time():
+            # Arrivals can do nothing before a part has tokens again; grants serve them directly.
+            await trio.sleep_until(earliest)
         target = account.target(settings.prefetch_s)
         if not account.waiters and account.stock.unused > 2 * target:
             account.stock.return_unused(target)
