--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -14,6 +14,24 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 LIMIT_S = 60
+# Nothing answers on port 1, so the VM serves without a platform.
+SETTINGS = """
+[vm]
+id = vm-1
+failure_domain = suame
+
+[listen]
+callers = 127.0.0.1:0
+admin = 127.0.0.1:0
+peers = 127.0.0.1:0
+
+[platform]
+key_value = 127.0.0.1:1
+vm_list = 127.0.0.1:1
+
+[timing]
+drain_delay = 0
+"""
 
 
 def processes_of_session(session: int) -> Iterator[int]:
@@ -65,3 +83,17 @@
             self.assertEqual(0, process.returncode, output)
             self.assertIn("serve", output)
             self.assertEqual(1, most)
+
+    def test_serve_runs_as_one_process_and_stops(self) -> None:
+        # Guards against a build that lacks a part which only a running VM imports.
+        settings = self.directory / "vm.ini"
+        settings.write_text(SETTINGS, encoding="utf-8")
+        process = self.start("serve", "--settings", str(settings))
+        assert process.stdout is not None
+        # Warnings about the platform may come first.
+        self.assertTrue(any("vm_started" in line for line in process.stdout))
+        self.assertEqual([process.pid], list(processes_of_session(process.pid)))
+        process.terminate()
+        output = process.communicate(timeout=LIMIT_S)[0]
+        self.assertEqual(0, process.returncode, output)
+        self.assertIn("vm_stopped", output)
