--- /dev/null
+++ b/tests/front_fakes.py
@@ -0,0 +1,346 @@
+"""Fakes of what the session interface speaks to: instances, the fleet's store, peers."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import trio
+
+from tanagerfront.decision_log import DecisionLog
+from tanagerfront.entry_id import EntryId
+from tanagerfront.errors import (
+    ConnectionLostError,
+    KeyValueTimeoutError,
+    KeyValueUnavailableError,
+    TanagerfrontError,
+    TooManyConnectionsError,
+)
+from tanagerfront.fleet_store import (
+    Change,
+    CheckResult,
+    ConfigurationChanged,
+    FleetView,
+    InstanceChanged,
+    KnownRevisions,
+    LeaderChanged,
+    PromoterChanged,
+    PromoterGone,
+    PromoterSeat,
+    RegisteredVm,
+    VmChanged,
+    VmGone,
+)
+from tanagerfront.http_client import Address
+from tanagerfront.instance_directory import LeaderRecord
+from tanagerfront.instance_pool import InstanceStatement
+from tanagerfront.session_model import (
+    Begin,
+    Failure,
+    FailureCode,
+    FrontConfiguration,
+    GroupOptions,
+    InstanceEntry,
+    InstanceRole,
+    Organisation,
+    Reply,
+    Rollback,
+    Route,
+    RouteKind,
+    TransactionState,
+    Verbatim,
+)
+
+GROUP = "orders"
+
+
+def entry(
+    instance_id: str,
+    *,
+    primary: bool = False,
+    draining: bool = False,
+    failure_domain: str = "suame",
+    group: str = GROUP,
+    born_ms: int = 1,
+    revision: int = 1,
+) -> InstanceEntry:
+    return InstanceEntry(
+        id=instance_id,
+        group=group,
+        address=Address("127.0.0.1", 9),
+        failure_domain=failure_domain,
+        slots=2,
+        draining=draining,
+        role=InstanceRole.PRIMARY if primary else InstanceRole.REPLICA,
+        born_ms=born_ms,
+        revision=revision,
+    )
+
+
+def route(kind: RouteKind, *, anonymous: bool = False, staleness_s: float | None = 1.5) -> Route:
+    return Route(
+        name=f"r-{kind.value}",
+        database=kind.value,
+        group=GROUP,
+        kind=kind,
+        statement_timeout_s=1.0,
+        objective_s=0.2,
+        priority=1,
+        max_staleness_s=None if kind is RouteKind.PRIMARY else staleness_s,
+        anonymous=anonymous,
+    )
+
+
+def configuration(version: int = 1, **changes: Any) -> FrontConfiguration:
+    made = FrontConfiguration(
+        version=version,
+        revision=version,
+        routes={each.value: route(each) for each in RouteKind},
+        groups={GROUP: GroupOptions(GROUP, 16, 0)},
+        organisations={"foremen": Organisation("foremen", 50.0, 50.0)},
+        organisation_of_key={"secret": "foremen"},
+        transaction_idle_s=3.0,
+    )
+    return made._replace(**changes)
+
+
+def vm(name: str, failure_domain: str = "suame") -> RegisteredVm:
+    return RegisteredVm(name, "127.0.0.1", 1, failure_domain, f"inc-{name}")
+
+
+class QuietLog(DecisionLog):
+    """Keep the events in a list."""
+
+    def __init__(self) -> None:
+        self.events: list[tuple[str, dict[str, Any]]] = []
+
+    def decision(self, event: str, **inputs: Any) -> None:
+        self.events.append((event, inputs))
+
+    trouble = decision
+
+    def named(self, event: str) -> list[dict[str, Any]]:
+        return [inputs for name, inputs in self.events if name == event]
+
+
+Answer = Callable[["FakeInstance", InstanceStatement], Reply | None]
+
+
+class FakeConnection:
+    """One session at a fake instance."""
+
+    def __init__(self, instance: FakeInstance, organisation: str) -> None:
+        self._instance = instance
+        self.organisation = organisation
+        self.usable = True
+        self.breaks = False
+        self.closed = False
+        self.state = TransactionState.IDLE
+
+    async def run(self, statements: Sequence[InstanceStatement]) -> list[Reply]:
+        self.usable = False
+        replies = [await self._one(each) for each in statements]
+        self.usable = True
+        return replies
+
+    async def _one(self, statement: InstanceStatement) -> Reply:
+        self._instance.received.append((self, statement))
+        await trio.sleep(self._instance.work_s)
+        if self.breaks or self._instance.breaks:
+            raise ConnectionLostError("broke")
+        reply = self._instance.answer(self._instance, statement)
+        if reply is None:
+            await trio.sleep_forever()
+        assert reply is not None
+        if reply.failure is None:
+            match statement.statement:
+                case Begin():
+                    self.state = TransactionState.OPEN
+                case Rollback() | Verbatim("COMMIT") | Verbatim("ROLLBACK"):
+                    self.state = TransactionState.IDLE
+        return reply._replace(state=self.state)
+
+    async def close(self) -> None:
+        self.usable = False
+        if not self.closed:
+            self.closed = True
+            self._instance.open_now -= 1
+
+
+def _answer_all(instance: FakeInstance, statement: InstanceStatement) -> Reply:
+    after = statement.after
+    if after is not None and instance.position < after:
+        return Reply(failure=Failure(FailureCode.LAGGING, instance.id), reached=instance.position)
+    match statement.statement:
+        case Verbatim(text) if text.startswith("WRITE") or text == "COMMIT":
+            if not instance.leads:
+                failure = Failure(FailureCode.READ_ONLY, instance.id)
+                return Reply(failure=failure, reached=instance.position)
+            instance.position = EntryId(instance.position.term, instance.position.position + 1)
+    return Reply(rows=(b"row",), signature=b"signed", reached=instance.position)
+
+
+class FakeInstance:
+    """Counts connections and records statements; `answer` decides what it replies."""
+
+    def __init__(self, instance_id: str = "i-1", *, leads: bool = True) -> None:
+        self.id = instance_id
+        self.leads = leads
+        self.position = EntryId(1, 10)
+        self.answer: Answer = _answer_all
+        self.work_s = 0.005
+        self.open_s = 0.012
+        self.open_now = 0
+        self.most_open = 0
+        self.opened = 0
+        self.full = False
+        self.breaks = False
+        self.refuses: TanagerfrontError | None = None
+        self.connections: list[FakeConnection] = []
+        self.received: list[tuple[FakeConnection, InstanceStatement]] = []
+
+    @property
+    def texts(self) -> list[str]:
+        """Return the callers' statements in the order they came."""
+        found = (each.statement for _, each in self.received)
+        return [each.text for each in found if isinstance(each, Verbatim)]
+
+    async def open(
+        self, entry: InstanceEntry, organisation: str
+    ) -> tuple[FakeConnection, EntryId | None]:
+        if self.full:
+            raise TooManyConnectionsError(self.id, executed="no")
+        if self.refuses is not None:
+            raise self.refuses
+        self.open_now += 1
+        self.opened += 1
+        self.most_open = max(self.most_open, self.open_now)
+        try:
+            await trio.sleep(self.open_s)
+        except trio.Cancelled:
+            self.open_now -= 1
+            raise
+        connection = FakeConnection(self, organisation)
+        self.connections.append(connection)
+        return connection, self.position
+
+
+class FakeFleetStore:
+    """The fleet's keys in memory, with outages and lost answers."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.configuration: FrontConfiguration | None = None
+        self.leaders: dict[str, LeaderRecord] = {}
+        self.entries: dict[str, InstanceEntry] = {}
+        self.vms: dict[str, RegisteredVm] = {}
+        self.seat: PromoterSeat | None = None
+        self.down = False
+        self.lose_answers = 0
+        self.calls: list[str] = []
+        self._leases = itertools.count(100)
+        self._changes: list[tuple[int, Change]] = []
+        self._changed = trio.Event()
+
+    def record(self, change: Change) -> int:
+        """Take in a change and wake the watches; return its revision."""
+        self.revision += 1
+        match change:
+            case ConfigurationChanged(newer):
+                self.configuration = newer._replace(revision=self.revision)
+                change = ConfigurationChanged(self.configuration)
+            case InstanceChanged(found):
+                self.entries[found.id] = found
+            case LeaderChanged(record):
+                record = record._replace(revision=self.revision)
+                self.leaders[record.group] = record
+                change = LeaderChanged(record)
+            case VmChanged(found_vm):
+                self.vms[found_vm.name] = found_vm
+            case VmGone(name):
+                self.vms.pop(name, None)
+            case PromoterChanged(seat):
+                self.seat = seat._replace(token=self.revision)
+                change = PromoterChanged(self.seat)
+            case PromoterGone():
+                self.seat = None
+        self._changes.append((self.revision, change))
+        changed, self._changed = self._changed, trio.Event()
+        changed.set()
+        return self.revision
+
+    def _call(self, name: str) -> None:
+        self.calls.append(name)
+        if self.down:
+            raise KeyValueUnavailableError("down")
+
+    def _answer_may_be_lost(self) -> None:
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise KeyValueTimeoutError("no answer")
+
+    async def load(self) -> FleetView:
+        self._call("load")
+        changes: list[Change] = [VmChanged(each) for each in self.vms.values()]
+        changes += [InstanceChanged(each) for each in self.entries.values()]
+        changes += [LeaderChanged(each) for each in self.leaders.values()]
+        if self.seat:
+            changes.append(PromoterChanged(self.seat))
+        if self.configuration:
+            changes.append(ConfigurationChanged(self.configuration))
+        return FleetView(
+            changes,
+            frozenset(self.entries),
+            frozenset(self.vms),
+            self.seat is not None,
+            self.configuration is not None,
+            self.revision,
+        )
+
+    async def watch(self, after: int, wait_s: float) -> tuple[Sequence[Change], int]:
+        self._call("watch")
+        with trio.move_on_after(wait_s):
+            while self.revision <= after:
+                await self._changed.wait()
+        self._call("watch")
+        return [change for at, change in self._changes if at > after], self.revision
+
+    async def check(self, known: KnownRevisions) -> CheckResult:
+        self._call("check")
+        changes: list[Change] = []
+        if self.configuration and self.configuration.revision != known.configuration:
+            changes.append(ConfigurationChanged(self.configuration))
+        for group, revision in known.leaders.items():
+            record = self.leaders.get(group)
+            if record is not None and record.revision != revision:
+                changes.append(LeaderChanged(record))
+        return CheckResult(not changes, changes)
+
+    async def register(self, found: RegisteredVm, ttl_s: float) -> int:
+        self._call("register")
+        self.record(VmChanged(found))
+        return next(self._leases)
+
+    async def renew(self, lease: int) -> bool:
+        self._call("renew")
+        return True
+
+    async def release(self, lease: int) -> None:
+        self._call("release")
+
+    async def take_seat(self, found: RegisteredVm, lease: int) -> PromoterSeat | None:
+        self._call("take_seat")
+        if self.seat is None:
+            self.record(PromoterChanged(PromoterSeat(found.name, found.incarnation, 0)))
+        assert self.seat is not None
+        return self.seat if self.seat.vm == found.name else None
+
+    async def write_leader(self, record: LeaderRecord) -> LeaderRecord | None:
+        self._call("write_leader")
+        current = self.leaders.get(record.group)
+        if (current.revision if current else 0) != record.revision:
+            return None
+        self.record(LeaderChanged(record))
+        self._answer_may_be_lost()
+        return self.leaders[record.group]
--- /dev/null
+++ b/tests/test_rate_shares.py
@@ -0,0 +1,146 @@
+"""Rates over the whole fleet: shares, loans, and starts."""
+
+from __future__ import annotations
+
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from support import TestCase, trio_test
+from tanagerfront.fleet_roles import rate_holders
+from tanagerfront.rate_shares import NO_LENDER, RateShares, ShareRequest
+from tanagerfront.session_model import Organisation
+
+WINDOW_S = 5.0
+
+
+class Fleet:
+    """VMs that share one organisation's rate and lend to each other."""
+
+    def __init__(self, names: list[str], limits: Organisation) -> None:
+        self.limits = limits
+        self.names = names
+        self.unreachable: set[str] = set()
+        self.vms = {name: self.start(name) for name in names}
+        self.ran_at: list[float] = []
+
+    def start(self, name: str) -> RateShares:
+        async def borrow(request: ShareRequest, lender: str) -> int:
+            if name in self.unreachable or lender in self.unreachable:
+                await trio.sleep(0.04)
+                return NO_LENDER
+            await trio.sleep(0.003)
+            return self.vms[lender].lend(request)
+
+        shares = RateShares(name, borrow, lambda _vm, _organisation: 0)
+        shares.configure({self.limits.name: self.limits}, self.names)
+        return shares
+
+    async def ask(self, name: str) -> bool:
+        admitted = await self.vms[name].take(self.limits.name)
+        if admitted:
+            self.ran_at.append(trio.current_time())
+        return admitted
+
+    def most_in_a_window(self) -> int:
+        times = self.ran_at
+        return max(
+            (sum(at <= other <= at + WINDOW_S for other in times) for at in times), default=0
+        )
+
+    @property
+    def allowed(self) -> float:
+        """Return what the rules allow in a window, with their overage and slack."""
+        return (self.limits.rate_per_s * WINDOW_S + self.limits.burst) * 1.1 + 20
+
+
+async def flood(fleet: Fleet, names: list[str], per_s: float, seconds: float) -> int:
+    """Send at a rate, in turn through the VMs; return how many were admitted."""
+    admitted = 0
+    for number in range(int(per_s * seconds)):
+        admitted += await fleet.ask(names[number % len(names)])
+        await trio.sleep(1 / per_s)
+    return admitted
+
+
+class RateTest(TestCase):
+    names = [f"vm-{number}" for number in range(7)]
+
+    @trio_test(mock_clock=True, timeout_s=1000.0)
+    async def test_a_flood_through_one_vm_gets_the_whole_rate_and_no_more(self) -> None:
+        # Guards against wrongful refusals: a zone with one VM carries a quarter of the callers.
+        fleet = Fleet(self.names, Organisation("a", 50.0, 50.0))
+        await trio.sleep(10)
+        admitted = await flood(fleet, self.names[:1], 200.0, 10.0)
+        self.assertGreater(admitted, 0.9 * 500)
+        self.assertLessEqual(fleet.most_in_a_window(), fleet.allowed)
+
+    @trio_test(mock_clock=True, timeout_s=1000.0)
+    async def test_a_small_rate_is_available_at_every_vm_of_a_large_fleet(self) -> None:
+        # Guards against shares of a fraction of a token, which can't be used or lent (81 VMs).
+        names = [f"vm-{number}" for number in range(81)]
+        fleet = Fleet(names, Organisation("a", 8.0, 8.0))
+        await trio.sleep(10)
+        admitted = await flood(fleet, names, 6.0, 30.0)
+        self.assertGreaterEqual(admitted, 0.95 * 180)
+        self.assertLessEqual(fleet.most_in_a_window(), fleet.allowed)
+
+    @trio_test(mock_clock=True, timeout_s=1000.0)
+    async def test_vms_cut_off_from_the_others_stay_within_the_rate(self) -> None:
+        fleet = Fleet(self.names, Organisation("a", 20.0, 20.0))
+        await trio.sleep(10)
+        fleet.unreachable = set(self.names[:3])
+        await flood(fleet, self.names, 300.0, 8.0)
+        self.assertLessEqual(fleet.most_in_a_window(), fleet.allowed)
+
+    @trio_test(mock_clock=True, timeout_s=1000.0)
+    async def test_restarts_of_all_vms_stay_within_the_rate(self) -> None:
+        # Guards against a full bucket at each start, and against none at all after power loss.
+        fleet = Fleet(self.names, Organisation("a", 20.0, 20.0))
+        await trio.sleep(10)
+        await flood(fleet, self.names, 100.0, 2.0)
+        before = len(fleet.ran_at)
+        fleet.vms = {name: fleet.start(name) for name in self.names}
+        self.assertTrue(await fleet.ask(rate_holders(fleet.limits, self.names)[0]))
+        await flood(fleet, self.names, 300.0, 4.0)
+        self.assertGreater(len(fleet.ran_at), before)
+        self.assertLessEqual(fleet.most_in_a_window(), fleet.allowed)
+
+    @trio_test(mock_clock=True, timeout_s=1000.0)
+    async def test_the_first_vm_of_a_starting_fleet_waits_for_the_others(self) -> None:
+        # Guards against a VM that takes itself for the only one and the whole rate for itself.
+        shares = Fleet(["vm-0"], Organisation("a", 1000.0, 1000.0)).vms["vm-0"]
+        self.assertFalse(shares.configured)
+        self.assertFalse(await shares.take("a"))
+
+    @trio_test(mock_clock=True, timeout_s=1000.0)
+    async def test_a_lowered_limit_binds_at_once(self) -> None:
+        fleet = Fleet(self.names, Organisation("a", 100.0, 100.0))
+        await trio.sleep(10)
+        lower = Organisation("a", 5.0, 5.0)
+        for each in fleet.vms.values():
+            each.configure({"a": lower}, self.names)
+        fleet.limits = lower
+        await flood(fleet, self.names, 100.0, 6.0)
+        self.assertLessEqual(fleet.most_in_a_window(), fleet.allowed)
+
+    @trio_test(mock_clock=True, timeout_s=1000.0)
+    async def test_a_token_of_a_request_that_did_not_run_is_given_back(self) -> None:
+        fleet = Fleet(self.names[:3], Organisation("a", 0.01, 3.0))
+        await trio.sleep(900)
+        name = rate_holders(fleet.limits, self.names[:3])[0]
+        count = 0
+        while await fleet.ask(name):
+            count += 1
+        fleet.vms[name].give_back("a")
+        self.assertTrue(await fleet.ask(name))
+
+
+class HoldersTest(TestCase):
+    @given(st.sets(st.sampled_from([f"vm-{n}" for n in range(20)]), min_size=2), st.floats(0, 500))
+    def test_a_vm_that_leaves_moves_only_its_own_shares(self, names: set[str], rate: float) -> None:
+        limits = Organisation("a", rate, rate)
+        before = rate_holders(limits, sorted(names))
+        gone = sorted(names)[0]
+        after = rate_holders(limits, sorted(names - {gone}))
+        self.assertLessEqual(len(set(after) - set(before)), 1)
