--- a/src/tanagerfront/failover.py
+++ b/src/tanagerfront/failover.py
@@ -198,7 +198,7 @@
         if reason is None:
             self._wanted_since.pop(group.name, None)
             return
-        if not self._is_my_turn(group.name, now):
+        if not self._is_my_turn(group.name):
             return
         self._moving.add(group.name)
         nursery.start_soon(self._move, group, reason)
@@ -215,8 +215,9 @@
         own = leader.unreachable_since is not None
         return Sighting(against + own, against + in_favour + 1)
 
-    def _is_my_turn(self, group: str, now: float) -> bool:
+    def _is_my_turn(self, group: str) -> bool:
         """Tell whether this VM is the promoter or the next to claim the seat."""
+        now = trio.current_time()
         seat = self._sync.seat
         if seat is not None:
             return seat.vm == self._own.name
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,148 @@
+"""Settings and documents of the platform: complete, with parts missing, and broken."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from support import TestCase
+from tanagerfront.errors import ConfigurationError, SettingsError
+from tanagerfront.platform.documents import decode_configuration, decode_instance
+from tanagerfront.platform.settings import load_settings, settings_path
+from tanagerfront.session_model import InstanceRole, RouteKind
+
+SETTINGS = """
+node_name = "front-suame-1"
+ip = "127.0.0.1"
+zone = "suame"
+internal_ports = [7560, 7575]
+something_new = 3
+[listen]
+front = "127.0.0.1:8465"
+ready = "127.0.0.1:8460"
+[platform]
+address = "127.0.0.1:8466"
+[bounds]
+drain_ms = 7000
+grace_s = 6
+revoke_ms = 5000
+[cloud]
+address = "127.0.0.1:8467"
+"""
+
+ENTRY: dict[str, Any] = {
+    "service": "orders",
+    "address": "127.0.0.1:8080",
+    "zone": "suame",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "db_role": "replica",
+    "sequence": 4,
+    "born": 1779931427167,
+}
+
+
+class SettingsTest(TestCase):
+    def _load(self, text: str) -> Any:
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory, "settings.toml")
+            path.write_text(text, encoding="utf-8")
+            return load_settings(path)
+
+    def test_the_platforms_fields_get_the_projects_names_and_seconds(self) -> None:
+        loaded = self._load(SETTINGS)
+        self.assertEqual("front-suame-1", loaded.vm)
+        self.assertEqual(
+            ("suame", 7.0, 5.0), (loaded.failure_domain, loaded.drain_s, loaded.keys_s)
+        )
+
+    def test_each_fault_is_named(self) -> None:
+        for fault, said in (
+            ('node_name = "front-suame-1"\n', "node_name"),
+            ('front = "127.0.0.1:8465"\n', "front"),
+            ("internal_ports = [7560, 7575]\n", "internal_ports"),
+        ):
+            with self.assertRaises(SettingsError) as caught:
+                self._load(SETTINGS.replace(fault, ""))
+            self.assertIn(said, str(caught.exception))
+        with self.assertRaises(SettingsError):
+            self._load(SETTINGS.replace("127.0.0.1:8465", "nowhere"))
+        with self.assertRaises(SettingsError):
+            self._load("not toml [")
+
+    def test_the_path_comes_from_the_environment(self) -> None:
+        with self.assertRaises(SettingsError):
+            settings_path({})
+        self.assertEqual(Path("/x"), settings_path({"TANAGERFRONT_BOOT": "/x"}))
+
+
+class InstanceEntryTest(TestCase):
+    def test_an_entry_is_decoded(self) -> None:
+        found = decode_instance("i-1", json.dumps(ENTRY).encode(), 9)
+        self.assertEqual(
+            ("orders", InstanceRole.REPLICA, 9), (found.group, found.role, found.revision)
+        )
+
+    def test_entries_of_another_writer_name_no_instance(self) -> None:
+        for name, value in (("state", "odd"), ("db_role", 3), ("address", "x"), ("service", None)):
+            with self.assertRaises(ConfigurationError):
+                decode_instance("i-1", json.dumps({**ENTRY, name: value}).encode(), 9)
+
+    @given(st.binary(max_size=60))
+    def test_any_bytes_are_decoded_or_refused(self, value: bytes) -> None:
+        for decode in (
+            lambda: decode_instance("i-1", value, 1),
+            lambda: decode_configuration(value, 1),
+        ):
+            try:
+                decode()
+            except ConfigurationError:
+                continue
+
+
+class ConfigurationTest(TestCase):
+    def test_a_configuration_is_decoded(self) -> None:
+        found = decode_configuration(
+            json.dumps(
+                {
+                    "version": 7,
+                    "routes": [
+                        {
+                            "name": "r",
+                            "database": "db",
+                            "type": "bounded",
+                            "service": "orders",
+                            "timeout_ms": 1500,
+                            "max_staleness_ms": 1500,
+                        }
+                    ],
+                    "services": [{"name": "orders", "max_connections": 16, "sync_replicas": 1}],
+                    "limits": {"tx_idle_ms": 2000},
+                    "tenants": [
+                        {"name": "t", "api_keys": ["k1", "k2"], "rate_per_s": 60, "burst": 30}
+                    ],
+                }
+            ).encode(),
+            3,
+        )
+        route = found.routes["db"]
+        self.assertEqual(
+            (RouteKind.BOUNDED, 1.5, 1.5),
+            (route.kind, route.statement_timeout_s, route.max_staleness_s),
+        )
+        self.assertEqual({"k1": "t", "k2": "t"}, dict(found.organisation_of_key))
+        self.assertEqual(
+            (2.0, 1), (found.transaction_idle_s, found.groups["orders"].synchronous_replicas)
+        )
+
+    def test_a_route_of_an_unknown_type_makes_the_version_unreadable(self) -> None:
+        route = {"name": "r", "database": "d", "service": "s", "type": "odd"}
+        with self.assertRaises(ConfigurationError):
+            decode_configuration(json.dumps({"version": 1, "routes": [route]}).encode(), 1)
--- /dev/null
+++ b/tests/test_platform_lines.py
@@ -0,0 +1,119 @@
+"""The line protocol: what callers and instances may send, and that nothing else gets through."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from support import TestCase
+from tanagerfront.entry_id import EntryId
+from tanagerfront.errors import BadRequestError
+from tanagerfront.instance_pool import InstanceStatement
+from tanagerfront.platform.lines import (
+    Bye,
+    Complete,
+    Error,
+    Ready,
+    Row,
+    decode_caller_line,
+    decode_instance_line,
+    encode_connect,
+    encode_query,
+    encode_reply,
+)
+from tanagerfront.session_model import (
+    Begin,
+    Connect,
+    Execute,
+    Failure,
+    FailureCode,
+    Prepare,
+    Query,
+    Read,
+    Reply,
+    SetValue,
+    StepDown,
+    TransactionState,
+    Verbatim,
+    Write,
+)
+
+
+def statement(text: str) -> object:
+    found = decode_caller_line(f"QUERY q1 {text}".encode(), 0.0)
+    assert isinstance(found, Query)
+    return found.statement
+
+
+class CallerLineTest(TestCase):
+    def test_messages_and_statements_are_decoded(self) -> None:
+        self.assertEqual(Connect("orders", "u3f1"), decode_caller_line(b"CONNECT orders u3f1", 0))
+        self.assertEqual(Connect("orders", ""), decode_caller_line(b"CONNECT orders", 0))
+        self.assertEqual(Bye(), decode_caller_line(b"BYE", 0))
+        self.assertEqual(Begin(read_only=False), statement("BEGIN"))
+        self.assertEqual(Begin(read_only=True), statement("BEGIN READ"))
+        self.assertEqual(Read(), statement("READ 1a4"))
+        self.assertEqual(Write(), statement("WRITE 1a4 some data"))
+        self.assertEqual(SetValue("a", "b c"), statement("SET a b c"))
+        self.assertEqual(Prepare("s1", True, "q2c"), statement("PREPARE s1 WRITE q2c"))
+        self.assertEqual(Execute("s1", "1a4 data"), statement("EXECUTE s1 1a4 data"))
+
+    def test_what_is_not_a_statement_is_refused(self) -> None:
+        # Guards against control statements and prefixes that callers smuggle to an instance.
+        for text in ("STATUS", "STEPDOWN 9", "AFTER 1.2 READ 1", "RESET", "BEGIN WRITE", "READ"):
+            with self.assertRaises(BadRequestError):
+                statement(text)
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_decoded_or_refused(self, line: bytes) -> None:
+        try:
+            decode_caller_line(line, 0.0)
+        except BadRequestError:
+            return
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_of_an_instance_are_decoded_or_refused(self, line: bytes) -> None:
+        try:
+            decode_instance_line(line)
+        except BadRequestError:
+            return
+
+
+class InstanceLineTest(TestCase):
+    def test_messages_are_decoded(self) -> None:
+        self.assertEqual(Row(b"a b"), decode_instance_line(b"ROW a b"))
+        self.assertEqual(Complete(b"7.1f3"), decode_instance_line(b"COMPLETE 7.1f3"))
+        self.assertEqual(
+            Error(Failure(FailureCode.READ_ONLY, "i-7f")),
+            decode_instance_line(b"ERROR READONLY i-7f"),
+        )
+        self.assertEqual(
+            Ready(TransactionState.FAILED, EntryId(3, 1209)),
+            decode_instance_line(b"READY E 3.1209"),
+        )
+        self.assertEqual(Ready(TransactionState.IDLE, None), decode_instance_line(b"READY I -"))
+
+    def test_an_unknown_code_promises_nothing(self) -> None:
+        self.assertEqual(
+            Error(Failure(FailureCode.FAILED, "x")), decode_instance_line(b"ERROR ODD x")
+        )
+
+    def test_statements_are_encoded(self) -> None:
+        after = InstanceStatement("q1", Verbatim("READ 1a4"), EntryId(3, 1207))
+        self.assertEqual(b"QUERY q1 AFTER 3.1207 READ 1a4\r\n", encode_query(after))
+        own = InstanceStatement("-", StepDown(4))
+        self.assertEqual(b"QUERY - STEPDOWN 4\r\n", encode_query(own))
+        self.assertEqual(b"CONNECT g o i\r\n", encode_connect("g", "o", "i"))
+
+    def test_replies_are_encoded(self) -> None:
+        served = Reply((b"r",), signature=b"7.1", reached=EntryId(3, 9))
+        self.assertEqual(b"ROW r\r\nCOMPLETE 7.1\r\nREADY I 3.9\r\n", encode_reply(served))
+        refused = Reply(
+            failure=Failure(FailureCode.IN_DOUBT, "lost"), state=TransactionState.FAILED
+        )
+        self.assertEqual(b"ERROR INDOUBT lost\r\nREADY E -\r\n", encode_reply(refused))
+
+    @given(st.text(st.characters(exclude_characters="\r\n", codec="utf-8"), min_size=1))
+    def test_a_callers_text_reaches_the_instance_unchanged(self, text: str) -> None:
+        line = encode_query(InstanceStatement("q1", Verbatim(text)))
+        self.assertEqual(f"QUERY q1 {text}\r\n".encode(), line)
