--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -49,6 +49,9 @@
     lease_ttl_s: float = 5.0
     renew_s: float = 1.5
     retry_s: float = 0.15
+    # Refused calls are priced too. Without contact, watch and lease try by themselves only this
+    # often, in case that the checks alone fail.
+    away_s: float = 2.0
     # A VM that hears nothing of changes looks for them at this interval, by a watch this short.
     follow_s: float = 3.0
     short_watch_s: float = 0.02
@@ -86,6 +89,7 @@
         self._seat: PromoterSeat | None = None
         self._check_wanted = trio.Event()
         self._contact = False
+        self._contact_made = trio.Event()
         self._revision = 0
         self._announced_revision = 0
         self._announced = trio.Event()
@@ -188,7 +192,7 @@
                     await self._catch_up()
             except KeyValueError as error:
                 self._note_lost("watch", error)
-                await trio.sleep(self._timing.retry_s)
+                await self._pause()
 
     async def _catch_up(self) -> None:
         """Take in changes: a coordinator waits for them, the others wait for its word."""
@@ -249,7 +253,7 @@
                     await self._check()
             except KeyValueError as error:
                 self._note_lost("check", error)
-                delay_s = self._timing.retry_s
+                delay_s = 2 * self._timing.retry_s
             with trio.move_on_after(delay_s):
                 await self._check_wanted.wait()
 
@@ -300,7 +304,8 @@
                     delay_s = 0.0
             except KeyValueError as error:
                 self._note_lost("lease", error)
-                delay_s = self._timing.retry_s
+                await self._pause()
+                continue
             await trio.sleep(delay_s)
 
     async def _run_housekeeping(self) -> None:
@@ -327,14 +332,24 @@
             self._log.decision("vm_gone", peer=name, vms=len(self._vms))
             await self._share()
 
+    async def _pause(self) -> None:
+        """Wait before another attempt; while the store is away, only the checks look for it."""
+        await trio.sleep(self._timing.retry_s)
+        if not self._beliefs.first_configuration.is_set():
+            return
+        with trio.move_on_after(self._timing.away_s):
+            await self._contact_made.wait()
+
     def _note_contact(self) -> None:
         if not self._contact:
             self._contact = True
+            self._contact_made.set()
             self._log.decision("store_regained")
 
     def _note_lost(self, call: str, error: KeyValueError) -> None:
         if self._contact:
             self._contact = False
+            self._contact_made = trio.Event()
             self._log.trouble("store_lost", call=call, error=str(error))
         else:
             self._log.trouble("store_call_failed", call=call, error=str(error))
