--- a/src/tanagerfront/cli.py
+++ b/src/tanagerfront/cli.py
@@ -47,6 +47,15 @@
     trio.run(importlib.import_module("tanagerfront.vm").run_vm, loaded)
 
 
+@app.command
+def front() -> None:
+    """Run one VM of the session interface on the users' platform, until SIGTERM.
+
+    The environment variable TANAGERFRONT_BOOT names the settings file.
+    """
+    importlib.import_module("tanagerfront.platform").main()
+
+
 @app.command
 def status(*, server: str, json: bool = False, timeout: float = 5.0) -> None:
     """Print the status of a running VM.
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -31,11 +31,12 @@
 from .vm_beliefs import Beliefs
 from .vm_messages import Echo
 
-__all__ = ["FleetSync", "SyncTiming"]
+__all__ = ["LEASE_TTL_S", "FleetSync", "SyncTiming"]
 
 # An instance whose entry was removed and whose connections are closed is forgotten after this.
 FORGET_S = 12.0
 HOUSEKEEPING_S = 0.25
+LEASE_TTL_S = 5.0
 # Checks in a row, when each finds a newer state.
 MAX_CHECKS = 3
 
@@ -50,7 +51,7 @@
     check_poll_s: float = 0.1
     # A watch that waits is one call; a silent connection is noticed after this and a time-out.
     watch_s: float = 5.0
-    lease_ttl_s: float = 5.0
+    lease_ttl_s: float = LEASE_TTL_S
     renew_s: float = 1.5
     retry_s: float = 0.15
     # Refused calls are priced too. Without contact, watch and lease try by themselves only this
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -14,7 +14,7 @@
 from .errors import KeyValueError
 from .failover import Failover, InstanceControl, PromotionOrderer, heartbeat_of
 from .fleet_store import FleetStore, RegisteredVm
-from .fleet_sync import FleetSync
+from .fleet_sync import LEASE_TTL_S, FleetSync
 from .front_metrics import FrontMetrics
 from .http_client import Address
 from .http_server import ConnectionHandler, Request, Response, serve_http
@@ -37,9 +37,14 @@
 STOP_POLL_S = 0.05
 # What is left of the grace time when the process ends by itself.
 EXIT_MARGIN_S = 0.7
+# A renewal takes milliseconds; the rest allows for clocks that run at different rates.
+LEASE_MARGIN_S = 0.8
+# New work at a leaving primary ends this long before the platform's bound.
+LEAVING_MARGIN_S = 1.5
 RELEASE_TIMEOUT_S = 0.5
 BACKLOG = 1024
 STATUS_S = 10.0
+RELOAD_S = 5.0
 
 
 class VmIdentity(NamedTuple):
@@ -99,6 +104,8 @@
     control: InstanceControl
     orders: PromotionOrderer
     callers: Callable[[SessionServices], CallerSide]
+    # Returns the times of the settings file, None while it can't be read.
+    reload: Callable[[], FrontTimes | None]
     relays: Callable[[InstanceDirectory, DecisionLog], RelaySide]
 
 
@@ -126,6 +133,7 @@
     ) -> None:
         self._identity = identity
         self._times = times
+        self._reload_times = parts.reload
         self._log = log
         self._metrics = FrontMetrics()
         own = RegisteredVm(
@@ -136,15 +144,7 @@
             uuid.uuid4().hex[:12],
             identity.cores,
         )
-        # A request is refused a little before the platform's bound, because it still has to get
-        # to the instance. Primaries are given up when the platform excuses keyed requests.
-        limits = BeliefLimits(
-            keys_s=0.9 * times.keys_s,
-            primary_s=0.6 * times.keys_s,
-            lease_s=4.2,
-            leaving_s=times.leaving_s - 1.5,
-        )
-        self._beliefs = Beliefs(limits)
+        self._beliefs = Beliefs(_belief_limits(times))
         opener = RelayingOpener(own.name, parts.opener, parts.relay, lambda: self._sync.vms)
         self._directory = InstanceDirectory(opener, identity.failure_domain)
         self._directory.uses_relay = opener.uses_relay
@@ -199,14 +199,32 @@
                 nursery.start_soon(serve_http, [probes], lambda stream: self._probe_handler())
                 nursery.start_soon(trio.serve_listeners, self._callers.serve, [listener])
                 nursery.start_soon(trio.serve_listeners, self._relays.serve, [relays])
+                nursery.start_soon(self._run_reload)
                 async for number in signals:
                     if number != signal.SIGHUP:
                         break
-                    self._log.decision("reload", note="the settings in use need a restart")
+                    self._reload("signal")
                 await self._stop()
                 nursery.cancel_scope.cancel()
         self._log.decision("stopped", open_connections=self._callers.count)
 
+    async def _run_reload(self) -> None:
+        """Look for changed settings, which come without a signal too."""
+        while True:
+            await trio.sleep(RELOAD_S)
+            self._reload("file")
+
+    def _reload(self, cause: str) -> None:
+        """Use the times of changed settings; addresses and names need a restart."""
+        times = self._reload_times()
+        if times is None or times == self._times:
+            if cause == "signal":
+                self._log.decision("reload", cause=cause, outcome="nothing has changed")
+            return
+        self._times = times
+        self._beliefs.limits = _belief_limits(times)
+        self._log.decision("reload", cause=cause, outcome="in use", **times._asdict())
+
     async def _run_status(self) -> None:
         """Log now and then what this VM holds and how fresh its beliefs are."""
         while True:
@@ -276,6 +294,17 @@
         self._log.decision(f"instance_{change}", **instance.entry._asdict())
 
 
+def _belief_limits(times: FrontTimes) -> BeliefLimits:
+    # A request is refused a little before the platform's bound, because it still has to get to the
+    # instance. Primaries are given up when the platform excuses keyed requests.
+    return BeliefLimits(
+        keys_s=0.9 * times.keys_s,
+        primary_s=0.6 * times.keys_s,
+        lease_s=LEASE_TTL_S - LEASE_MARGIN_S,
+        leaving_s=times.leaving_s - LEAVING_MARGIN_S,
+    )
+
+
 async def _listen(address: Address) -> trio.SocketListener:
     listeners = await trio.open_tcp_listeners(address.port, host=address.host, backlog=BACKLOG)
     return listeners[0]
--- a/src/tanagerfront/platform/main.py
+++ b/src/tanagerfront/platform/main.py
@@ -39,6 +39,10 @@
     return True
 
 
+def _times(settings: FrontSettings) -> FrontTimes:
+    return FrontTimes(settings.keys_s, settings.drain_s, settings.grace_s)
+
+
 async def run_front(settings: FrontSettings) -> None:
     """Serve until SIGTERM."""
     log = DecisionLog(settings.vm)
@@ -52,7 +56,14 @@
         peers_port=settings.first_peer_port,
         cores=settings.cores,
     )
-    times = FrontTimes(settings.keys_s, settings.drain_s, settings.grace_s)
+
+    def reload() -> FrontTimes | None:
+        try:
+            return _times(load_settings(settings_path()))
+        except SettingsError as error:
+            log.trouble("settings_unreadable", error=str(error))
+            return None
+
     parts = FrontParts(
         store=PlatformFleetStore(watches, checks, leases, log),
         opener=open_instance,
@@ -61,9 +72,10 @@
         control=LineInstanceControl(),
         orders=PromotionOrders(settings.control or NO_CONTROL),
         callers=CallerConnections,
+        reload=reload,
         relays=RelayConnections,
     )
-    await Front(identity, times, parts, log).run()
+    await Front(identity, _times(settings), parts, log).run()
 
 
 def main() -> None:
--- a/src/tanagerfront/vm_beliefs.py
+++ b/src/tanagerfront/vm_beliefs.py
@@ -46,6 +46,10 @@
         """Return for how long beliefs hold."""
         return self._limits
 
+    @limits.setter
+    def limits(self, limits: BeliefLimits) -> None:
+        self._limits = limits
+
     @property
     def configuration(self) -> FrontConfiguration | None:
         """Return the configuration in force, None before the first."""
