--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -296,6 +296,10 @@
         try:
             limit = attempt.deadline if writes else attempt.read_deadline()
             reply = await self._send(query, connection, instance, after, limit)
+        except OverloadedError as error:
+            if not writes and attempt.another(instance.entry.id):
+                return None
+            raise RefusedError(FailureCode.OVERLOADED, str(error)) from error
         except ConnectionLostError as error:
             self._note_lost(query, instance, error)
             if not writes and attempt.another(instance.entry.id):
@@ -313,6 +317,9 @@
             return reply
         if reply.failure.code in NOTHING_RAN:
             self._note_not_run(query, instance, connection, reply.failure)
+            if writes and reply.failure.code is FailureCode.OVERLOADED:
+                # Only the primary can run it; more attempts would add to its load.
+                return reply
             if attempt.another(None if writes else instance.entry.id):
                 return None
             return reply
@@ -333,6 +340,8 @@
             reply = await self._send(
                 query, transaction.connection, transaction.instance, None, deadline
             )
+        except OverloadedError as error:
+            raise RefusedError(FailureCode.ABORTED, str(error)) from error
         except ConnectionLostError as error:
             self._note_lost(query, transaction.instance, error)
             # Without a commit the instance rolls back, so nothing of the transaction is kept.
@@ -391,6 +400,8 @@
         deadline = query.received_at + transaction.caller.route.statement_timeout_s
         try:
             reply = await self._send(query, connection, instance, None, deadline)
+        except OverloadedError as error:
+            raise RefusedError(FailureCode.ABORTED, str(error)) from error
         except ConnectionLostError as error:
             self._note_lost(query, instance, error)
             code = FailureCode.IN_DOUBT if transaction.wrote else FailureCode.ABORTED
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -148,6 +148,7 @@
         opener = RelayingOpener(own.name, parts.opener, parts.relay, lambda: self._sync.vms)
         self._directory = InstanceDirectory(opener, identity.failure_domain)
         self._directory.uses_relay = opener.uses_relay
+        self._directory.home_rank = opener.home_rank
         self._directory.on_change = self._log_instance
         self._rates = RateShares(own.name, self._borrow, self._surplus_of)
         self._sync = FleetSync(parts.store, self._beliefs, self._directory, self._rates, own, log)
--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -33,6 +33,8 @@
 # Smaller fleets share the connections directly, which saves a hop; see `relay`.
 RELAY_VMS = 16
 HOMES = 2
+# The first home serves all; the second one needs room when the first is lost.
+HOME_SHARES = (0.66, 0.33)
 RESPONSE_SMOOTHING = 0.1
 
 
@@ -138,6 +140,7 @@
         self._connections: Mapping[str, int] = {}
         self.on_change: Callable[[str, Instance], None] = lambda change, instance: None
         self.uses_relay: Callable[[InstanceEntry], bool] = lambda entry: False
+        self.home_rank: Callable[[InstanceEntry], int] = lambda entry: 0
 
     @property
     def groups(self) -> Mapping[str, Group]:
@@ -250,5 +253,5 @@
             return connection_budget(connections, self._vms)
         if self.uses_relay(entry):
             return RELAYED
-        # The homes of an instance share its connections, also with one that was a home before.
-        return connection_budget(connections, HOMES)
+        limit = int((connections - SPARE_CONNECTIONS) * HOME_SHARES[self.home_rank(entry)])
+        return PoolLimits(limit, limit, gated=True)
--- a/src/tanagerfront/instance_pool.py
+++ b/src/tanagerfront/instance_pool.py
@@ -24,6 +24,7 @@
     StepDown,
     Verbatim,
 )
+from .slot_gate import SlotGate
 
 __all__ = [
     "Connection",
@@ -82,6 +83,8 @@
     open: int
     # Idle connections above this are closed soon; with none, each is closed after its use.
     kept: int
+    # Whether this VM holds most of the instance's connections and so decides what it works on.
+    gated: bool = False
 
 
 class InstanceStatement(NamedTuple):
@@ -116,8 +119,15 @@
 class PooledConnection:
     """A connection and the session state that the instance holds for it."""
 
-    def __init__(self, connection: Connection, organisation: str, opened_at: float) -> None:
+    def __init__(
+        self,
+        connection: Connection,
+        organisation: str,
+        opened_at: float,
+        gate: SlotGate | None = None,
+    ) -> None:
         self._connection = connection
+        self._gate = gate
         self._values: dict[str, str] = {}
         self._prepared: dict[tuple[bool, str], str] = {}
         self._prepared_count = 0
@@ -173,8 +183,14 @@
         self._prepared = {}
 
     async def run(self, statements: Sequence[InstanceStatement]) -> list[Reply]:
-        """Run statements; raises ConnectionLostError."""
-        return await self._connection.run(statements)
+        """Run statements; raises ConnectionLostError, or OverloadedError if none was sent."""
+        if self._gate is None or not any(_takes_slot(each) for each in statements):
+            return await self._connection.run(statements)
+        entered_at = await self._gate.enter()
+        try:
+            return await self._connection.run(statements)
+        finally:
+            self._gate.leave(entered_at)
 
     async def close(self) -> None:
         """Close the connection."""
@@ -182,6 +198,13 @@
             await self._connection.close()
 
 
+def _takes_slot(statement: InstanceStatement) -> bool:
+    match statement.statement:
+        case Verbatim() | Execute():
+            return True
+    return False
+
+
 class _Waiter:
     """A request that waits for a connection; the lowest `urgency` goes first."""
 
@@ -211,6 +234,7 @@
         self._closed: list[PooledConnection] = []
         self._waiters: list[_Waiter] = []
         self._full_until = float("-inf")
+        self._gate = SlotGate(entry.slots) if limits.gated else None
         self.opened_total = 0
         self.opened_position: EntryId | None = None
 
@@ -241,6 +265,8 @@
     async def set_limits(self, limits: PoolLimits) -> None:
         """Change the limits; busy connections above them are closed on release."""
         self._limits = limits
+        if limits.gated != (self._gate is not None):
+            self._gate = SlotGate(self._entry.slots) if limits.gated else None
         while self._idle and self._open > self._limits.open:
             await self._drop(self._idle.pop(0))
         self._serve_waiters()
@@ -351,7 +377,7 @@
         """Open a connection in a place that was reserved."""
         opened = False
         try:
-            connection, position = await self._opener(self._entry, organisation)
+            connection, position = await self._open_connection(organisation)
             opened = True
         except TooManyConnectionsError:
             self._full_until = trio.current_time() + FULL_PAUSE_S
@@ -362,7 +388,18 @@
                 self._serve_waiters()
         self.opened_total += 1
         self.opened_position = position
-        return PooledConnection(connection, organisation, trio.current_time())
+        return PooledConnection(connection, organisation, trio.current_time(), self._gate)
+
+    async def _open_connection(self, organisation: str) -> tuple[Connection, EntryId | None]:
+        """Open a connection, which takes a slot of the instance for some time."""
+        gate = self._gate
+        if gate is None:
+            return await self._opener(self._entry, organisation)
+        entered_at = await gate.enter()
+        try:
+            return await self._opener(self._entry, organisation)
+        finally:
+            gate.leave(entered_at)
 
     async def _drop(self, connection: PooledConnection) -> None:
         self._open -= 1
--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -93,6 +93,11 @@
         vms = self._vms()
         return len(vms) >= RELAY_VMS and self._own not in {each.name for each in homes(entry, vms)}
 
+    def home_rank(self, entry: InstanceEntry) -> int:
+        """Return 0 for the VM that all use, else the place among those that replace it."""
+        names = [each.name for each in homes(entry, self._vms())]
+        return names.index(self._own) if self._own in names else 0
+
     async def __call__(
         self, entry: InstanceEntry, organisation: str
     ) -> tuple[Connection, EntryId | None]:
@@ -113,8 +118,11 @@
 class RelaySession:
     """One session of another VM at a home; it holds a connection only while it needs one."""
 
-    def __init__(self, pool: InstancePool, organisation: str) -> None:
+    def __init__(
+        self, pool: InstancePool, organisation: str, wanted: Callable[[], bool] = lambda: True
+    ) -> None:
         self._pool = pool
+        self._wanted = wanted
         self._organisation = organisation
         self._values: dict[str, str] = {}
         self._prepared: dict[str, tuple[bool, str]] = {}
@@ -139,12 +147,14 @@
                 self._prepared = {}
         try:
             connection = await self._connection()
-        except (OverloadedError, TanagerfrontError) as error:
-            code = FailureCode.OVERLOADED
-            if isinstance(error, ConnectionLostError):
-                code = FailureCode.MOVED
-            return self._own_reply(Failure(code, str(error)))
-        return await self._run_on(connection, statement)
+        except ConnectionLostError as error:
+            return self._own_reply(Failure(FailureCode.MOVED, str(error)))
+        except TanagerfrontError as error:
+            return self._own_reply(Failure(FailureCode.OVERLOADED, str(error)))
+        try:
+            return await self._run_on(connection, statement)
+        except OverloadedError as error:
+            return self._own_reply(Failure(FailureCode.OVERLOADED, str(error)))
 
     async def close(self) -> None:
         """Roll an open transaction back and free the connection."""
@@ -197,8 +207,13 @@
                 statements += connection.prepare_statements(writes, shape)
                 own_name = connection.prepared_name(writes, shape)
                 statement = statement._replace(statement=Execute(own_name, arguments))
+        if not self._wanted():
+            # The other VM has given up; the instance's work would be for nobody.
+            raise OverloadedError("the session was closed while its statement waited")
         replies = await connection.run([*statements, statement])
         reply = replies[-1]
+        if isinstance(statement.statement, ResetSession):
+            connection.forget_session()
         if reply.failure is not None and reply.failure.code is FailureCode.UNKNOWN_STATEMENT:
             connection.forget_prepared()
         return reply
--- a/src/tanagerfront_lab/cli.py
+++ b/src/tanagerfront_lab/cli.py
@@ -18,6 +18,7 @@
 from .history import write_history
 from .processes import ClusterOptions
 from .slopes import measure_slopes
+from .soak import SoakOptions, run_soak
 
 __all__ = ["app", "main"]
 
@@ -187,6 +188,33 @@
         json.write_bytes(msgspec.json.format(msgspec.json.encode(measured)))
 
 
+@app.command
+def soak(
+    *, seed: int = 1, runs: int = 1, seconds: float = 20.0, vms: int = 4, keep: Path | None = None
+) -> None:
+    """Run the session interface under faults and check its promises.
+
+    Parameters
+    ----------
+    seed: First seed; further runs use the next ones.
+    keep: Directory for settings and logs of the VMs.
+    """
+    failed = 0
+    for number in range(seed, seed + runs):
+        options = SoakOptions(number, seconds, vms)
+        result = run_soak(options, keep / str(number) if keep else None)
+        print(
+            f"seed {result.seed}: {result.served} served, {result.refused} refused, "
+            f"{len(result.faults)} faults, {len(result.violations)} violations",
+            flush=True,
+        )
+        for violation in result.violations:
+            print(f"    {violation}")
+        failed += bool(result.violations)
+    if failed:
+        raise SystemExit(1)
+
+
 def main() -> None:
     """Run the command line."""
     app()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -164,6 +164,27 @@
         statements = [each.statement for _, each in instance.received]
         self.assertEqual([SetValue("x", "1"), Prepare("p1", False, "shape")], statements[:2])
 
+    @trio_test(mock_clock=True)
+    async def test_a_reset_makes_the_home_prepare_anew(self) -> None:
+        # Guards against a prepared statement that is not found (hfva-harvest-grown, PINNED 12).
+        instance = FakeInstance()
+        session = self._session(instance, limit=1)
+        for _ in range(2):
+            await session.run(InstanceStatement("-", Prepare("p1", False, "shape")))
+            await session.run(InstanceStatement("q", Execute("p1", "7")))
+            await session.run(InstanceStatement("-", ResetSession()))
+        prepared = [each for _, each in instance.received if isinstance(each.statement, Prepare)]
+        self.assertEqual(2, len(prepared))
+
+    @trio_test(mock_clock=True)
+    async def test_a_statement_whose_vm_gave_up_is_not_run(self) -> None:
+        # Guards against an instance that works for callers who have left.
+        instance = FakeInstance()
+        pool = InstancePool(entry("i"), instance.open, PoolLimits(1, 1))
+        session = RelaySession(pool, "a", wanted=lambda: False)
+        await self._say(session, "READ 1")
+        self.assertEqual([], instance.texts)
+
     @trio_test(mock_clock=True)
     async def test_what_did_not_run_is_refused_and_what_may_have_run_is_not(self) -> None:
         instance = FakeInstance()
