--- a/src/tanagerfront/instance_pool.py
+++ b/src/tanagerfront/instance_pool.py
@@ -131,6 +131,8 @@
         self._values: dict[str, str] = {}
         self._prepared: dict[tuple[bool, str], str] = {}
         self._prepared_count = 0
+        # What the session holds is not known after statements that set it were not sent.
+        self._session_known = True
         self.organisation = organisation
         self.used_at = opened_at
         self.in_transaction = False
@@ -152,7 +154,8 @@
 
     def value_statements(self, values: Mapping[str, str]) -> Iterator[InstanceStatement]:
         """Yield the statements that give the connection exactly these session values."""
-        if any(name not in values for name in self._values):
+        if not self._session_known or any(name not in values for name in self._values):
+            self._session_known = True
             self._values = {}
             self._prepared = {}
             yield InstanceStatement(OWN_STATEMENT_ID, ResetSession())
@@ -186,7 +189,11 @@
         """Run statements; raises ConnectionLostError, or OverloadedError if none was sent."""
         if self._gate is None or not any(_takes_slot(each) for each in statements):
             return await self._connection.run(statements)
-        entered_at = await self._gate.enter()
+        try:
+            entered_at = await self._gate.enter()
+        except BaseException:
+            self._session_known = False
+            raise
         try:
             return await self._connection.run(statements)
         finally:
--- a/src/tanagerfront/platform/line_stream.py
+++ b/src/tanagerfront/platform/line_stream.py
@@ -24,11 +24,17 @@
     @property
     def quiet(self) -> bool:
         """Tell whether the peer has neither sent anything unread nor closed the connection."""
-        if self._buffer:
-            return False
+        return not self._buffer and not self._ready(select.POLLIN)
+
+    @property
+    def abandoned(self) -> bool:
+        """Tell whether the peer has closed the connection and nothing of it is unread."""
+        return not self._buffer and self._ready(select.POLLRDHUP)
+
+    def _ready(self, events: int) -> bool:
         poll = select.poll()
-        poll.register(self._stream.socket.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        poll.register(self._stream.socket.fileno(), events)
+        return bool(poll.poll(0))
 
     async def send(self, data: bytes) -> None:
         """Send bytes; raises ConnectionLostError."""
--- a/src/tanagerfront/platform/relay_wire.py
+++ b/src/tanagerfront/platform/relay_wire.py
@@ -76,7 +76,7 @@
             await lines.send(encode_failure(Failure(FailureCode.MOVED, message.instance)))
             return None
         await lines.send(encode_ready(Reply()))
-        return RelaySession(instance.pool, message.organisation, lambda: lines.quiet)
+        return RelaySession(instance.pool, message.organisation, lambda: not lines.abandoned)
 
     async def _message(
         self, lines: LineStream, session: RelaySession | None
--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -197,6 +197,9 @@
         return reply
 
     async def _send(self, connection: PooledConnection, statement: InstanceStatement) -> Reply:
+        if not self._wanted():
+            # The other VM has given up; the instance's work would be for nobody.
+            raise OverloadedError("the session was closed while its statement waited")
         statements = list(connection.value_statements(self._values))
         match statement.statement:
             case Execute(name, arguments):
@@ -207,9 +210,6 @@
                 statements += connection.prepare_statements(writes, shape)
                 own_name = connection.prepared_name(writes, shape)
                 statement = statement._replace(statement=Execute(own_name, arguments))
-        if not self._wanted():
-            # The other VM has given up; the instance's work would be for nobody.
-            raise OverloadedError("the session was closed while its statement waited")
         replies = await connection.run([*statements, statement])
         reply = replies[-1]
         if isinstance(statement.statement, ResetSession):
--- a/tests/test_instance_pool.py
+++ b/tests/test_instance_pool.py
@@ -195,6 +195,26 @@
         _own(connection.value_statements({}))
         self.assertEqual([Prepare("p2", True, "q")], _own(connection.prepare_statements(True, "q")))
 
+    @trio_test(mock_clock=True)
+    async def test_values_that_were_not_sent_are_not_taken_for_set(self) -> None:
+        # Guards against a statement that runs with other values than its caller has set, after the
+        # gate refused the one that would have set them (klw-orders-grown, PINNED 512).
+        instance = FakeInstance()
+        instance.work_s = 10.0
+        tested = InstancePool(entry("i-1"), instance.open, PoolLimits(9, 9, gated=True))
+        taken = [await tested.acquire("a", 0.0, 10.0) for _ in range(9)]
+        read = InstanceStatement("q", Verbatim("READ 1"))
+        async with trio.open_nursery() as nursery:
+            for each in taken[:3]:
+                nursery.start_soon(each.run, [read])
+            await trio.sleep(0.01)
+            refused = taken[8]
+            with self.assertRaises(OverloadedError):
+                await refused.run([*refused.value_statements({"x": "1"}), read])
+            statements = _own(refused.value_statements({"x": "1"}))
+            nursery.cancel_scope.cancel()
+        self.assertEqual([ResetSession(), SetValue("x", "1")], statements)
+
     @given(
         st.lists(
             st.dictionaries(st.sampled_from("xyz"), st.sampled_from("123"), max_size=3), max_size=8
