--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -100,6 +100,7 @@
         self._announced_revision = 0
         self._announced = trio.Event()
         self._echo_at = float("-inf")
+        self._configuration_announced = False
         self.is_coordinator: Callable[[], bool] = lambda: True
         self.on_leader_change: Callable[[], None] = lambda: None
 
@@ -218,23 +219,25 @@
                 await self._announced.wait()
             if boot_time() - self._echo_at > self._timing.follow_s:
                 return
-        # Further changes that come now are taken in with the same call.
-        await trio.sleep(self._timing.gather_s)
+        # Further changes that come now are taken in with the same call, but a configuration has to
+        # be in force soon.
+        with trio.move_on_after(self._timing.gather_s):
+            while not self._configuration_announced:
+                await self._announced.wait()
+        self._configuration_announced = False
 
     def note_echo(self, echo: Echo) -> None:
         """Take in what a coordinator answered to a heartbeat of this VM."""
         self._echo_at = boot_time()
+        configuration = self._beliefs.configuration
+        newer = configuration is not None and (echo.configuration_revision > configuration.revision)
+        self._configuration_announced = self._configuration_announced or newer
         if echo.store_revision > self._announced_revision:
             self._announced_revision = echo.store_revision
             announced, self._announced = self._announced, trio.Event()
             announced.set()
-        configuration = self._beliefs.configuration
-        if configuration is None:
-            return
-        if echo.configuration_revision == configuration.revision:
+        if configuration and echo.configuration_revision == configuration.revision:
             self._beliefs.confirm(echo.sent_at - echo.lag_s)
-        elif echo.configuration_revision > configuration.revision:
-            self.request_check()
 
     def echo(self, sent_at: float) -> Echo:
         """Return the answer to a heartbeat that came just now."""
@@ -262,6 +265,7 @@
 
     async def _run_checks(self) -> None:
         await self._beliefs.first_configuration.wait()
+        failed_s = self._timing.retry_s
         while True:
             delay_s = self._timing.check_poll_s
             try:
@@ -269,7 +273,10 @@
                     await self._check()
             except KeyValueError as error:
                 self._note_lost("check", error)
-                delay_s = 2 * self._timing.retry_s
+                failed_s = min(self._timing.check_s, failed_s * 2)
+                delay_s = failed_s
+            else:
+                failed_s = self._timing.retry_s
             with trio.move_on_after(delay_s):
                 await self._check_wanted.wait()
 
