--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import NamedTuple
@@ -66,6 +67,7 @@
 READ_ATTEMPT_SHARE = 0.45
 ROLLBACK_TIMEOUT_S = 0.5
 ANONYMOUS = "-"
+TRACE_FRAMES = 6
 
 
 class RefusedError(TanagerfrontError):
@@ -159,6 +161,13 @@
             reply = await self._dispatch(query)
         except RefusedError as error:
             reply = self._refused(query, error)
+        except Exception as error:  # a defect must not leave the caller without an answer
+            self._services.log.trouble(
+                "statement_failed", request=query.id, error=repr(error), trace=_trace(error)
+            )
+            # The statement may have been sent, so nothing is promised.
+            refusal = RefusedError(FailureCode.IN_DOUBT, "internal error")
+            reply = self._refused(query, refusal)
         if self._transaction is not None and reply.failure is not None:
             await self._fail_transaction()
         return reply._replace(state=self.state)
@@ -651,6 +660,12 @@
         return Reply(failure=error.failure)
 
 
+def _trace(error: Exception) -> list[str]:
+    """Return where an unexpected error was raised, innermost call last."""
+    frames = traceback.extract_tb(error.__traceback__)[-TRACE_FRAMES:]
+    return [f"{each.name}:{each.lineno}" for each in frames]
+
+
 class _Attempts:
     """Time and instances that one statement has used up."""
 
--- a/src/tanagerfront/instance_pool.py
+++ b/src/tanagerfront/instance_pool.py
@@ -445,9 +445,13 @@
             waiter = min(self._waiters, key=rank)
             self._waiters.remove(waiter)
             self._idle.pop()
-            if waiter.organisation == connection.organisation:
-                waiter.granted = connection
-            else:
-                await connection.close()
+            replaced = waiter.organisation != connection.organisation
+            if replaced:
                 waiter.permit = True
+            else:
+                waiter.granted = connection
+            # Before anything is awaited: a waiter that gives up meanwhile would take the place
+            # with it.
             waiter.event.set()
+            if replaced:
+                await connection.close()
--- a/src/tanagerfront/platform/caller_wire.py
+++ b/src/tanagerfront/platform/caller_wire.py
@@ -57,9 +57,10 @@
         except _EndedError as end:
             if end.farewell:
                 await self._send(end.farewell)
-        except ConnectionLostError:
+        except ConnectionLostError as error:
             # Callers leave without notice; their transaction is rolled back below.
             self._services.metrics.count("callers_left")
+            self._services.log.decision("caller_left", error=str(error))
         finally:
             with trio.CancelScope(shield=True):
                 if self._session is not None:
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -168,6 +168,7 @@
 
     async def close(self) -> None:
         self.usable = False
+        await trio.sleep(self._instance.close_s)
         if not self.closed:
             self.closed = True
             self._instance.open_now -= 1
@@ -196,6 +197,7 @@
         self.answer: Answer = _answer_all
         self.work_s = 0.005
         self.open_s = 0.012
+        self.close_s = 0.0
         self.open_now = 0
         self.most_open = 0
         self.opened = 0
--- a/tests/test_instance_pool.py
+++ b/tests/test_instance_pool.py
@@ -152,6 +152,34 @@
         await tested.release(taken)
         self.assertEqual(1, tested.open_connections)
 
+    @trio_test(mock_clock=True)
+    async def test_a_waiter_may_give_up_while_a_connection_is_closed_for_it(self) -> None:
+        # Guards against a caller whose connection ends without an answer, and a place that is lost
+        # for good (hfva-harvest inc-6131, LOST 1).
+        instance = FakeInstance()
+        instance.close_s = 0.05
+        tested = pool(instance, open_limit=1)
+        held = await tested.acquire("a", 0.0, 10.0)
+        outcomes: list[str] = []
+
+        async def wait() -> None:
+            try:
+                connection = await tested.acquire("b", 0.0, trio.current_time() + 0.12)
+            except OverloadedError:
+                outcomes.append("refused")
+            else:
+                outcomes.append("served")
+                await tested.release(connection)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wait)
+            await trio.sleep(0.1)
+            await tested.release(held)
+        self.assertEqual(1, len(outcomes))
+        taken = await tested.acquire("c", 0.0, trio.current_time() + 1)
+        await tested.release(taken)
+        self.assertEqual(1, tested.open_connections)
+
     @staticmethod
     async def _use(tested: InstancePool) -> None:
         connection = await tested.acquire("a", 0.0, 10.0)
