--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,172 @@
+"""The client of the platform's store against the stand-in, over real sockets."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from front_fakes import QuietLog, vm
+from support import TestCase, trio_test
+from tanagerfront.errors import KeyValueTimeoutError, KeyValueUnavailableError
+from tanagerfront.failover import PromotionOutcome
+from tanagerfront.fleet_store import ConfigurationChanged, InstanceChanged, KnownRevisions
+from tanagerfront.http_client import Address
+from tanagerfront.instance_directory import LeaderRecord
+from tanagerfront.platform.control import PromotionOrders
+from tanagerfront.platform.fleet_store import PlatformFleetStore
+from tanagerfront.platform.store import (
+    HistoryLostError,
+    LeaseEndedError,
+    StoreClient,
+    SwapConflictError,
+)
+from tanagerfront_standin.platform_store import PlatformStore, StoreFaults
+
+ENTRY = {
+    "service": "orders",
+    "address": "127.0.0.1:9",
+    "zone": "suame",
+    "slots": 2,
+    "state": "ready",
+    "db_role": "replica",
+}
+
+
+async def _promote(_group: str, instance: str, _holder: str, _token: int) -> bool:
+    return instance == "runs"
+
+
+@asynccontextmanager
+async def store() -> AsyncIterator[tuple[PlatformStore, StoreClient, Address]]:
+    standin = PlatformStore(_promote)
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(standin.run, Address("127.0.0.1", 0))
+        yield standin, StoreClient(address, 0.3), address
+        nursery.cancel_scope.cancel()
+
+
+class StoreTest(TestCase):
+    @trio_test
+    async def test_values_are_swapped_only_at_their_revision(self) -> None:
+        async with store() as (_, client, _address):
+            revision = await client.swap({"a": 0}, {"a": b"one"})
+            with self.assertRaises(SwapConflictError) as conflict:
+                await client.swap({"a": 0}, {"a": b"two"})
+            [found] = conflict.exception.items
+            self.assertEqual((b"one", revision), (found.value, found.revision))
+            await client.swap({"a": revision})
+
+    @trio_test
+    async def test_a_watch_returns_changes_and_deletions_and_ends_empty(self) -> None:
+        async with store() as (standin, client, _address):
+            page = await client.range("")
+            standin.put("servers/i", {"x": 1})
+            standin.delete("servers/i")
+            watched = await client.watch("", page.revision, 1.0)
+            self.assertEqual([False, True], [each.value is None for each in watched.events])
+            empty = await client.watch("", watched.revision, 0.05)
+            self.assertEqual((), empty.events)
+
+    @trio_test
+    async def test_lost_history_is_told(self) -> None:
+        async with store() as (standin, client, _address):
+            page = await client.range("")
+            standin.put("a", {})
+            standin.put("a", {})
+            standin.compact()
+            with self.assertRaises(HistoryLostError):
+                await client.watch("", page.revision, 0.1)
+
+    @trio_test
+    async def test_keys_end_with_their_lease(self) -> None:
+        async with store() as (_, client, _address):
+            lease = await client.grant(0.2)
+            await client.swap({"mine": 0}, {"mine": b"x"}, lease=lease)
+            await trio.sleep(0.5)
+            self.assertIsNone(await client.get("mine"))
+            with self.assertRaises(LeaseEndedError):
+                await client.keep_alive(lease)
+
+    @trio_test
+    async def test_a_refused_call_had_no_effect_and_a_silent_one_may_have(self) -> None:
+        async with store() as (standin, client, _address):
+            standin.faults = StoreFaults(busy=True)
+            with self.assertRaises(KeyValueUnavailableError):
+                await client.range("")
+            standin.faults = StoreFaults(lose_each=1)
+            with self.assertRaises(KeyValueTimeoutError):
+                await client.swap({"a": 0}, {"a": b"x"})
+            standin.faults = StoreFaults()
+            self.assertIsNotNone(await client.get("a"))
+
+
+class FleetStoreTest(TestCase):
+    def _fleet(self, address: Address) -> PlatformFleetStore:
+        clients = [StoreClient(address, 0.3) for _ in range(3)]
+        return PlatformFleetStore(*clients, QuietLog())
+
+    @trio_test
+    async def test_unreadable_entries_name_nobody_and_withhold_the_confirmation(self) -> None:
+        async with store() as (standin, _client, address):
+            fleet = self._fleet(address)
+            standin.put("op/config", {"version": 3})
+            standin.put("servers/good", ENTRY)
+            standin.put("servers/odd", {**ENTRY, "state": "odd"})
+            view = await fleet.load()
+            entries = [each.entry.id for each in view.changes if isinstance(each, InstanceChanged)]
+            self.assertEqual((["good"], True), (entries, view.readable))
+            standin.put("op/config", {"version": "broken"})
+            self.assertFalse((await fleet.load()).readable)
+            result = await fleet.check(KnownRevisions(1, {}))
+            self.assertEqual((False, ()), (result.current, tuple(result.changes)))
+
+    @trio_test
+    async def test_a_check_confirms_or_returns_what_is_newer(self) -> None:
+        async with store() as (standin, _client, address):
+            fleet = self._fleet(address)
+            standin.put("op/config", {"version": 3})
+            [change] = (await fleet.check(KnownRevisions(0, {"orders": 0}))).changes
+            assert isinstance(change, ConfigurationChanged)
+            known = KnownRevisions(change.configuration.revision, {"orders": 0})
+            self.assertTrue((await fleet.check(known)).current)
+
+    @trio_test
+    async def test_one_vm_takes_the_seat_and_its_restart_takes_it_over(self) -> None:
+        async with store() as (_standin, _client, address):
+            fleet = self._fleet(address)
+            lease = await fleet.register(vm("a"), 5.0)
+            first = await fleet.take_seat(vm("a"), lease)
+            self.assertEqual(first, await fleet.take_seat(vm("a"), lease))
+            other = await fleet.register(vm("b"), 5.0)
+            self.assertIsNone(await fleet.take_seat(vm("b"), other))
+            restarted = vm("a")._replace(incarnation="second")
+            again = await fleet.take_seat(restarted, lease)
+            assert first is not None and again is not None
+            self.assertGreater(again.token, first.token)
+
+    @trio_test
+    async def test_a_record_whose_answer_was_lost_is_read_back(self) -> None:
+        async with store() as (standin, _client, address):
+            fleet = self._fleet(address)
+            standin.faults = StoreFaults(lose_each=1)
+            written = await fleet.write_leader(LeaderRecord("orders", "i", 2, True, 0))
+            assert written is not None
+            self.assertGreater(written.revision, 0)
+            standin.faults = StoreFaults()
+            self.assertIsNone(await fleet.write_leader(LeaderRecord("orders", "j", 2, True, 0)))
+
+
+class PromotionTest(TestCase):
+    @trio_test
+    async def test_outcomes_of_an_order(self) -> None:
+        async with store() as (standin, _client, address):
+            orders = PromotionOrders(address)
+            self.assertEqual(PromotionOutcome.ORDERED, await orders.promote("g", "runs", "a", 7))
+            self.assertEqual(
+                PromotionOutcome.NOT_RUNNING, await orders.promote("g", "gone", "a", 7)
+            )
+            self.assertEqual(("g", "runs", "a", 7), standin.promotions[0])
+            nobody = PromotionOrders(Address("127.0.0.1", 1))
+            self.assertEqual(PromotionOutcome.UNKNOWN, await nobody.promote("g", "runs", "a", 7))
