--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -2,19 +2,18 @@
 
 from __future__ import annotations
 
-import traceback
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import NamedTuple
 
 import trio
 
+from .attempts import Attempts
 from .decision_log import DecisionLog
 from .entry_id import EntryId
 from .errors import (
     ConnectionLostError,
     OverloadedError,
-    TanagerfrontError,
     TooManyConnectionsError,
 )
 from .front_metrics import FrontMetrics
@@ -36,13 +35,10 @@
     Execute,
     Failure,
     FailureCode,
-    FrontConfiguration,
-    Organisation,
     Prepare,
     Query,
     Reply,
     Rollback,
-    Route,
     RouteKind,
     SetValue,
     TransactionState,
@@ -50,39 +46,15 @@
     Write,
     boot_time,
 )
+from .session_record import Caller, RefusedError, SessionRecord
 from .vm_beliefs import Beliefs
 
-__all__ = ["CallerSession", "RefusedError", "SessionServices"]
+__all__ = ["CallerSession", "SessionServices"]
 
-# Part of the statement timeout that a request may wait for a connection or a primary. A refusal
-# after that still leaves the caller time for an attempt through another VM.
-WAIT_SHARE = 0.4
 # A position is sampled this much later than the oldest that a read may use.
 STALENESS_MARGIN_S = 0.1
-# Attempts for one statement at different instances, or again after a refusal that ran nothing.
-MAX_ATTEMPTS = 5
 RETRY_PAUSE_S = 0.01
-# A read that is not answered after this part of its timeout is repeated elsewhere, because the
-# answer may be lost.
-READ_ATTEMPT_SHARE = 0.45
 ROLLBACK_TIMEOUT_S = 0.5
-ANONYMOUS = "-"
-TRACE_FRAMES = 6
-
-
-class RefusedError(TanagerfrontError):
-    """A statement or connection is refused; nothing of it ran unless the code says otherwise."""
-
-    problem_type = "refused"
-
-    def __init__(self, code: FailureCode, reason: str) -> None:
-        super().__init__(reason)
-        self._failure = Failure(code, reason)
-
-    @property
-    def failure(self) -> Failure:
-        """Return the refusal for the caller."""
-        return self._failure
 
 
 class SessionServices(NamedTuple):
@@ -95,25 +67,12 @@
     metrics: FrontMetrics
 
 
-class _Caller(NamedTuple):
-    """Who sends a statement, as the configuration in force has it."""
-
-    configuration: FrontConfiguration
-    route: Route
-    organisation: Organisation | None
-
-    @property
-    def instance_name(self) -> str:
-        """Return the name under which instances know the caller."""
-        return self.organisation.name if self.organisation else ANONYMOUS
-
-
 @dataclass(slots=True)
 class _Transaction:
     """An open transaction; it gets a connection with its first statement."""
 
     read_only: bool
-    caller: _Caller
+    caller: Caller
     instance: Instance | None = None
     connection: PooledConnection | None = None
     wrote: bool = False
@@ -139,6 +98,7 @@
         self._transaction: _Transaction | None = None
         self._written: EntryId | None = None
         self._written_group = ""
+        self._record = SessionRecord(services.beliefs, services.log, services.metrics, connect)
         self._authorise()
 
     @property
@@ -160,14 +120,12 @@
         try:
             reply = await self._dispatch(query)
         except RefusedError as error:
-            reply = self._refused(query, error)
+            reply = self._record.refused(query, error)
         except Exception as error:  # a defect must not leave the caller without an answer
-            self._services.log.trouble(
-                "statement_failed", request=query.id, error=repr(error), trace=_trace(error)
-            )
+            self._record.failed(query, error)
             # The statement may have been sent, so nothing is promised.
             refusal = RefusedError(FailureCode.IN_DOUBT, "internal error")
-            reply = self._refused(query, refusal)
+            reply = self._record.refused(query, refusal)
         if self._transaction is not None and reply.failure is not None:
             await self._fail_transaction()
         return reply._replace(state=self.state)
@@ -186,7 +144,7 @@
 
     # Who sends the statement
 
-    def _authorise(self) -> _Caller:
+    def _authorise(self) -> Caller:
         """Return the caller as the configuration in force has it; raises RefusedError."""
         beliefs = self._services.beliefs
         configuration = beliefs.configuration
@@ -196,7 +154,7 @@
         if route is None:
             raise RefusedError(FailureCode.UNKNOWN_DATABASE, "no route has this database name")
         if route.anonymous:
-            return _Caller(configuration, route, None)
+            return Caller(configuration, route, None)
         if not beliefs.keys_confirmed:
             raise RefusedError(
                 FailureCode.OVERLOADED, "the keys in force cannot be confirmed at the moment"
@@ -204,9 +162,9 @@
         name = configuration.organisation_of_key.get(self._connect.key)
         if name is None:
             raise RefusedError(FailureCode.DENIED, "the key is unknown or was withdrawn")
-        return _Caller(configuration, route, configuration.organisations[name])
+        return Caller(configuration, route, configuration.organisations[name])
 
-    async def _admit(self, caller: _Caller) -> None:
+    async def _admit(self, caller: Caller) -> None:
         """Use a token of the organisation's rate; raises RefusedError."""
         if caller.organisation is None:
             return
@@ -279,7 +237,7 @@
         caller = self._authorise()
         await self._admit(caller)
         writes = self._writes(query)
-        attempt = _Attempts(caller.route, query.received_at)
+        attempt = Attempts(caller.route, query.received_at)
         while True:
             try:
                 placed = await self._place(caller, writes, attempt)
@@ -294,10 +252,10 @@
     async def _run_single(
         self,
         query: Query,
-        caller: _Caller,
+        caller: Caller,
         writes: bool,
         placed: _Placed,
-        attempt: _Attempts,
+        attempt: Attempts,
     ) -> Reply | None:
         """Run a statement on a connection; return None if it may be tried elsewhere."""
         instance, connection, after = placed
@@ -310,7 +268,7 @@
                 return None
             raise RefusedError(FailureCode.OVERLOADED, str(error)) from error
         except ConnectionLostError as error:
-            self._note_lost(query, instance, error)
+            self._record.lost(query, instance, error)
             if not writes and attempt.another(instance.entry.id):
                 return None
             if trio.current_time() >= attempt.deadline:
@@ -322,10 +280,10 @@
         if reply.failure is None:
             if writes:
                 self._note_written(caller.route.group, reply.reached)
-            self._served(query, caller, instance, reply)
+            self._record.served(query, caller, instance, reply)
             return reply
         if reply.failure.code in NOTHING_RAN:
-            self._note_not_run(query, instance, connection, reply.failure)
+            self._record.not_run(query, instance, connection, reply.failure)
             if writes and reply.failure.code is FailureCode.OVERLOADED:
                 # Only the primary can run it; more attempts would add to its load.
                 return reply
@@ -352,11 +310,11 @@
         except OverloadedError as error:
             raise RefusedError(FailureCode.ABORTED, str(error)) from error
         except ConnectionLostError as error:
-            self._note_lost(query, transaction.instance, error)
+            self._record.lost(query, transaction.instance, error)
             # Without a commit the instance rolls back, so nothing of the transaction is kept.
             raise RefusedError(FailureCode.ABORTED, str(error)) from error
         if reply.failure is None:
-            self._served(query, transaction.caller, transaction.instance, reply)
+            self._record.served(query, transaction.caller, transaction.instance, reply)
         return reply
 
     def _check_caller(self, transaction: _Transaction) -> None:
@@ -374,7 +332,7 @@
     async def _start(self, query: Query, transaction: _Transaction) -> None:
         """Begin the transaction at an instance; raises RefusedError."""
         caller = transaction.caller
-        attempt = _Attempts(caller.route, query.received_at)
+        attempt = Attempts(caller.route, query.received_at)
         while True:
             placed = await self._place(caller, not transaction.read_only, attempt)
             instance, connection, after = placed
@@ -386,14 +344,14 @@
                 replies = await self._run(instance, connection, statements, attempt.deadline)
                 failure = replies[-1].failure
             except ConnectionLostError as error:
-                self._note_lost(query, instance, error)
+                self._record.lost(query, instance, error)
                 failure = Failure(FailureCode.ABORTED, str(error))
             if failure is None:
                 transaction.instance, transaction.connection = instance, connection
                 return
             if connection.reusable_after_rollback:
                 connection.in_transaction = False
-                self._note_not_run(query, instance, connection, failure)
+                self._record.not_run(query, instance, connection, failure)
             await instance.pool.release(connection)
             if not attempt.another(None if not transaction.read_only else instance.entry.id):
                 raise RefusedError(FailureCode.ABORTED, f"cannot begin: {failure.text}")
@@ -412,7 +370,7 @@
         except OverloadedError as error:
             raise RefusedError(FailureCode.ABORTED, str(error)) from error
         except ConnectionLostError as error:
-            self._note_lost(query, instance, error)
+            self._record.lost(query, instance, error)
             code = FailureCode.IN_DOUBT if transaction.wrote else FailureCode.ABORTED
             raise RefusedError(code, str(error)) from error
         if reply.failure is not None:
@@ -422,7 +380,7 @@
         await instance.pool.release(connection)
         if transaction.wrote:
             self._note_written(transaction.caller.route.group, reply.reached)
-        self._served(query, transaction.caller, instance, reply)
+        self._record.served(query, transaction.caller, instance, reply)
         return reply
 
     async def _fail_transaction(self) -> None:
@@ -451,7 +409,7 @@
 
     # Where statements run
 
-    def _bound(self, caller: _Caller, group: Group, received_boot_s: float) -> EntryId | None:
+    def _bound(self, caller: Caller, group: Group, received_boot_s: float) -> EntryId | None:
         """Return the entry that a replica must have for a read; raises LookupError if unknown."""
         staleness_s = caller.route.max_staleness_s
         if staleness_s is None:
@@ -475,7 +433,7 @@
                 return None
         return leader if leader.unreachable_since is None else None
 
-    async def _place(self, caller: _Caller, at_primary: bool, attempt: _Attempts) -> _Placed:
+    async def _place(self, caller: Caller, at_primary: bool, attempt: Attempts) -> _Placed:
         """Return a connection for a statement; raises RefusedError."""
         directory = self._services.directory
         while True:
@@ -499,7 +457,7 @@
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
             except (ConnectionLostError, InstanceRefusedError) as error:
-                self._note_unreachable(instance, error)
+                self._record.unreachable(instance, error)
                 if not attempt.another(instance.entry.id):
                     raise RefusedError(FailureCode.OVERLOADED, str(error)) from error
                 continue
@@ -510,7 +468,7 @@
             return _Placed(instance, connection, after)
 
     def _choose(
-        self, caller: _Caller, group: Group, at_primary: bool, attempt: _Attempts
+        self, caller: Caller, group: Group, at_primary: bool, attempt: Attempts
     ) -> tuple[Instance | None, EntryId | None]:
         """Return the instance for a statement and the entry that it must have."""
         leader = self._leader(group)
@@ -534,7 +492,7 @@
         instance = group.instances[chosen.id]
         return instance, None if instance is leader else after
 
-    async def _wait_for_change(self, group: Group, attempt: _Attempts) -> None:
+    async def _wait_for_change(self, group: Group, attempt: Attempts) -> None:
         """Wait for a primary; raises RefusedError if none appears in time."""
         with trio.move_on_at(attempt.give_up_at):
             await group.changed.wait()
@@ -596,100 +554,6 @@
             group.samples.add(asked_at, last.reached)
         return replies
 
-    # What is recorded
-
     def _note_written(self, group: str, reached: EntryId | None) -> None:
         self._written = reached
         self._written_group = group
-
-    def _note_lost(self, query: Query, instance: Instance, error: ConnectionLostError) -> None:
-        self._services.metrics.count("connections_lost", instance=instance.entry.id)
-        self._services.log.trouble(
-            "answer_lost", request=query.id, instance=instance.entry.id, error=str(error)
-        )
-
-    def _note_unreachable(self, instance: Instance, error: TanagerfrontError) -> None:
-        if instance.note_failure():
-            self._services.log.trouble(
-                "instance_unreachable", instance=instance.entry.id, error=str(error)
-            )
-
-    def _note_not_run(
-        self, query: Query, instance: Instance, connection: PooledConnection, failure: Failure
-    ) -> None:
-        if failure.code is FailureCode.LAGGING:
-            instance.lagging_since = boot_time()
-        if failure.code is FailureCode.UNKNOWN_STATEMENT:
-            connection.forget_prepared()
-        self._services.metrics.count("not_run", code=failure.code.value)
-        self._services.log.decision(
-            "instance_refused",
-            request=query.id,
-            instance=instance.entry.id,
-            code=failure.code.value,
-            text=failure.text,
-        )
-
-    def _served(self, query: Query, caller: _Caller, instance: Instance, reply: Reply) -> None:
-        elapsed_s = trio.current_time() - query.received_at
-        self._services.metrics.observe(caller.instance_name, caller.route.name, elapsed_s)
-        self._services.log.decision(
-            "served",
-            request=query.id,
-            organisation=caller.instance_name,
-            instance=instance.entry.id,
-            role=instance.entry.role.value,
-            version=caller.configuration.version,
-            confirmed_s=round(self._services.beliefs.confirmation_age_s, 3),
-            reached=reply.reached,
-            elapsed_ms=round(elapsed_s * 1000, 1),
-        )
-
-    def _refused(self, query: Query, error: RefusedError) -> Reply:
-        code = error.failure.code
-        self._services.metrics.count("refused", code=code.value)
-        self._services.log.decision(
-            "refused",
-            request=query.id,
-            database=self._connect.database,
-            code=code.value,
-            reason=error.failure.text,
-            confirmed_s=round(self._services.beliefs.confirmation_age_s, 3),
-            elapsed_ms=round((trio.current_time() - query.received_at) * 1000, 1),
-        )
-        return Reply(failure=error.failure)
-
-
-def _trace(error: Exception) -> list[str]:
-    """Return where an unexpected error was raised, innermost call last."""
-    frames = traceback.extract_tb(error.__traceback__)[-TRACE_FRAMES:]
-    return [f"{each.name}:{each.lineno}" for each in frames]
-
-
-class _Attempts:
-    """Time and instances that one statement has used up."""
-
-    def __init__(self, route: Route, received_at: float) -> None:
-        self._timeout_s = route.statement_timeout_s
-        self._count = 1
-        self.received_at = received_at
-        self.received_boot_s = boot_time() - (trio.current_time() - received_at)
-        self.deadline = received_at + route.statement_timeout_s
-        self.give_up_at = received_at + WAIT_SHARE * route.statement_timeout_s
-        # The statement whose objective ends first goes first; a lower priority number is urgent.
-        self.urgency = received_at + route.objective_s * (1 + route.priority) / 2
-        self.tried: set[str] = set()
-        self.offered = False
-
-    def read_deadline(self) -> float:
-        """Return until when to wait for the answer of this attempt of a read."""
-        if self._count > 1:
-            return self.deadline
-        return min(self.deadline, trio.current_time() + READ_ATTEMPT_SHARE * self._timeout_s)
-
-    def another(self, instance: str | None) -> bool:
-        """Use one more attempt, not at this instance; return whether there is one."""
-        if instance is not None:
-            self.tried.add(instance)
-        self._count += 1
-        return self._count <= MAX_ATTEMPTS and trio.current_time() < self.deadline
--- a/src/tanagerfront/platform/caller_wire.py
+++ b/src/tanagerfront/platform/caller_wire.py
@@ -6,9 +6,10 @@
 
 import trio
 
-from ..caller_session import CallerSession, RefusedError, SessionServices
+from ..caller_session import CallerSession, SessionServices
 from ..errors import BadRequestError, ConnectionLostError, TooLargeError
 from ..session_model import Connect, Failure, FailureCode, Query, Reply, TransactionState
+from ..session_record import RefusedError
 from .line_stream import LineStream
 from .lines import Bye, decode_caller_line, encode_failure, encode_ready, encode_reply
 
--- a/src/tanagerfront/platform/lines.py
+++ b/src/tanagerfront/platform/lines.py
@@ -33,8 +33,8 @@
 
 __all__ = [
     "Bye",
-    "END",
     "Complete",
+    "END",
     "Error",
     "InstanceConnect",
     "InstanceMessage",
--- a/src/tanagerfront/session_model.py
+++ b/src/tanagerfront/session_model.py
@@ -12,11 +12,6 @@
 from .http_client import Address
 
 __all__ = [
-    "Verbatim",
-    "StepDown",
-    "PauseReplication",
-    "ReportStatus",
-    "ResetSession",
     "Begin",
     "Commit",
     "Connect",
@@ -30,16 +25,21 @@
     "InstanceRole",
     "NOTHING_RAN",
     "Organisation",
+    "PauseReplication",
     "Prepare",
     "Query",
     "Read",
     "Reply",
+    "ReportStatus",
+    "ResetSession",
     "Rollback",
     "Route",
     "RouteKind",
     "SetValue",
     "Statement",
+    "StepDown",
     "TransactionState",
+    "Verbatim",
     "Write",
     "boot_time",
 ]
--- a/tests/test_caller_session.py
+++ b/tests/test_caller_session.py
@@ -16,7 +16,7 @@
     route,
 )
 from support import TestCase, trio_test
-from tanagerfront.caller_session import CallerSession, RefusedError, SessionServices
+from tanagerfront.caller_session import CallerSession, SessionServices
 from tanagerfront.entry_id import EntryId
 from tanagerfront.errors import ConnectionLostError
 from tanagerfront.front_metrics import FrontMetrics
@@ -39,6 +39,7 @@
     TransactionState,
     boot_time,
 )
+from tanagerfront.session_record import RefusedError
 from tanagerfront.vm_beliefs import BeliefLimits, Beliefs
 
 LIMITS = BeliefLimits(keys_s=4.5, primary_s=3.0, lease_s=4.0, leaving_s=5.5)
