--- /dev/null
+++ b/tests/test_vm_peers.py
@@ -0,0 +1,135 @@
+"""Datagrams between VMs, over real sockets."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec import MsgspecError
+
+from front_fakes import QuietLog
+from support import TestCase, trio_test
+from tanagerfront.fleet_store import RegisteredVm
+from tanagerfront.rate_shares import NO_LENDER, RateShares, ShareRequest
+from tanagerfront.session_model import Organisation
+from tanagerfront.vm_messages import (
+    Echo,
+    Heartbeat,
+    LoanRequest,
+    decode_datagram,
+    encode_datagram,
+)
+from tanagerfront.vm_peers import VmPeers
+
+
+def free_vms(count: int) -> list[RegisteredVm]:
+    found = []
+    for number in range(count):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        found.append(RegisteredVm(f"vm-{number}", "127.0.0.1", port, "suame", "x"))
+    return found
+
+
+async def _no_loan(_request: ShareRequest, _lender: str) -> int:
+    return NO_LENDER
+
+
+async def until(condition: Callable[[], bool], timeout_s: float = 5.0) -> None:
+    """Wait for a condition that another task brings about."""
+    for _ in range(int(timeout_s / 0.01)):
+        if condition():
+            return
+        await trio.sleep(0.01)
+    raise AssertionError("the condition did not come about")
+
+
+class Fleet:
+    def __init__(self) -> None:
+        self.vms = free_vms(2)
+        self.heard: list[Heartbeat] = []
+        self.logs = [QuietLog(), QuietLog()]
+        self.peers = [
+            VmPeers(
+                own,
+                vms=lambda: self.vms,
+                promoter=lambda: None,
+                heartbeat=lambda own=own: Heartbeat(own.name, 5.0, 3, ["i"], [], {}),  # type: ignore[misc]
+                echo=lambda sent_at: Echo(sent_at, 0.5, 9, 11),
+                log=log,
+            )
+            for own, log in zip(self.vms, self.logs, strict=True)
+        ]
+        self.peers[0].on_heartbeat = self.heard.append
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        for each in self.peers:
+            await each.bind()
+            nursery.start_soon(each.run)
+
+
+class PeersTest(TestCase):
+    @trio_test
+    async def test_heartbeats_are_answered_with_the_time_they_carried(self) -> None:
+        fleet = Fleet()
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            await until(lambda: any(each.echo for each in fleet.heard))
+            echo = next(each.echo for each in fleet.heard if each.echo)
+            self.assertEqual(Echo(5.0, 0.5, 9, 11), echo)
+            self.assertEqual(["vm-1"], list(fleet.peers[0].fresh()))
+            nursery.cancel_scope.cancel()
+
+    @trio_test
+    async def test_a_peer_lends_tokens_and_an_unknown_one_does_not(self) -> None:
+        fleet = Fleet()
+        rates = RateShares("vm-1", _no_loan, lambda _vm, _organisation: 0)
+        limits = {"a": Organisation("a", 1000.0, 1000.0)}
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            rates.configure(limits, ["vm-1", "vm-2", "vm-3"])
+            rates.configure(limits, ["vm-1"])
+            fleet.peers[1].rates = rates
+            await trio.sleep(0.2)
+            self.assertEqual(3, await fleet.peers[0].borrow(ShareRequest("a", 3), "vm-1"))
+            self.assertEqual(NO_LENDER, await fleet.peers[0].borrow(ShareRequest("a", 3), "vm-9"))
+            nursery.cancel_scope.cancel()
+
+    @trio_test
+    async def test_a_peer_that_does_not_answer_costs_little_time(self) -> None:
+        fleet = Fleet()
+        await fleet.peers[0].bind()
+        started = trio.current_time()
+        self.assertEqual(0, await fleet.peers[0].borrow(ShareRequest("a", 1), "vm-1"))
+        self.assertLess(trio.current_time() - started, 0.5)
+
+    @trio_test
+    async def test_bytes_that_are_no_message_are_logged_and_harm_nothing(self) -> None:
+        fleet = Fleet()
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+                sender.sendto(b"\xc1 nonsense", (fleet.vms[0].host, fleet.vms[0].port))
+            await until(lambda: bool(fleet.logs[0].named("datagram_unreadable")))
+            await until(lambda: bool(fleet.heard))
+            nursery.cancel_scope.cancel()
+
+
+class MessageTest(TestCase):
+    def test_messages_come_back_as_sent(self) -> None:
+        for message in (
+            Heartbeat("vm", 1.0, 2, ["a"], ["b"], {"o": 3}, Echo(1.0, 0.1, 2, 3)),
+            LoanRequest(1, "o", 2),
+        ):
+            self.assertEqual(message, decode_datagram(encode_datagram(message)))
+
+    @given(st.binary(max_size=100))
+    def test_any_bytes_are_decoded_or_refused(self, data: bytes) -> None:
+        try:
+            decode_datagram(data)
+        except MsgspecError:
+            return
