Let relayed transactions end before a home stops; keep the probe's path in the adapter

Cause: read in review. A home without callers of its own left after 2.6 s and cut relayed transactions that have half of the grace time.

--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -29,7 +29,6 @@
 
 __all__ = ["CallerSide", "Front", "FrontParts", "FrontTimes", "VmIdentity"]
 
-PROBE_PATH = "/v1/readiness"
 METRICS_PATH = "/metrics"
 # The platform takes a VM out of rotation after two probes, one a second, that were not answered
 # with 200. New callers come until then.
@@ -87,6 +86,10 @@
 class RelaySide(Protocol):
     """Sessions of other VMs at the instances whose connections this VM holds."""
 
+    @property
+    def count(self) -> int:
+        """Return the number of open sessions."""
+
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
 
@@ -104,6 +107,8 @@
     control: InstanceControl
     orders: PromotionOrderer
     callers: Callable[[SessionServices], CallerSide]
+    # Path that the platform asks whether the VM is ready.
+    probe_path: str
     # Returns the times of the settings file, None while it can't be read.
     reload: Callable[[], FrontTimes | None]
     relays: Callable[[InstanceDirectory, DecisionLog], RelaySide]
@@ -112,13 +117,14 @@
 class _ProbeHandler(ConnectionHandler):
     """Answer the platform's readiness probe and serve the metrics."""
 
-    def __init__(self, ready: Callable[[], bool], metrics: FrontMetrics) -> None:
+    def __init__(self, path: str, ready: Callable[[], bool], metrics: FrontMetrics) -> None:
+        self._path = path
         self._ready = ready
         self._metrics = metrics
 
     async def handle(self, request: Request) -> Response:
         """Return the response to one request."""
-        if request.path == PROBE_PATH:
+        if request.path == self._path:
             return Response(200 if self._ready() else 503)
         if request.path == METRICS_PATH:
             return Response(200, self._metrics.render(), content_type="text/plain; version=0.0.4")
@@ -134,6 +140,7 @@
         self._identity = identity
         self._times = times
         self._reload_times = parts.reload
+        self._probe_path = parts.probe_path
         self._log = log
         self._metrics = FrontMetrics()
         own = RegisteredVm(
@@ -258,7 +265,8 @@
                 self._callers.close_idle()
             else:
                 self._callers.close_waiting()
-            if not self._callers.count and trio.current_time() - started > ROTATION_S:
+            served = not self._callers.count and not self._relays.count
+            if served and trio.current_time() - started > ROTATION_S:
                 break
             await trio.sleep(STOP_POLL_S)
         lease = self._sync.lease
@@ -271,7 +279,7 @@
                 self._log.trouble("lease_not_released", error=str(error))
 
     def _probe_handler(self) -> ConnectionHandler:
-        return _ProbeHandler(lambda: self._beliefs.ready, self._metrics)
+        return _ProbeHandler(self._probe_path, lambda: self._beliefs.ready, self._metrics)
 
     async def _borrow(self, request: ShareRequest, lender: str) -> int:
         return await self._peers.borrow(request, lender)
--- a/src/tanagerfront/platform/main.py
+++ b/src/tanagerfront/platform/main.py
@@ -24,6 +24,7 @@
 
 # The store answers in 4 ms; a call that takes longer than this is repeated on a new connection.
 STORE_TIMEOUT_S = 0.6
+PROBE_PATH = "/v1/readiness"
 NO_CONTROL = Address("127.0.0.1", 1)
 
 
@@ -72,6 +73,7 @@
         control=LineInstanceControl(),
         orders=PromotionOrders(settings.control or NO_CONTROL),
         callers=CallerConnections,
+        probe_path=PROBE_PATH,
         reload=reload,
         relays=RelayConnections,
     )
--- a/src/tanagerfront/platform/relay_wire.py
+++ b/src/tanagerfront/platform/relay_wire.py
@@ -33,6 +33,12 @@
         self._log = log
         self._waiting: dict[trio.CancelScope, RelaySession | None] = {}
         self._stopping = False
+        self._open_sessions = 0
+
+    @property
+    def count(self) -> int:
+        """Return the number of open sessions."""
+        return self._open_sessions
 
     def stop(self) -> None:
         """Refuse new sessions and close those without a statement or transaction in progress."""
@@ -45,6 +51,7 @@
         """Serve one connection."""
         lines = LineStream(stream)
         session: RelaySession | None = None
+        self._open_sessions += 1
         try:
             session = await self._open(lines)
             while session is not None:
@@ -62,6 +69,7 @@
         except Exception as error:  # a defect in one session must not end the others
             self._log.trouble("relay_failed", error=repr(error))
         finally:
+            self._open_sessions -= 1
             with trio.CancelScope(shield=True):
                 if session is not None:
                     await session.close()
