--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -29,7 +29,6 @@
     CONFIGURATION_KEY,
     INSTANCE_PREFIX,
     LEADER_PREFIX,
-    OWN_PREFIX,
     PROMOTER_KEY,
     VM_PREFIX,
     PromoterRecord,
@@ -72,22 +71,19 @@
         }
 
     async def load(self) -> FleetView:
-        """Return everything that the fleet knows."""
-        own = await self._watches.range(OWN_PREFIX)
-        servers = await self._watches.range(INSTANCE_PREFIX)
-        configuration = await self._watches.get(CONFIGURATION_KEY)
-        found = [*own.values, *servers.values, *([configuration] if configuration else [])]
-        keys = [each.key for each in found]
-        changes = tuple(self._changes(found))
+        """Return everything that the fleet knows, with one call unless it is large."""
+        page = await self._watches.range(ALL_KEYS)
+        keys = [each.key for each in page.values]
+        changes = tuple(self._changes(page.values))
         relied_on = sum(isinstance(each, ConfigurationChanged | LeaderChanged) for each in changes)
         leaders = len(tuple(_names(keys, LEADER_PREFIX)))
         return FleetView(
             changes=changes,
-            readable=configuration is not None and relied_on == leaders + 1,
+            readable=CONFIGURATION_KEY in keys and relied_on == leaders + 1,
             instances=frozenset(_names(keys, INSTANCE_PREFIX)),
             vms=frozenset(_names(keys, VM_PREFIX)),
             has_promoter=PROMOTER_KEY in keys,
-            revision=own.revision,
+            revision=page.revision,
         )
 
     async def watch(self, after: int, wait_s: float) -> tuple[Sequence[Change], int]:
@@ -118,6 +114,8 @@
         address = f"{vm.host}:{vm.port}"
         record = VmRecord(vm.name, address, vm.failure_domain, vm.incarnation, vm.cores)
         key = VM_PREFIX + vm.name
+        # Without the condition a write whose answer was lost could be executed later and bind the
+        # record to a lease that is renewed no more.
         current = await self._leases.get(key)
         revision = current.revision if current else 0
         await self._leases.swap({key: revision}, {key: encode_record(record)}, lease=lease)
