Use one rendezvous score everywhere

The roles of the session interface used another hash of the same family, so other VMs get them now; the rule is the same.

--- a/src/tanagerfront/_seats_order.py
+++ b/src/tanagerfront/_seats_order.py
@@ -6,9 +6,8 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
-import xxhash
-
 from .membership import LiveVm
+from .rendezvous import rendezvous_score
 
 __all__ = ["Candidate", "SeatHolder", "candidates", "surplus_index"]
 
@@ -29,10 +28,6 @@
     vm: str
 
 
-def _score(role: str, name: str, index: int, vm: str) -> int:
-    return xxhash.xxh64_intdigest(f"{role}/{name}/{index}/{vm}".encode())
-
-
 def candidates(
     role: str, name: str, index: int, live: Iterable[LiveVm], holders: Iterable[SeatHolder]
 ) -> list[Candidate]:
@@ -41,7 +36,12 @@
     domains = Counter(holder.failure_domain for holder in taken)
     vms = Counter(holder.vm for holder in taken)
     return sorted(
-        Candidate(domains[vm.failure_domain], vms[vm.id], _score(role, name, index, vm.id), vm.id)
+        Candidate(
+            domains[vm.failure_domain],
+            vms[vm.id],
+            rendezvous_score(role, name, index, vm.id),
+            vm.id,
+        )
         for vm in live
         if not vm.draining
     )
--- a/src/tanagerfront/fleet_roles.py
+++ b/src/tanagerfront/fleet_roles.py
@@ -4,9 +4,8 @@
 
 from collections.abc import Iterable, Sequence
 
-import xxhash
-
 from .fleet_store import RegisteredVm
+from .rendezvous import rendezvous_score
 from .session_model import Organisation
 
 __all__ = ["COORDINATORS", "coordinators", "rate_holders"]
@@ -22,7 +21,7 @@
 
 def _ranked(names: Iterable[str], purpose: str) -> list[str]:
     """Return names in rendezvous order: a VM that joins or leaves moves only its own work."""
-    return sorted(names, key=lambda name: xxhash.xxh3_64_intdigest(f"{purpose}/{name}".encode()))
+    return sorted(names, key=lambda name: rendezvous_score(purpose, name))
 
 
 def coordinators(vms: Sequence[RegisteredVm]) -> tuple[str, ...]:
--- a/src/tanagerfront/homes.py
+++ b/src/tanagerfront/homes.py
@@ -7,7 +7,6 @@
 
 import structlog
 import trio
-import xxhash
 
 from .configuration import Configuration
 from .errors import TanagerfrontError, UnavailableError
@@ -23,6 +22,7 @@
     TransactionRequest,
 )
 from .peers import PeerNetwork
+from .rendezvous import rendezvous_score
 from .seats import SeatRegistry
 
 __all__ = ["HOME_ROLE", "Homes"]
@@ -175,7 +175,7 @@
     def _rank(self, group: str) -> int:
         """Return this VM's place among the homes of a group."""
         vms = {home.vm for home in self.homes(group)} | {self._membership.vm_id}
-        ordered = sorted(vms, key=lambda vm: xxhash.xxh64_intdigest(f"{group}/{vm}".encode()))
+        ordered = sorted(vms, key=lambda vm: rendezvous_score(group, vm))
         return ordered.index(self._membership.vm_id)
 
     async def _confirm(self, group: str, term: int, primary: str | None) -> bool:
--- a/src/tanagerfront/membership.py
+++ b/src/tanagerfront/membership.py
@@ -7,7 +7,6 @@
 from collections.abc import Awaitable, Callable, Iterable, Iterator, Sequence
 
 import trio
-import xxhash
 
 from ._membership_impl import (
     NEVER,
@@ -21,6 +20,7 @@
 from .http_client import Address, parse_address
 from .messages import Heartbeat, HeartbeatReply, Message, ServiceProbe, ServiceProbeReply
 from .peers import PeerNetwork
+from .rendezvous import rendezvous_score
 
 __all__ = [
     "ListedPeer",
@@ -170,7 +170,7 @@
         peers = list(self._peers.values())
         if len(peers) < self._settings.sample_size:
             return peers
-        peers.sort(key=lambda peer: xxhash.xxh64_intdigest(f"{self.vm_id}/{peer.id}".encode()))
+        peers.sort(key=lambda peer: rendezvous_score(self.vm_id, peer.id))
         needed = [peer for peer in peers if peer.id in self._needed]
         others = [peer for peer in peers if peer.id not in self._needed]
         return needed + others[: self._settings.sample_size]
--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -12,7 +12,6 @@
 from typing import Protocol
 
 import trio
-import xxhash
 
 from .entry_id import EntryId
 from .errors import ConnectionLostError, OverloadedError, TanagerfrontError
@@ -25,6 +24,7 @@
     Opener,
     PooledConnection,
 )
+from .rendezvous import rendezvous_score
 from .session_model import (
     Begin,
     Execute,
@@ -57,8 +57,8 @@
     """
 
     def rank(vm: RegisteredVm) -> tuple[bool, float, int]:
-        digest = xxhash.xxh3_64_intdigest(f"home/{entry.id}/{vm.name}".encode())
-        return vm.failure_domain != entry.failure_domain, -vm.cores, digest
+        score = rendezvous_score("home", entry.id, vm.name)
+        return vm.failure_domain != entry.failure_domain, -vm.cores, score
 
     return tuple(sorted(vms, key=rank)[:HOMES])
 
