Keep what a connection holds of a session in one place

The statements before a caller's statement were put together twice, at the entry and at a home, and each user of a connection had to tell it when the instance forgot its session, which one of them did not (PINNED on the grown site). The connection now sees it in the answer. A statement and a commit of a transaction share one path. One effect is new: a shape that an instance lost inside a transaction is prepared again for the next caller too.

--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -11,11 +10,7 @@
 from .attempts import Attempts
 from .decision_log import DecisionLog
 from .entry_id import EntryId
-from .errors import (
-    ConnectionLostError,
-    OverloadedError,
-    TooManyConnectionsError,
-)
+from .errors import ConnectionLostError, OverloadedError, TooManyConnectionsError
 from .front_metrics import FrontMetrics
 from .instance_directory import Group, Instance, InstanceDirectory
 from .instance_pool import (
@@ -194,14 +189,14 @@
                 return Reply()
             case Begin(read_only):
                 return await self._begin(read_only)
-            case Commit() | Rollback() if transaction is None:
-                raise RefusedError(FailureCode.MALFORMED, "no transaction is open")
-            case Commit():
-                return await self._commit(query)
-            case Rollback():
+            case Commit() if transaction is not None:
+                return await self._commit(query, transaction)
+            case Rollback() if transaction is not None:
                 await self._fail_transaction()
                 self._transaction = None
                 return Reply()
+            case Commit() | Rollback():
+                raise RefusedError(FailureCode.MALFORMED, "no transaction is open")
             case Execute(name, _) if name not in self._prepared:
                 raise RefusedError(FailureCode.UNKNOWN_STATEMENT, "no such prepared statement")
         if transaction is not None:
@@ -285,7 +280,7 @@
             self._record.served(query, caller, instance, reply)
             return reply
         if reply.failure.code in NOTHING_RAN:
-            self._record.not_run(query, instance, connection, reply.failure)
+            self._record.not_run(query, instance, reply.failure)
             if writes and reply.failure.code is FailureCode.OVERLOADED:
                 # Only the primary can run it; more attempts would add to its load.
                 return reply
@@ -298,26 +293,34 @@
         return reply
 
     async def _in_transaction(self, query: Query, transaction: _Transaction) -> Reply:
-        writes = self._writes(query)
+        transaction.wrote = transaction.wrote or self._writes(query)
+        # Without a commit the instance rolls back, so nothing of the transaction is kept.
+        reply, instance, _ = await self._run_pinned(query, transaction, FailureCode.ABORTED)
+        if reply.failure is None:
+            self._record.served(query, transaction.caller, instance, reply)
+        return reply
+
+    async def _run_pinned(
+        self, query: Query, transaction: _Transaction, if_lost: FailureCode
+    ) -> tuple[Reply, Instance, PooledConnection]:
+        """Run a statement on the transaction's connection; raises RefusedError.
+
+        The refusal has the code `if_lost` when the statement was sent and not answered.
+        """
         if transaction.connection is None:
             await self._start(query, transaction)
-        assert transaction.connection is not None and transaction.instance is not None
+        instance, connection = transaction.instance, transaction.connection
+        assert instance is not None and connection is not None
         self._check_caller(transaction)
-        transaction.wrote = transaction.wrote or writes
         deadline = query.received_at + transaction.caller.route.statement_timeout_s
         try:
-            reply = await self._send(
-                query, transaction.connection, transaction.instance, None, deadline
-            )
+            reply = await self._send(query, connection, instance, None, deadline)
         except OverloadedError as error:
             raise RefusedError(FailureCode.ABORTED, str(error)) from error
         except ConnectionLostError as error:
-            self._record.lost(query, transaction.instance, error)
-            # Without a commit the instance rolls back, so nothing of the transaction is kept.
-            raise RefusedError(FailureCode.ABORTED, str(error)) from error
-        if reply.failure is None:
-            self._record.served(query, transaction.caller, transaction.instance, reply)
-        return reply
+            self._record.lost(query, instance, error)
+            raise RefusedError(if_lost, str(error)) from error
+        return reply, instance, connection
 
     def _check_caller(self, transaction: _Transaction) -> None:
         """Abort a transaction that may not go on; raises RefusedError."""
@@ -353,28 +356,14 @@
                 return
             if connection.reusable_after_rollback:
                 connection.in_transaction = False
-                self._record.not_run(query, instance, connection, failure)
+                self._record.not_run(query, instance, failure)
             await instance.pool.release(connection)
             if not attempt.another(None if not transaction.read_only else instance.entry.id):
                 raise RefusedError(FailureCode.ABORTED, f"cannot begin: {failure.text}")
 
-    async def _commit(self, query: Query) -> Reply:
-        transaction = self._transaction
-        assert transaction is not None
-        if transaction.connection is None:
-            await self._start(query, transaction)
-        instance, connection = transaction.instance, transaction.connection
-        assert instance is not None and connection is not None
-        self._check_caller(transaction)
-        deadline = query.received_at + transaction.caller.route.statement_timeout_s
-        try:
-            reply = await self._send(query, connection, instance, None, deadline)
-        except OverloadedError as error:
-            raise RefusedError(FailureCode.ABORTED, str(error)) from error
-        except ConnectionLostError as error:
-            self._record.lost(query, instance, error)
-            code = FailureCode.IN_DOUBT if transaction.wrote else FailureCode.ABORTED
-            raise RefusedError(code, str(error)) from error
+    async def _commit(self, query: Query, transaction: _Transaction) -> Reply:
+        if_lost = FailureCode.IN_DOUBT if transaction.wrote else FailureCode.ABORTED
+        reply, instance, connection = await self._run_pinned(query, transaction, if_lost)
         if reply.failure is not None:
             return reply
         self._transaction = None
@@ -503,23 +492,6 @@
 
     # Sending
 
-    def _statement(
-        self, query: Query, connection: PooledConnection, after: EntryId | None
-    ) -> InstanceStatement:
-        """Return the statement for the instance, which has its own names for prepared ones."""
-        match query.statement:
-            case Execute(name, arguments):
-                own_name = connection.prepared_name(*self._prepared[name])
-                return InstanceStatement(query.id, Execute(own_name, arguments), after)
-        return InstanceStatement(query.id, Verbatim(query.text), after)
-
-    def _preamble(self, query: Query, connection: PooledConnection) -> Iterator[InstanceStatement]:
-        """Yield what gives the connection the session's values and prepared statement."""
-        yield from connection.value_statements(self._values)
-        match query.statement:
-            case Execute(name, _):
-                yield from connection.prepare_statements(*self._prepared[name])
-
     async def _send(
         self,
         query: Query,
@@ -529,9 +501,13 @@
         deadline: float,
     ) -> Reply:
         """Run a caller's statement; raises ConnectionLostError."""
-        preamble = list(self._preamble(query, connection))
-        statement = self._statement(query, connection, after)
-        replies = await self._run(instance, connection, [*preamble, statement], deadline)
+        match query.statement:
+            case Execute() as own:
+                statement = InstanceStatement(query.id, own, after)
+            case _:
+                statement = InstanceStatement(query.id, Verbatim(query.text), after)
+        statements = connection.session_statements(self._values, self._prepared, statement)
+        replies = await self._run(instance, connection, statements, deadline)
         return replies[-1]
 
     async def _run(
--- a/src/tanagerfront/instance_pool.py
+++ b/src/tanagerfront/instance_pool.py
@@ -13,6 +13,7 @@
     Begin,
     Execute,
     Failure,
+    FailureCode,
     InstanceEntry,
     PauseReplication,
     Prepare,
@@ -172,21 +173,38 @@
             self._prepared[writes, shape] = name
             yield InstanceStatement(OWN_STATEMENT_ID, Prepare(name, writes, shape))
 
-    def prepared_name(self, writes: bool, shape: str) -> str:
-        """Return the name under which the connection has a shape."""
-        return self._prepared[writes, shape]
-
-    def forget_session(self) -> None:
-        """Record that the instance dropped the session's values and prepared statements."""
-        self._values = {}
-        self._prepared = {}
+    def session_statements(
+        self,
+        values: Mapping[str, str],
+        prepared: Mapping[str, tuple[bool, str]],
+        statement: InstanceStatement,
+    ) -> list[InstanceStatement]:
+        """Return a statement and, before it, what it needs of a session.
 
-    def forget_prepared(self) -> None:
-        """Prepare every shape anew, after the instance did not know one."""
-        self._prepared = {}
+        The session's prepared statements go by its own names, with whether they write and shape.
+        """
+        found = list(self.value_statements(values))
+        match statement.statement:
+            case Execute(name, arguments):
+                writes, shape = prepared[name]
+                found += self.prepare_statements(writes, shape)
+                renamed = Execute(self._prepared[writes, shape], arguments)
+                statement = statement._replace(statement=renamed)
+        return [*found, statement]
 
     async def run(self, statements: Sequence[InstanceStatement]) -> list[Reply]:
         """Run statements; raises ConnectionLostError, or OverloadedError if none was sent."""
+        replies = await self._run_gated(statements)
+        if isinstance(statements[-1].statement, ResetSession):
+            self._values = {}
+            self._prepared = {}
+        failure = replies[-1].failure
+        if failure is not None and failure.code is FailureCode.UNKNOWN_STATEMENT:
+            # The instance has lost at least one of the shapes; all are prepared anew.
+            self._prepared = {}
+        return replies
+
+    async def _run_gated(self, statements: Sequence[InstanceStatement]) -> list[Reply]:
         if self._gate is None or not any(_takes_slot(each) for each in statements):
             return await self._connection.run(statements)
         try:
--- a/src/tanagerfront/instance_watch.py
+++ b/src/tanagerfront/instance_watch.py
@@ -113,7 +113,6 @@
                 with trio.fail_after(self._timing.sample_timeout_s):
                     statement = InstanceStatement(OWN_STATEMENT_ID, ResetSession())
                     [reply] = await connection.run([statement])
-                connection.forget_session()
                 instance.note_answer(reply.reached, None)
                 if reply.reached is not None and group.leader is instance:
                     group.samples.add(asked_at, reply.reached)
--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -200,20 +200,9 @@
         if not self._wanted():
             # The other VM has given up; the instance's work would be for nobody.
             raise OverloadedError("the session was closed while its statement waited")
-        statements = list(connection.value_statements(self._values))
         match statement.statement:
-            case Execute(name, arguments):
-                writes, shape = self._prepared.get(name, (False, ""))
-                if not shape:
-                    failure = Failure(FailureCode.UNKNOWN_STATEMENT, name)
-                    return self._own_reply(failure)
-                statements += connection.prepare_statements(writes, shape)
-                own_name = connection.prepared_name(writes, shape)
-                statement = statement._replace(statement=Execute(own_name, arguments))
-        replies = await connection.run([*statements, statement])
-        reply = replies[-1]
-        if isinstance(statement.statement, ResetSession):
-            connection.forget_session()
-        if reply.failure is not None and reply.failure.code is FailureCode.UNKNOWN_STATEMENT:
-            connection.forget_prepared()
-        return reply
+            case Execute(name, _) if name not in self._prepared:
+                return self._own_reply(Failure(FailureCode.UNKNOWN_STATEMENT, name))
+        statements = connection.session_statements(self._values, self._prepared, statement)
+        replies = await connection.run(statements)
+        return replies[-1]
--- a/src/tanagerfront/session_record.py
+++ b/src/tanagerfront/session_record.py
@@ -11,7 +11,6 @@
 from .errors import ConnectionLostError, TanagerfrontError
 from .front_metrics import FrontMetrics
 from .instance_directory import Instance
-from .instance_pool import PooledConnection
 from .session_model import (
     Connect,
     Failure,
@@ -95,14 +94,10 @@
         if instance.note_failure():
             self._log.trouble("instance_unreachable", instance=instance.entry.id, error=str(error))
 
-    def not_run(
-        self, query: Query, instance: Instance, connection: PooledConnection, failure: Failure
-    ) -> None:
+    def not_run(self, query: Query, instance: Instance, failure: Failure) -> None:
         """Record that an instance refused a statement without running it."""
         if failure.code is FailureCode.LAGGING:
             instance.lagging_since = boot_time()
-        if failure.code is FailureCode.UNKNOWN_STATEMENT:
-            connection.forget_prepared()
         self._metrics.count("not_run", code=failure.code.value)
         self._log.decision(
             "instance_refused",
