Compute the coordinators when the registered VMs change

They were computed, by hashing every VM, at each look whether a check is due, at each heartbeat and at each datagram, and FleetSync and VmPeers each had the rule for a small fleet. A rate loan looks up the heartbeat of one lender instead of collecting those of all.

--- a/src/tanagerfront/failover.py
+++ b/src/tanagerfront/failover.py
@@ -17,7 +17,6 @@
 from .decision_log import DecisionLog
 from .entry_id import EntryId
 from .errors import KeyValueError, TanagerfrontError
-from .fleet_roles import coordinators
 from .fleet_store import FleetStore, RegisteredVm
 from .fleet_sync import FleetSync
 from .instance_directory import Group, Instance, InstanceDirectory, LeaderRecord
@@ -227,7 +226,7 @@
         if seat is not None:
             return seat.vm == self._own.name
         since = self._wanted_since.setdefault(group, now)
-        names = list(coordinators(self._sync.vms))
+        names = self._sync.coordinators
         if self._own.name not in names:
             return False
         return now - since >= names.index(self._own.name) * CLAIM_STAGGER_S
@@ -267,7 +266,7 @@
         outcome = await self._order(group, chosen, seat.token)
         if outcome is not PromotionOutcome.ORDERED:
             return
-        await self._await_lead(chosen, record.term)
+        await self._await_lead(chosen)
         final = record._replace(instance=chosen.entry.id, moving=False)
         written = await self._store.write_leader(final)
         if written is not None:
@@ -421,7 +420,7 @@
             chosen.note_failure()
         return outcome
 
-    async def _await_lead(self, chosen: Instance, term: int) -> None:
+    async def _await_lead(self, chosen: Instance) -> None:
         """Wait until the new primary says that it leads."""
         with trio.move_on_after(ORDER_TIMEOUT_S):
             while chosen.entry.role is not InstanceRole.PRIMARY:
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -98,6 +98,7 @@
         self._log = log
         self._timing = timing or SyncTiming()
         self._vms: dict[str, RegisteredVm] = {}
+        self._coordinators: tuple[str, ...] = ()
         self._missing_since: dict[str, float] = {}
         self._vm_gone_since: dict[str, float] = {}
         self._lease: int | None = None
@@ -110,7 +111,6 @@
         self._announced = trio.Event()
         self._echo_at = float("-inf")
         self._configuration_announced = False
-        self.is_coordinator: Callable[[], bool] = lambda: True
         self.on_leader_change: Callable[[], None] = lambda: None
 
     @property
@@ -118,6 +118,27 @@
         """Return the VMs that registered, also those whose lease ended a moment ago."""
         return tuple(self._vms.values())
 
+    @property
+    def coordinators(self) -> Sequence[str]:
+        """Return the VMs that follow the store closely for the others."""
+        return self._coordinators
+
+    @property
+    def is_coordinator(self) -> bool:
+        """Tell whether this VM follows the store closely; all do while few are registered."""
+        return self._own.name in self._coordinators or len(self._coordinators) < COORDINATORS
+
+    @property
+    def listeners(self) -> frozenset[str]:
+        """Return the VMs to which all send their heartbeats: coordinators and the promoter."""
+        promoter = {self._seat.vm} if self._seat is not None else set()
+        return frozenset({*self._coordinators, *promoter})
+
+    @property
+    def is_listener(self) -> bool:
+        """Tell whether this VM answers heartbeats."""
+        return self.is_coordinator or self._own.name in self.listeners
+
     @property
     def lease(self) -> int | None:
         """Return this VM's lease, None while it has none."""
@@ -175,6 +196,7 @@
                 known = self._vms.get(vm.name)
                 self._vms[vm.name] = vm
                 self._vm_gone_since.pop(vm.name, None)
+                self._coordinators = coordinators(self.vms)
                 if known is None:
                     self._log.decision("vm_registered", peer=vm.name, vms=len(self._vms))
                     await self._share()
@@ -194,7 +216,6 @@
         configuration = self._beliefs.configuration
         # This VM counts also before the store shows its registration.
         names = sorted({self._own.name, *self._vms})
-        self._beliefs.vms = len(names)
         if configuration is None:
             return
         self._rates.configure(configuration.organisations, names)
@@ -214,7 +235,7 @@
     async def _catch_up(self) -> None:
         """Take in changes: a coordinator waits for them, the others wait for its announcement."""
         wait_s = self._timing.watch_s
-        if not self.is_coordinator():
+        if not self.is_coordinator:
             await self._wait_for_announcement()
             wait_s = self._timing.short_watch_s
         changes, self._revision = await self._store.watch(self._revision, wait_s)
@@ -295,12 +316,11 @@
             self._check_wanted = trio.Event()
         # The others are confirmed by coordinators, and ask the store when that fails.
         limit_s = self._timing.own_check_s
-        names = coordinators(self.vms)
-        if len(names) < COORDINATORS:
-            limit_s = self._timing.check_s
-        elif self._own.name in names:
+        if self.is_coordinator:
+            names = self._coordinators
             # The first of them checks for all; the next ones follow when it does not.
-            limit_s = self._timing.check_s + names.index(self._own.name) * self._timing.stagger_s
+            place = names.index(self._own.name) if len(names) == COORDINATORS else 0
+            limit_s = self._timing.check_s + place * self._timing.stagger_s
         return wanted or self._beliefs.confirmation_age_s >= limit_s
 
     async def _check(self) -> None:
@@ -367,6 +387,7 @@
                 continue
             del self._vm_gone_since[name]
             del self._vms[name]
+            self._coordinators = coordinators(self.vms)
             self._log.decision("vm_gone", peer=name, vms=len(self._vms))
             await self._share()
 
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -166,12 +166,12 @@
         self._peers = VmPeers(
             own,
             vms=lambda: self._sync.vms,
-            promoter=lambda: self._sync.seat.vm if self._sync.seat else None,
+            listeners=lambda: self._sync.listeners,
+            answers=lambda: self._sync.is_listener,
             heartbeat=self._heartbeat,
             echo=self._sync.echo,
             log=log,
         )
-        self._sync.is_coordinator = lambda: self._peers.is_coordinator
         self._peers.rates = self._rates
         self._peers.on_heartbeat = self._learn
         self._sync.on_leader_change = self._peers.announce
@@ -248,7 +248,7 @@
                 "status",
                 callers=self._callers.count,
                 vms=len(self._sync.vms),
-                coordinator=self._peers.is_coordinator,
+                coordinator=self._sync.is_coordinator,
                 ready=self._beliefs.ready,
                 confirmed_s=round(self._beliefs.confirmation_age_s, 3),
                 instance_connections=sum(each.pool.open_connections for each in instances),
@@ -289,7 +289,7 @@
         return await self._peers.borrow(request, lender)
 
     def _surplus_of(self, vm: str, organisation: str) -> int:
-        heartbeat = self._peers.fresh().get(vm)
+        heartbeat = self._peers.heard(vm)
         return heartbeat.surplus.get(organisation, 0) if heartbeat else 0
 
     def _heartbeat(self) -> Heartbeat:
--- a/src/tanagerfront/vm_beliefs.py
+++ b/src/tanagerfront/vm_beliefs.py
@@ -36,7 +36,6 @@
         self._confirmed_at = float("-inf")
         self._lease_renewed_at = float("-inf")
         self._suspended_at = float("-inf")
-        self.vms = 1
         self.stopping = False
         self.first_configuration = trio.Event()
         self.first_confirmation = trio.Event()
--- a/src/tanagerfront/vm_peers.py
+++ b/src/tanagerfront/vm_peers.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple
 
 import msgspec
 import trio
 
 from .decision_log import DecisionLog
-from .fleet_roles import COORDINATORS, coordinators
 from .fleet_store import RegisteredVm
 from .rate_shares import LOAN_TIMEOUT_S, NO_LENDER, RateShares, ShareRequest
 from .session_model import boot_time
@@ -51,14 +50,16 @@
         self,
         own: RegisteredVm,
         vms: Callable[[], Sequence[RegisteredVm]],
-        promoter: Callable[[], str | None],
+        listeners: Callable[[], Collection[str]],
+        answers: Callable[[], bool],
         heartbeat: Callable[[], Heartbeat],
         echo: Callable[[float], Echo],
         log: DecisionLog,
     ) -> None:
         self._own = own
         self._vms = vms
-        self._promoter = promoter
+        self._listeners = listeners
+        self._answers = answers
         self._heartbeat = heartbeat
         self._echo = echo
         self._log = log
@@ -70,21 +71,17 @@
         self.rates: RateShares | None = None
         self.on_heartbeat: Callable[[Heartbeat], None] = lambda heartbeat: None
 
-    @property
-    def is_coordinator(self) -> bool:
-        """Tell whether this VM follows the store closely for the others."""
-        chosen = coordinators(self._vms())
-        return self._own.name in chosen or len(chosen) < COORDINATORS
+    def heard(self, vm: str) -> Heartbeat | None:
+        """Return the newest heartbeat of a peer, None if it is silent."""
+        view = self._views.get(vm)
+        if view is None or view.received_at < boot_time() - SILENT_INTERVALS * HEARTBEAT_S:
+            return None
+        return view.heartbeat
 
     def fresh(self) -> dict[str, Heartbeat]:
-        """Return the newest heartbeats of the peers that are not silent."""
-        limit = boot_time() - SILENT_INTERVALS * HEARTBEAT_S
-        registered = {each.name for each in self._vms()}
-        return {
-            name: view.heartbeat
-            for name, view in self._views.items()
-            if view.received_at >= limit and name in registered
-        }
+        """Return the newest heartbeats of the registered peers that are not silent."""
+        heard = ((each.name, self.heard(each.name)) for each in self._vms())
+        return {name: heartbeat for name, heartbeat in heard if heartbeat is not None}
 
     def announce(self) -> None:
         """Send a heartbeat to every VM now."""
@@ -120,7 +117,7 @@
             announced = self._announcement.is_set()
             if announced:
                 self._announcement = trio.Event()
-            listeners = {*coordinators(self._vms()), self._promoter()}
+            listeners = self._listeners()
             heartbeat = self._heartbeat()
             for peer in self._vms():
                 if peer.name != self._own.name and (announced or peer.name in listeners):
@@ -143,7 +140,7 @@
             case Heartbeat(vm):
                 self._views[vm] = PeerView(message, boot_time())
                 self.on_heartbeat(message)
-                if message.echo is None and self._answers:
+                if message.echo is None and self._answers():
                     reply = self._heartbeat()
                     reply.echo = self._echo(message.sent_at)
                     await self._send_to(sender, reply)
@@ -157,10 +154,6 @@
                     granted.append(count)
                     event.set()
 
-    @property
-    def _answers(self) -> bool:
-        return self.is_coordinator or self._promoter() == self._own.name
-
     async def _send(self, peer: RegisteredVm, message: Datagram) -> None:
         await self._send_to((peer.host, peer.port), message)
 
--- a/tests/test_vm_peers.py
+++ b/tests/test_vm_peers.py
@@ -57,7 +57,8 @@
             VmPeers(
                 own,
                 vms=lambda: self.vms,
-                promoter=lambda: None,
+                listeners=lambda: [each.name for each in self.vms],
+                answers=lambda: True,
                 heartbeat=lambda own=own: Heartbeat(own.name, 5.0, 3, ["i"], [], {}),  # type: ignore[misc]
                 echo=lambda sent_at: Echo(sent_at, 0.5, 9, 11),
                 log=log,
