Remove state that nobody reads; share the TCP connect, the decoding of changes and the organisation's placeholder

Removed: the position at a connection's opening, counters of failures and free connections, settings that were decoded and not used, unused parameters and constants. A TCP connection was opened with the same time-out and error in three places.

--- a/src/tanagerfront/attempts.py
+++ b/src/tanagerfront/attempts.py
@@ -24,7 +24,6 @@
     def __init__(self, route: Route, received_at: float) -> None:
         self._timeout_s = route.statement_timeout_s
         self._count = 1
-        self.received_at = received_at
         self.received_boot_s = boot_time() - (trio.current_time() - received_at)
         self.deadline = received_at + route.statement_timeout_s
         self.give_up_at = received_at + WAIT_SHARE * route.statement_timeout_s
--- a/src/tanagerfront/http_client.py
+++ b/src/tanagerfront/http_client.py
@@ -12,7 +12,14 @@
 
 from .errors import ConnectionLostError
 
-__all__ = ["Address", "HttpConnection", "HttpReply", "enable_keepalive", "parse_address"]
+__all__ = [
+    "Address",
+    "HttpConnection",
+    "HttpReply",
+    "enable_keepalive",
+    "open_tcp",
+    "parse_address",
+]
 
 RECEIVE_BYTES = 65536
 KEEPALIVE_IDLE_S = 5
@@ -71,6 +78,15 @@
                 stream.setsockopt(level, getattr(socket, name), value)
 
 
+async def open_tcp(address: Address, *, timeout_s: float) -> trio.SocketStream:
+    """Connect within `timeout_s`; raises ConnectionLostError with executed `no`."""
+    try:
+        with trio.fail_after(timeout_s):
+            return await trio.open_tcp_stream(address.host, address.port)
+    except (OSError, trio.TooSlowError) as error:
+        raise ConnectionLostError(f"cannot connect to {address}", executed="no") from error
+
+
 class _ReplyParser:
     """Collect the callbacks of httptools into one reply."""
 
@@ -125,11 +141,7 @@
     @classmethod
     async def open(cls, address: Address, *, timeout_s: float = 5.0) -> HttpConnection:
         """Connect within `timeout_s`; raises ConnectionLostError with executed `no`."""
-        try:
-            with trio.fail_after(timeout_s):
-                stream = await trio.open_tcp_stream(address.host, address.port)
-        except (OSError, trio.TooSlowError) as error:
-            raise ConnectionLostError(f"cannot connect to {address}", executed="no") from error
+        stream = await open_tcp(address, timeout_s=timeout_s)
         enable_keepalive(stream)
         return cls(address, stream)
 
--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -72,7 +72,6 @@
         self.gone_since: float | None = None
         self.draining_since: float | None = None
         self.answered_at = boot_time()
-        self.failures = 0
 
     @property
     def leaving(self) -> bool:
@@ -89,7 +88,6 @@
         """Record an answer and the position it came with."""
         self.answered_at = boot_time()
         self.unreachable_since = None
-        self.failures = 0
         if reached is not None:
             self.reached = reached
         if response_s is not None:
@@ -97,7 +95,6 @@
 
     def note_failure(self) -> bool:
         """Record a failed connection; return whether this made the instance unreachable."""
-        self.failures += 1
         if self.unreachable_since is None:
             self.unreachable_since = boot_time()
             return True
@@ -239,7 +236,6 @@
             is_primary=instance is group.leader,
             same_domain=instance.entry.failure_domain == self._failure_domain,
             has_idle_connection=pool.has_idle(organisation),
-            free_connections=max(0, pool.budget - pool.busy),
             busy=pool.busy,
             waiting=pool.waiting,
             budget=pool.budget,
--- a/src/tanagerfront/instance_pool.py
+++ b/src/tanagerfront/instance_pool.py
@@ -32,6 +32,7 @@
     "InstancePool",
     "InstanceRefusedError",
     "InstanceStatement",
+    "NO_ORGANISATION",
     "OWN_STATEMENT_ID",
     "Opener",
     "PoolLimits",
@@ -40,6 +41,8 @@
 
 # Statements that no caller sent carry this id.
 OWN_STATEMENT_ID = "-"
+# Name under which instances know connections that serve no organisation.
+NO_ORGANISATION = "-"
 # A waiter of the organisation that a free connection belongs to may pass others that are at most
 # this much more urgent, because it saves a new connection of 12 ms in one of the few slots.
 SAME_ORGANISATION_BONUS_S = 0.03
@@ -114,7 +117,7 @@
         """Close the connection."""
 
 
-Opener = Callable[[InstanceEntry, str], Awaitable[tuple[Connection, EntryId | None]]]
+Opener = Callable[[InstanceEntry, str], Awaitable[Connection]]
 
 
 class PooledConnection:
@@ -261,7 +264,6 @@
         self._full_until = float("-inf")
         self._gate = SlotGate(entry.slots) if limits.gated else None
         self.opened_total = 0
-        self.opened_position: EntryId | None = None
 
     @property
     def busy(self) -> int:
@@ -402,7 +404,7 @@
         """Open a connection in a place that was reserved."""
         opened = False
         try:
-            connection, position = await self._open_connection(organisation)
+            connection = await self._open_connection(organisation)
             opened = True
         except TooManyConnectionsError:
             self._full_until = trio.current_time() + FULL_PAUSE_S
@@ -412,10 +414,9 @@
                 self._open -= 1
                 self._serve_waiters()
         self.opened_total += 1
-        self.opened_position = position
         return PooledConnection(connection, organisation, trio.current_time(), self._gate)
 
-    async def _open_connection(self, organisation: str) -> tuple[Connection, EntryId | None]:
+    async def _open_connection(self, organisation: str) -> Connection:
         """Open a connection, which takes a slot of the instance for some time."""
         gate = self._gate
         if gate is None:
--- a/src/tanagerfront/instance_watch.py
+++ b/src/tanagerfront/instance_watch.py
@@ -11,14 +11,12 @@
 from .errors import ConnectionLostError, OverloadedError, TanagerfrontError
 from .http_client import Address
 from .instance_directory import Group, Instance, InstanceDirectory
-from .instance_pool import OWN_STATEMENT_ID, InstanceStatement
+from .instance_pool import NO_ORGANISATION, OWN_STATEMENT_ID, InstanceStatement
 from .session_model import ResetSession, RouteKind, boot_time
 from .vm_beliefs import Beliefs
 
 __all__ = ["InstanceWatch", "WatchTiming"]
 
-OWN_NAME = "-"
-
 
 class WatchTiming(NamedTuple):
     """Intervals in seconds."""
@@ -107,7 +105,7 @@
                 if pool.busy >= pool.budget:
                     return
                 give_up_at = now + self._timing.sample_timeout_s
-                connection = await pool.acquire(OWN_NAME, now, give_up_at)
+                connection = await pool.acquire(NO_ORGANISATION, now, give_up_at)
             try:
                 asked_at = boot_time()
                 with trio.fail_after(self._timing.sample_timeout_s):
--- a/src/tanagerfront/placement.py
+++ b/src/tanagerfront/placement.py
@@ -26,7 +26,6 @@
     is_primary: bool
     same_domain: bool
     has_idle_connection: bool
-    free_connections: int
     busy: int
     waiting: int
     budget: int
--- a/src/tanagerfront/platform/caller_wire.py
+++ b/src/tanagerfront/platform/caller_wire.py
@@ -104,9 +104,9 @@
             line = await self._line()
         expired, self.waiting = self.waiting.cancelled_caught, None
         if expired:
-            if self._services.beliefs.stopping and limit_s is None:
-                raise _EndedError
-            if self._services.beliefs.stopping and session.state is TransactionState.FAILED:
+            # Without a limit only a stop of the VM ends the waiting.
+            rolled_back = session.state is TransactionState.FAILED
+            if self._services.beliefs.stopping and (limit_s is None or rolled_back):
                 raise _EndedError
             await session.expire_transaction()
             return None
--- a/src/tanagerfront/platform/control.py
+++ b/src/tanagerfront/platform/control.py
@@ -11,7 +11,6 @@
 __all__ = ["PromotionOrders"]
 
 TIMEOUT_S = 1.0
-OK, CONFLICT = 200, 409
 
 
 class PromotionOrders:
--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -89,7 +89,7 @@
     async def watch(self, after: int, wait_s: float) -> tuple[Sequence[Change], int]:
         """Return the changes after a revision and where to continue."""
         page = await self._watches.watch(ALL_KEYS, after, wait_s)
-        return tuple(self._events(page.events)), max(after, page.revision)
+        return tuple(self._changes(page.events)), max(after, page.revision)
 
     async def check(self, known: KnownRevisions) -> CheckResult:
         """Compare known revisions with the store's."""
@@ -167,18 +167,12 @@
             revision = current.revision
         return record._replace(revision=revision)
 
-    def _changes(self, values: Iterable[KeyValue]) -> Iterator[Change]:
+    def _changes(self, values: Iterable[KeyValue | WatchEvent]) -> Iterator[Change]:
         for each in values:
             change = self._change(each.key, each.value, each.revision)
             if change is not None:
                 yield change
 
-    def _events(self, events: Iterable[WatchEvent]) -> Iterator[Change]:
-        for each in events:
-            change = self._change(each.key, each.value, each.revision)
-            if change is not None:
-                yield change
-
     def _change(self, key: str, value: bytes | None, revision: int) -> Change | None:
         """Return a change in the project's terms, None if it concerns nobody."""
         try:
--- a/src/tanagerfront/platform/instance_control.py
+++ b/src/tanagerfront/platform/instance_control.py
@@ -6,6 +6,7 @@
 from ..errors import ConnectionLostError
 from ..failover import InstanceReport
 from ..instance_pool import (
+    NO_ORGANISATION,
     OWN_STATEMENT_ID,
     InstanceRefusedError,
     InstanceStatement,
@@ -21,10 +22,8 @@
 from .instance_wire import open_instance
 from .lines import parse_entry_id
 
-__all__ = ["CONTROL_NAME", "LineInstanceControl"]
+__all__ = ["LineInstanceControl"]
 
-# Connections that serve no organisation.
-CONTROL_NAME = "-"
 _ROLES = {"primary": InstanceRole.PRIMARY, "replica": InstanceRole.REPLICA}
 
 
@@ -53,7 +52,7 @@
         return await self._ask(entry, StepDown(term))
 
     async def _ask(self, entry: InstanceEntry, statement: OwnStatement) -> InstanceReport:
-        connection, _ = await open_instance(entry, CONTROL_NAME)
+        connection = await open_instance(entry, NO_ORGANISATION)
         try:
             [reply] = await connection.run([InstanceStatement(OWN_STATEMENT_ID, statement)])
         finally:
--- a/src/tanagerfront/platform/instance_wire.py
+++ b/src/tanagerfront/platform/instance_wire.py
@@ -4,12 +4,9 @@
 
 from collections.abc import Sequence
 
-import trio
-
-from ..entry_id import EntryId
 from ..errors import BadRequestError, ConnectionLostError, TooManyConnectionsError
 from ..fleet_store import RegisteredVm
-from ..http_client import Address, enable_keepalive
+from ..http_client import Address, enable_keepalive, open_tcp
 from ..instance_pool import InstanceRefusedError, InstanceStatement
 from ..session_model import FailureCode, InstanceEntry, Reply
 from .line_stream import LineStream
@@ -24,7 +21,7 @@
     encode_query,
 )
 
-__all__ = ["InstanceConnection", "open_instance", "open_relay"]
+__all__ = ["InstanceConnection", "open_instance", "open_relay", "reach"]
 
 # An instance in the same region acknowledges a packet within 10 ms. Bytes that stay unacknowledged
 # for longer than this show a dark instance or a path that lost the connection.
@@ -50,12 +47,12 @@
         """Tell whether the connection is open and the instance has sent nothing unasked."""
         return self._usable and self._stream.quiet
 
-    async def connect(self, group: str, organisation: str, instance: str) -> EntryId | None:
+    async def connect(self, group: str, organisation: str, instance: str) -> None:
         """Open the session; raises InstanceRefusedError or ConnectionLostError."""
         await self._stream.send(encode_connect(group, organisation, instance))
         match await self._message():
-            case Ready(_, reached):
-                return reached
+            case Ready():
+                return
             case Error(failure) if failure.code is FailureCode.CONNECTION_LIMIT:
                 raise TooManyConnectionsError(failure.text, executed="no")
             case Error(failure):
@@ -103,10 +100,8 @@
             raise ConnectionLostError(str(error)) from error
 
 
-async def open_instance(
-    entry: InstanceEntry, organisation: str
-) -> tuple[InstanceConnection, EntryId | None]:
-    """Open a session and return it with the instance's position.
+async def open_instance(entry: InstanceEntry, organisation: str) -> InstanceConnection:
+    """Open a session.
 
     Raises InstanceRefusedError, TooManyConnectionsError or ConnectionLostError.
     """
@@ -115,24 +110,28 @@
 
 async def open_relay(
     home: RegisteredVm, entry: InstanceEntry, organisation: str
-) -> tuple[InstanceConnection, EntryId | None]:
+) -> InstanceConnection:
     """Open a session at an instance through another VM; raises as `open_instance` does."""
     return await _open(Address(home.host, home.port), entry, organisation)
 
 
-async def _open(
-    address: Address, entry: InstanceEntry, organisation: str
-) -> tuple[InstanceConnection, EntryId | None]:
-    try:
-        with trio.fail_after(TCP_CONNECT_TIMEOUT_S):
-            stream = await trio.open_tcp_stream(address.host, address.port)
-    except (OSError, trio.TooSlowError) as error:
-        raise ConnectionLostError(f"cannot connect to {address}", executed="no") from error
+async def _open(address: Address, entry: InstanceEntry, organisation: str) -> InstanceConnection:
+    stream = await open_tcp(address, timeout_s=TCP_CONNECT_TIMEOUT_S)
     enable_keepalive(stream, user_timeout_ms=USER_TIMEOUT_MS, idle_s=1, interval_s=1)
     connection = InstanceConnection(LineStream(stream))
     try:
-        reached = await connection.connect(entry.group, organisation, entry.id)
+        await connection.connect(entry.group, organisation, entry.id)
     except BaseException:
         await connection.close()
         raise
-    return connection, reached
+    return connection
+
+
+async def reach(address: Address) -> bool:
+    """Tell whether something accepts connections at an address."""
+    try:
+        stream = await open_tcp(address, timeout_s=TCP_CONNECT_TIMEOUT_S)
+    except ConnectionLostError:
+        return False
+    await LineStream(stream).close()
+    return True
--- a/src/tanagerfront/platform/main.py
+++ b/src/tanagerfront/platform/main.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import sys
 
 import trio
@@ -15,7 +14,7 @@
 from .control import PromotionOrders
 from .fleet_store import PlatformFleetStore
 from .instance_control import LineInstanceControl
-from .instance_wire import TCP_CONNECT_TIMEOUT_S, open_instance, open_relay
+from .instance_wire import open_instance, open_relay, reach
 from .relay_wire import RelayConnections
 from .settings import FrontSettings, load_settings, settings_path
 from .store import StoreClient
@@ -28,18 +27,6 @@
 NO_CONTROL = Address("127.0.0.1", 1)
 
 
-async def reach(address: Address) -> bool:
-    """Tell whether something accepts connections at an address."""
-    try:
-        with trio.fail_after(TCP_CONNECT_TIMEOUT_S):
-            stream = await trio.open_tcp_stream(address.host, address.port)
-    except (OSError, trio.TooSlowError):
-        return False
-    with contextlib.suppress(trio.BrokenResourceError):
-        await trio.aclose_forcefully(stream)
-    return True
-
-
 def _times(settings: FrontSettings) -> FrontTimes:
     return FrontTimes(settings.keys_s, settings.drain_s, settings.grace_s)
 
--- a/src/tanagerfront/platform/settings.py
+++ b/src/tanagerfront/platform/settings.py
@@ -27,16 +27,12 @@
     callers: Address
     probes: Address
     first_peer_port: int
-    last_peer_port: int
     store: Address
-    lease_min_s: float
     control: Address | None
-    heartbeat_s: float
     drain_s: float
     grace_s: float
     cores: float
     keys_s: float
-    reuse_after_s: float
 
 
 class _Listen(msgspec.Struct):
@@ -54,12 +50,10 @@
     drain_ms: float = 7000.0
     grace_s: float = 6.0
     revoke_ms: float = 5000.0
-    reuse_after_s: float = 2.0
 
 
 class _Store(msgspec.Struct):
     address: str
-    min_ttl_ms: float = 1000.0
 
 
 class _Cloud(msgspec.Struct):
@@ -76,7 +70,6 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
     cloud: _Cloud = msgspec.field(default_factory=_Cloud)
-    heartbeat_ms: float = 1200.0
 
 
 def settings_path(environment: Mapping[str, str] = os.environ) -> Path:
@@ -109,14 +102,10 @@
         callers=parse_address(file.listen.front),
         probes=parse_address(file.listen.ready),
         first_peer_port=file.internal_ports[0],
-        last_peer_port=file.internal_ports[1],
         store=parse_address(file.platform.address),
-        lease_min_s=file.platform.min_ttl_ms / 1000,
         control=parse_address(file.cloud.address) if file.cloud.address else None,
-        heartbeat_s=file.heartbeat_ms / 1000,
         drain_s=file.bounds.drain_ms / 1000,
         grace_s=file.bounds.grace_s,
         cores=file.limits.cpu_share * file.limits.cpu_cores,
         keys_s=file.bounds.revoke_ms / 1000,
-        reuse_after_s=file.bounds.reuse_after_s,
     )
--- a/src/tanagerfront/platform/store.py
+++ b/src/tanagerfront/platform/store.py
@@ -127,7 +127,6 @@
         self,
         expected: Mapping[str, int],
         puts: Mapping[str, bytes] | None = None,
-        deletes: Sequence[str] = (),
         lease: int = 0,
     ) -> int:
         """Change keys if all are at their expected revisions, 0 for a key that must not exist.
@@ -144,7 +143,7 @@
                     {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
                     for key, value in (puts or {}).items()
                 ],
-                "deletes": list(deletes),
+                "deletes": [],
             }
         )
         answer = await self._call("POST", "/v1/kv-txn", body)
@@ -163,11 +162,6 @@
         """End a lease; its keys are deleted."""
         await self._call("DELETE", f"/v1/kv-lease-end/{lease}")
 
-    async def close(self) -> None:
-        """Close the connection."""
-        if self._connection is not None:
-            await self._connection.close()
-
     async def _call(
         self, method: str, path: str, body: bytes = b"", *, extra_s: float = 0.0
     ) -> _Answer:
--- a/src/tanagerfront/rate_shares.py
+++ b/src/tanagerfront/rate_shares.py
@@ -56,11 +56,6 @@
         self._refilled_at = now
         self._use_per_s = 0.0
 
-    @property
-    def tokens(self) -> float:
-        """Return the tokens at the time of the last refill."""
-        return self._tokens
-
     @property
     def loan_size(self) -> int:
         """Return how many tokens to borrow at once; more would not fit into the share."""
--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -13,7 +13,6 @@
 
 import trio
 
-from .entry_id import EntryId
 from .errors import ConnectionLostError, OverloadedError, TanagerfrontError
 from .fleet_store import RegisteredVm
 from .instance_directory import HOMES, RELAY_VMS
@@ -68,7 +67,7 @@
 
     async def __call__(
         self, home: RegisteredVm, entry: InstanceEntry, organisation: str
-    ) -> tuple[Connection, EntryId | None]:
+    ) -> Connection:
         """Return the connection; raises InstanceRefusedError or ConnectionLostError."""
 
 
@@ -98,9 +97,7 @@
         names = [each.name for each in homes(entry, self._vms())]
         return names.index(self._own) if self._own in names else 0
 
-    async def __call__(
-        self, entry: InstanceEntry, organisation: str
-    ) -> tuple[Connection, EntryId | None]:
+    async def __call__(self, entry: InstanceEntry, organisation: str) -> Connection:
         """Return a connection; raises what the direct opener raises."""
         if self.uses_relay(entry):
             for home in homes(entry, self._vms()):
--- a/src/tanagerfront/session_record.py
+++ b/src/tanagerfront/session_record.py
@@ -11,6 +11,7 @@
 from .errors import ConnectionLostError, TanagerfrontError
 from .front_metrics import FrontMetrics
 from .instance_directory import Instance
+from .instance_pool import NO_ORGANISATION
 from .session_model import (
     Connect,
     Failure,
@@ -26,8 +27,6 @@
 
 __all__ = ["Caller", "RefusedError", "SessionRecord"]
 
-# Name under which instances know callers of open routes.
-ANONYMOUS = "-"
 TRACE_FRAMES = 6
 
 
@@ -56,7 +55,7 @@
     @property
     def instance_name(self) -> str:
         """Return the name under which instances know the caller."""
-        return self.organisation.name if self.organisation else ANONYMOUS
+        return self.organisation.name if self.organisation else NO_ORGANISATION
 
 
 def _trace(error: Exception) -> list[str]:
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -213,9 +213,7 @@
         found = (each.statement for _, each in self.received)
         return [each.text for each in found if isinstance(each, Verbatim)]
 
-    async def open(
-        self, entry: InstanceEntry, organisation: str
-    ) -> tuple[FakeConnection, EntryId | None]:
+    async def open(self, entry: InstanceEntry, organisation: str) -> FakeConnection:
         if self.full:
             raise TooManyConnectionsError(self.id, executed="no")
         if self.refuses is not None:
@@ -230,7 +228,7 @@
             raise
         connection = FakeConnection(self, organisation)
         self.connections.append(connection)
-        return connection, self.position
+        return connection
 
 
 class FakeFleetStore:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -20,7 +20,6 @@
         is_primary=False,
         same_domain=True,
         has_idle_connection=True,
-        free_connections=2,
         busy=0,
         waiting=0,
         budget=2,
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -29,8 +29,7 @@
     async def open(self, instance: str = "i-1") -> InstanceConnection:
         host, port = self.address
         home = vm("home")._replace(host=host, port=port)
-        connection, _ = await open_relay(home, entry(instance), "foremen")
-        return connection
+        return await open_relay(home, entry(instance), "foremen")
 
 
 @asynccontextmanager
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,7 +10,6 @@
 
 from front_fakes import FakeConnection, FakeInstance, entry, vm
 from support import TestCase, trio_test
-from tanagerfront.entry_id import EntryId
 from tanagerfront.errors import ConnectionLostError
 from tanagerfront.fleet_store import RegisteredVm
 from tanagerfront.instance_directory import HOMES, RELAY_VMS
@@ -64,15 +63,13 @@
         self.down: set[str] = set()
         self.instance = FakeInstance()
 
-    async def open_direct(
-        self, found: InstanceEntry, organisation: str
-    ) -> tuple[FakeConnection, EntryId | None]:
+    async def open_direct(self, found: InstanceEntry, organisation: str) -> FakeConnection:
         self.direct.append(found.id)
         return await self.instance.open(found, organisation)
 
     async def open_relay(
         self, home: RegisteredVm, found: InstanceEntry, organisation: str
-    ) -> tuple[FakeConnection, EntryId | None]:
+    ) -> FakeConnection:
         self.relayed.append(home.name)
         if home.name in self.down:
             raise ConnectionLostError("down", executed="no")
