Divide rates once for all registrations; log homes that fail

A restarted VM of 81 divided rates and connections once for each registration, 0.24 s of processor time on this machine; now once, 0.01 s. An entry VM opened direct connections when both homes refused, which all VMs together may not do; it now passes the refusal on, and logs homes that fail. The status line tells direct from relayed connections.

--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -99,6 +99,7 @@
         self._timing = timing or SyncTiming()
         self._vms: dict[str, RegisteredVm] = {}
         self._coordinators: tuple[str, ...] = ()
+        self._shares_outdated = False
         self._missing_since: dict[str, float] = {}
         self._vm_gone_since: dict[str, float] = {}
         self._lease: int | None = None
@@ -171,6 +172,9 @@
         """Take in changes."""
         for change in changes:
             await self._apply_one(change)
+        if self._shares_outdated:
+            # Once for all changes: dividing takes about 6 ms with 81 VMs and 83 organisations.
+            await self._share()
 
     async def _apply_one(self, change: Change) -> None:
         match change:
@@ -182,7 +186,7 @@
                         revision=configuration.revision,
                         routes=len(configuration.routes),
                     )
-                    await self._share()
+                    self._shares_outdated = True
             case InstanceChanged(entry):
                 self._missing_since.pop(entry.id, None)
                 await self._directory.apply(entry)
@@ -199,7 +203,7 @@
                 self._coordinators = coordinators(self.vms)
                 if known is None:
                     self._log.decision("vm_registered", peer=vm.name, vms=len(self._vms))
-                    await self._share()
+                    self._shares_outdated = True
             case VmGone(name):
                 if name in self._vms:
                     self._vm_gone_since.setdefault(name, boot_time())
@@ -218,6 +222,7 @@
         names = sorted({self._own.name, *self._vms})
         if configuration is None:
             return
+        self._shares_outdated = False
         self._rates.configure(configuration.organisations, names)
         connections = {each.name: each.connections for each in configuration.groups.values()}
         await self._directory.set_shares(len(names), connections)
@@ -389,6 +394,8 @@
             del self._vms[name]
             self._coordinators = coordinators(self.vms)
             self._log.decision("vm_gone", peer=name, vms=len(self._vms))
+            self._shares_outdated = True
+        if self._shares_outdated:
             await self._share()
 
     async def _pause(self) -> None:
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -4,6 +4,7 @@
 
 import signal
 import uuid
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple, Protocol
 
@@ -156,7 +157,7 @@
             identity.cores,
         )
         self._beliefs = Beliefs(_belief_limits(times))
-        opener = RelayingOpener(own.name, parts.opener, parts.relay, lambda: self._sync.vms)
+        opener = RelayingOpener(own.name, parts.opener, parts.relay, lambda: self._sync.vms, log)
         self._directory = InstanceDirectory(opener, identity.failure_domain)
         self._directory.uses_relay = opener.uses_relay
         self._directory.home_rank = opener.home_rank
@@ -241,7 +242,6 @@
         """Log now and then what this VM holds and how fresh its beliefs are."""
         while True:
             await trio.sleep(STATUS_S)
-            instances = list(self._directory.instances())
             self._metrics.gauge("confirmation_age_seconds", self._beliefs.confirmation_age_s)
             self._metrics.gauge("caller_connections", self._callers.count)
             self._log.decision(
@@ -251,11 +251,19 @@
                 coordinator=self._sync.is_coordinator,
                 ready=self._beliefs.ready,
                 confirmed_s=round(self._beliefs.confirmation_age_s, 3),
-                instance_connections=sum(each.pool.open_connections for each in instances),
-                opened=sum(each.pool.opened_total for each in instances),
+                **self._connection_counts(),
                 store_calls=self._store.calls,
             )
 
+    def _connection_counts(self) -> dict[str, int]:
+        """Return open and ever opened connections, directly to instances and through homes."""
+        counts = Counter[str]()
+        for each in self._directory.instances():
+            way = "relayed" if self._directory.uses_relay(each.entry) else "direct"
+            counts[f"{way}_connections"] += each.pool.open_connections
+            counts[f"{way}_opened"] += each.pool.opened_total
+        return dict(counts)
+
     async def _stop(self) -> None:
         """Finish what callers began, within the grace time."""
         started = trio.current_time()
--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -13,12 +13,14 @@
 
 import trio
 
+from .decision_log import DecisionLog
 from .errors import ConnectionLostError, OverloadedError, TanagerfrontError
 from .fleet_store import RegisteredVm
 from .instance_directory import HOMES, RELAY_VMS
 from .instance_pool import (
     Connection,
     InstancePool,
+    InstanceRefusedError,
     InstanceStatement,
     Opener,
     PooledConnection,
@@ -80,12 +82,14 @@
         direct: Opener,
         relay: RelayOpener,
         vms: Callable[[], Sequence[RegisteredVm]],
+        log: DecisionLog,
     ) -> None:
+        self._log = log
         self._own = own
         self._direct = direct
         self._relay = relay
         self._vms = vms
-        self._failed_at: dict[str, float] = {}
+        self._paused_until: dict[str, float] = {}
 
     def uses_relay(self, entry: InstanceEntry) -> bool:
         """Tell whether statements for an instance go through another VM."""
@@ -98,19 +102,33 @@
         return names.index(self._own) if self._own in names else 0
 
     async def __call__(self, entry: InstanceEntry, organisation: str) -> Connection:
-        """Return a connection; raises what the direct opener raises."""
+        """Return a connection; raises what the direct opener raises.
+
+        Direct connections replace homes that cannot be reached. They do not replace homes that
+        refuse, because then all VMs together would exceed what the instance accepts.
+        """
+        refusal: InstanceRefusedError | None = None
         if self.uses_relay(entry):
             for home in homes(entry, self._vms()):
-                if trio.current_time() - self._failed_at.get(home.name, -HOME_PAUSE_S) < (
-                    HOME_PAUSE_S
-                ):
+                if trio.current_time() < self._paused_until.get(home.name, float("-inf")):
                     continue
                 try:
                     return await self._relay(home, entry, organisation)
-                except TanagerfrontError:
-                    self._failed_at[home.name] = trio.current_time()
+                except InstanceRefusedError as error:
+                    refusal = error
+                    self._log_failure(home, entry, error)
+                except TanagerfrontError as error:
+                    self._paused_until[home.name] = trio.current_time() + HOME_PAUSE_S
+                    self._log_failure(home, entry, error)
+        if refusal is not None:
+            raise refusal
         return await self._direct(entry, organisation)
 
+    def _log_failure(
+        self, home: RegisteredVm, entry: InstanceEntry, error: TanagerfrontError
+    ) -> None:
+        self._log.trouble("home_failed", home=home.name, instance=entry.id, error=str(error))
+
 
 class RelaySession:
     """One session of another VM at a home; it holds a connection only while it needs one."""
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Sequence
+
 import trio
 
 from front_fakes import GROUP, FakeFleetStore, QuietLog, configuration, entry, vm
@@ -18,7 +20,7 @@
 from tanagerfront.fleet_sync import FleetSync
 from tanagerfront.instance_directory import InstanceDirectory, LeaderRecord
 from tanagerfront.rate_shares import NO_LENDER, RateShares, ShareRequest
-from tanagerfront.session_model import InstanceEntry, boot_time
+from tanagerfront.session_model import InstanceEntry, Organisation, boot_time
 from tanagerfront.vm_beliefs import BeliefLimits, Beliefs
 from tanagerfront.vm_messages import Echo
 
@@ -87,6 +89,25 @@
         self.assertEqual(before, tested.beliefs._confirmed_at)
 
 
+class ShareTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_a_starting_vm_divides_rates_once_for_all_registrations(self) -> None:
+        # Guards against a restart that spends a quarter of a second on 81 divisions in a row.
+        tested = Vm()
+        divided: list[int] = []
+        configure = tested.rates.configure
+
+        def counted(organisations: Mapping[str, Organisation], vms: Sequence[str]) -> None:
+            divided.append(len(vms))
+            configure(organisations, vms)
+
+        tested.rates.configure = counted  # type: ignore[method-assign]
+        for number in range(80):
+            tested.store.record(VmChanged(vm(f"vm-{number}")))
+        await tested.sync.apply((await tested.store.load()).changes)
+        self.assertEqual([81], divided)
+
+
 class ConfirmationTest(TestCase):
     def _vm(self) -> Vm:
         tested = Vm()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,16 +8,22 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from front_fakes import FakeConnection, FakeInstance, entry, vm
+from front_fakes import FakeConnection, FakeInstance, QuietLog, entry, vm
 from support import TestCase, trio_test
 from tanagerfront.errors import ConnectionLostError
 from tanagerfront.fleet_store import RegisteredVm
 from tanagerfront.instance_directory import HOMES, RELAY_VMS
-from tanagerfront.instance_pool import InstancePool, InstanceStatement, PoolLimits
+from tanagerfront.instance_pool import (
+    InstancePool,
+    InstanceRefusedError,
+    InstanceStatement,
+    PoolLimits,
+)
 from tanagerfront.relay import RelayingOpener, RelaySession, homes
 from tanagerfront.session_model import (
     Begin,
     Execute,
+    Failure,
     FailureCode,
     InstanceEntry,
     Prepare,
@@ -61,6 +67,7 @@
         self.direct: list[str] = []
         self.relayed: list[str] = []
         self.down: set[str] = set()
+        self.refusing: set[str] = set()
         self.instance = FakeInstance()
 
     async def open_direct(self, found: InstanceEntry, organisation: str) -> FakeConnection:
@@ -73,12 +80,16 @@
         self.relayed.append(home.name)
         if home.name in self.down:
             raise ConnectionLostError("down", executed="no")
+        if home.name in self.refusing:
+            raise InstanceRefusedError(Failure(FailureCode.MOVED, "unknown here"))
         return await self.instance.open(found, organisation)
 
 
 class OpenerTest(TestCase):
     def _opener(self, openings: Openings, vms: Sequence[RegisteredVm], own: str) -> RelayingOpener:
-        return RelayingOpener(own, openings.open_direct, openings.open_relay, lambda: vms)
+        return RelayingOpener(
+            own, openings.open_direct, openings.open_relay, lambda: vms, QuietLog()
+        )
 
     @trio_test(mock_clock=True)
     async def test_a_small_fleet_and_the_homes_connect_directly(self) -> None:
@@ -89,6 +100,20 @@
         await self._opener(openings, vms, home)(entry("i"), "a")
         self.assertEqual((["i", "i"], []), (openings.direct, openings.relayed))
 
+    @trio_test(mock_clock=True)
+    async def test_homes_that_refuse_are_not_replaced_by_direct_connections(self) -> None:
+        # Guards against a fleet that opens more connections than the instance accepts, because
+        # its homes have not seen the instance's registration yet.
+        openings = Openings()
+        vms = fleet(40)
+        names = {each.name for each in homes(entry("i"), vms)}
+        own = next(each.name for each in vms if each.name not in names)
+        opener = self._opener(openings, vms, own)
+        openings.refusing = names
+        with self.assertRaises(InstanceRefusedError):
+            await opener(entry("i"), "a")
+        self.assertEqual(([], names), (openings.direct, set(openings.relayed)))
+
     @trio_test(mock_clock=True)
     async def test_a_home_that_is_lost_is_left_out_for_a_while(self) -> None:
         # Guards against a fleet that cannot reach an instance because one VM is gone.
