--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -168,7 +168,12 @@
         if not self._services.beliefs.lease_valid:
             raise RefusedError(FailureCode.OVERLOADED, "this VM's share of the rate has lapsed")
         if not await self._services.rates.take(caller.organisation.name):
-            raise RefusedError(FailureCode.OVERLOADED, "the organisation's rate is used up")
+            raise RefusedError(
+                FailureCode.OVERLOADED,
+                "the organisation's rate is used up",
+                **caller.organisation._asdict(),
+                holders=self._services.rates.holders(caller.organisation.name),
+            )
 
     # Statements
 
--- a/src/tanagerfront/rate_shares.py
+++ b/src/tanagerfront/rate_shares.py
@@ -176,6 +176,10 @@
                     return True
         return False
 
+    def holders(self, organisation: str) -> Sequence[str]:
+        """Return the other VMs that hold shares of the organisation's rate."""
+        return self._lenders.get(organisation, ())
+
     def give_back(self, organisation: str) -> None:
         """Return the token of a request that did not run."""
         share = self._shares.get(organisation)
--- a/src/tanagerfront/session_record.py
+++ b/src/tanagerfront/session_record.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import traceback
-from typing import NamedTuple
+from collections.abc import Mapping
+from typing import Any, NamedTuple
 
 import trio
 
@@ -35,15 +36,21 @@
 
     problem_type = "refused"
 
-    def __init__(self, code: FailureCode, reason: str) -> None:
+    def __init__(self, code: FailureCode, reason: str, **inputs: Any) -> None:
         super().__init__(reason)
         self._failure = Failure(code, reason)
+        self._inputs = inputs
 
     @property
     def failure(self) -> Failure:
         """Return the refusal for the caller."""
         return self._failure
 
+    @property
+    def inputs(self) -> Mapping[str, Any]:
+        """Return what decided the refusal, for the log."""
+        return self._inputs
+
 
 class Caller(NamedTuple):
     """Who sends a statement, as the configuration in force has it."""
@@ -132,6 +139,7 @@
             database=self._database,
             code=code.value,
             reason=error.failure.text,
+            **error.inputs,
             confirmed_s=round(self._beliefs.confirmation_age_s, 3),
             elapsed_ms=round((trio.current_time() - query.received_at) * 1000, 1),
         )
