--- a/src/tanagerfront/decision_log.py
+++ b/src/tanagerfront/decision_log.py
@@ -28,19 +28,26 @@
 
 
 class _StdoutLogger:
-    """Write lines without blocking; counts what a full pipe did not take."""
+    """Write lines without blocking, and report how many a full pipe did not take."""
 
-    def __init__(self) -> None:
-        self.lost = 0
+    def __init__(self, descriptor: int = STDOUT) -> None:
+        self._descriptor = descriptor
+        self._lost = 0
+        self._line_begun = False
 
     def msg(self, line: bytes) -> None:
+        data = b"\n" if self._line_begun else b""
+        if self._lost:
+            data += _encode({"event": "lines_lost", "count": self._lost}) + b"\n"
+        data += line + b"\n"
         try:
-            written = os.write(STDOUT, line + b"\n")
+            written = os.write(self._descriptor, data)
         except BlockingIOError:
-            self.lost += 1
+            self._lost += 1
             return
-        if written <= len(line):
-            self.lost += 1
+        # A pipe may take the beginning only; then the report, if any, is repeated.
+        self._line_begun = written < len(data)
+        self._lost = self._lost + 1 if self._line_begun else 0
 
     info = warning = error = debug = msg
 
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -9,6 +9,7 @@
 import textwrap
 
 from support import TestCase
+from tanagerfront.decision_log import _StdoutLogger
 
 PROGRAM = """
     import sys
@@ -52,6 +53,21 @@
         [suppressed] = [line for line in lines if line["event"] == "lines_suppressed"]
         self.assertGreaterEqual(int(str(suppressed["count"])), 899)
 
+    def test_lines_that_a_full_pipe_did_not_take_are_reported(self) -> None:
+        # Guards against a log that looks complete although its reader was too slow.
+        readable, writable = os.pipe()
+        self.addCleanup(os.close, readable)
+        self.addCleanup(os.close, writable)
+        os.set_blocking(writable, False)
+        logger = _StdoutLogger(writable)
+        for _ in range(100):
+            logger.msg(b'{"event":"' + b"x" * 3000 + b'"}')
+        taken = os.read(readable, 1 << 20).count(b"\n")
+        logger.msg(b'{"event":"last"}')
+        first, second = map(json.loads, os.read(readable, 1 << 20).splitlines())
+        self.assertEqual({"event": "lines_lost", "count": 100 - taken}, first)
+        self.assertEqual({"event": "last"}, second)
+
     def test_a_reader_that_does_not_read_blocks_nobody(self) -> None:
         # Guards against a VM that stands still because its log is not taken away.
         program = textwrap.dedent(PROGRAM).replace(
