Do not take a home's refusal for a sign of life of the instance

A VM that is not a home learned of refusals that the home itself gave, counted them as answers of the instance, and so voted for it.

A refusal without a position is now no answer of the instance. The test fails without the change.

--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -532,7 +532,7 @@
             raise ConnectionLostError("the instance did not answer in time")
         last = replies[-1]
         own = statements[-1].id == OWN_STATEMENT_ID
-        instance.note_answer(last.reached, None if own else trio.current_time() - started)
+        instance.note_reply(last, None if own else trio.current_time() - started)
         if is_leader and last.reached is not None and group.leader is instance:
             group.samples.add(asked_at, last.reached)
         return replies
--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -11,7 +11,7 @@
 from .instance_pool import InstancePool, Opener, PoolLimits
 from .placement import Candidate
 from .position_samples import PositionSamples
-from .session_model import InstanceEntry, InstanceRole, boot_time
+from .session_model import InstanceEntry, InstanceRole, Reply, boot_time
 
 __all__ = [
     "HOMES",
@@ -93,6 +93,11 @@
         if response_s is not None:
             self.response_s += RESPONSE_SMOOTHING * (response_s - self.response_s)
 
+    def note_reply(self, reply: Reply, response_s: float | None) -> None:
+        """Record a reply, unless it is the refusal of a home, which knows no position."""
+        if reply.failure is None or reply.reached is not None:
+            self.note_answer(reply.reached, response_s)
+
     def note_failure(self) -> bool:
         """Record a failed connection; return whether this made the instance unreachable."""
         if self.unreachable_since is None:
--- a/src/tanagerfront/instance_watch.py
+++ b/src/tanagerfront/instance_watch.py
@@ -111,7 +111,7 @@
                 with trio.fail_after(self._timing.sample_timeout_s):
                     statement = InstanceStatement(OWN_STATEMENT_ID, ResetSession())
                     [reply] = await connection.run([statement])
-                instance.note_answer(reply.reached, None)
+                instance.note_reply(reply, None)
                 if reply.reached is not None and group.leader is instance:
                     group.samples.add(asked_at, reply.reached)
             finally:
--- a/tests/test_caller_session.py
+++ b/tests/test_caller_session.py
@@ -497,6 +497,21 @@
         self.assertIsNone(await caller.code("READ 1"))
         self.assertIsNotNone(tested.group.instances["r1"].unreachable_since)
 
+    @trio_test(mock_clock=True)
+    async def test_a_refusal_of_a_home_is_no_sign_of_life_of_the_instance(self) -> None:
+        # Guards against a dark primary that stays in place until its entry lapses, because each
+        # refusal of its home made the VM vote for it (hfva-harvest-grown trouble-1, 5 s).
+        tested = await vm()
+        leader = tested.group.instances["p"]
+
+        def refuse(_instance: FakeInstance, _statement: object) -> Reply:
+            leader.note_failure()
+            return Reply(failure=Failure(FailureCode.MOVED, "cannot connect"))
+
+        tested.primary.answer = refuse
+        await tested.session(RouteKind.PRIMARY).code("READ 1")
+        self.assertIsNotNone(leader.unreachable_since)
+
     @trio_test(mock_clock=True)
     async def test_a_draining_replica_gets_no_new_reads(self) -> None:
         tested = await vm()
