--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -21,7 +21,14 @@
     decide_move,
     most_advanced,
 )
-from tanagerfront.fleet_store import Change, ConfigurationChanged, InstanceChanged, VmChanged
+from tanagerfront.fleet_store import (
+    Change,
+    ConfigurationChanged,
+    InstanceChanged,
+    PromoterChanged,
+    PromoterSeat,
+    VmChanged,
+)
 from tanagerfront.fleet_sync import FleetSync
 from tanagerfront.instance_directory import Group, Instance, InstanceDirectory, LeaderRecord
 from tanagerfront.instance_pool import InstancePool, PoolLimits
@@ -243,6 +250,7 @@
             tested.store.record(VmChanged(vm("b", "adum")))
             tested.primary_fails()
 
+        tested.store.record(PromoterChanged(PromoterSeat("a", "inc-a", 0)))
         tested.store.watch = late_watch  # type: ignore[method-assign]
         await tested.play(fails, 0.9)
         self.assertEqual([], tested.orders)
