--- a/src/tanagerfront/change_history.py
+++ b/src/tanagerfront/change_history.py
@@ -63,11 +63,14 @@
         known = self._events.get(event.key)
         return event.revision > (self._first if known is None else known.revision)
 
-    def since(self, after: int) -> RecentChanges | None:
-        """Return the changes after a revision, None if not all are known or they are large."""
+    def since(self, after: int, *, large: bool = False) -> RecentChanges | None:
+        """Return the changes after a revision, None if not all are known.
+
+        Without `large` also None if they have more than MAX_BYTES.
+        """
         if after < self._first or not self._revision:
             return None
         events = [each for each in self._events.values() if each.revision > after]
-        if sum(len(each.value or b"") for each in events) > MAX_BYTES:
+        if not large and sum(len(each.value or b"") for each in events) > MAX_BYTES:
             return None
         return RecentChanges(events, max(after, self._revision))
--- a/src/tanagerfront/fleet_store.py
+++ b/src/tanagerfront/fleet_store.py
@@ -153,8 +153,13 @@
     async def watch(self, after: int, wait_s: float) -> tuple[Sequence[Change], int]:
         """Return the changes after a revision and where to continue."""
 
-    async def follow(self, vm: RegisteredVm, after: int) -> tuple[Sequence[Change], int]:
-        """Return the changes after a revision that another VM has taken in."""
+    async def follow(
+        self, vm: RegisteredVm, after: int, *, large: bool
+    ) -> tuple[Sequence[Change], int]:
+        """Return the changes after a revision that another VM has taken in.
+
+        Without `large` it refuses those that the store had better send.
+        """
 
     async def check(self, known: KnownRevisions) -> CheckResult:
         """Compare known revisions with the store's."""
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -272,7 +272,10 @@
         if announcer is None or self._revision >= self._announced_revision:
             return False
         try:
-            changes, revision = await self._store.follow(announcer, self._revision)
+            # A configuration may have 260 kB; a VM that the store turns away has no other source.
+            changes, revision = await self._store.follow(
+                announcer, self._revision, large=not self._contact
+            )
         except KeyValueError as error:
             self._log.decision("not_followed", peer=announcer.name, error=str(error))
             return False
--- a/src/tanagerfront/platform/changes_wire.py
+++ b/src/tanagerfront/platform/changes_wire.py
@@ -34,7 +34,7 @@
             after = int(request.query.get("after", ""))
         except ValueError:
             return Response(400)
-        found = self._history.since(after)
+        found = self._history.since(after, large="large" in request.query)
         if found is None:
             return Response(GONE)
         return Response(OK, encode_events(found.events, found.revision))
@@ -46,14 +46,14 @@
     def __init__(self) -> None:
         self._clients: dict[Address, StoreClient] = {}
 
-    async def watch(self, vm: RegisteredVm, after: int) -> Page:
+    async def watch(self, vm: RegisteredVm, after: int, *, large: bool) -> Page:
         """Return the changes that a VM has; raises as `StoreClient.watch` does."""
         address = changes_address(vm)
         client = self._clients.get(address)
         if client is None:
             client = self._clients[address] = StoreClient(address, FOLLOW_TIMEOUT_S)
         try:
-            return await client.watch("", after, 0.0)
+            return await client.watch("", after, 0.0, large=large)
         except KeyValueError:
             del self._clients[address]
             raise
--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -100,9 +100,11 @@
         """Return the changes after a revision and where to continue."""
         return self._taken_in(after, await self._watches.watch(ALL_KEYS, after, wait_s))
 
-    async def follow(self, vm: RegisteredVm, after: int) -> tuple[Sequence[Change], int]:
+    async def follow(
+        self, vm: RegisteredVm, after: int, *, large: bool
+    ) -> tuple[Sequence[Change], int]:
         """Return the changes after a revision that another VM has taken in."""
-        return self._taken_in(after, await self._followed.watch(vm, after))
+        return self._taken_in(after, await self._followed.watch(vm, after, large=large))
 
     def _taken_in(self, after: int, page: Page) -> tuple[Sequence[Change], int]:
         revision = max(after, page.revision)
--- a/src/tanagerfront/platform/store.py
+++ b/src/tanagerfront/platform/store.py
@@ -135,10 +135,14 @@
         page = await self.range(key)
         return next((each for each in page.values if each.key == key), None)
 
-    async def watch(self, prefix: str, after: int, wait_s: float) -> Page:
-        """Return the changes after a revision, waiting for one; raises HistoryLostError."""
-        query = urlencode({"prefix": prefix, "after": after, "wait_ms": int(wait_s * 1000)})
-        answer = await self._call("GET", f"{WATCH_PATH}?{query}", extra_s=wait_s)
+    async def watch(self, prefix: str, after: int, wait_s: float, *, large: bool = False) -> Page:
+        """Return the changes after a revision, waiting for one; raises HistoryLostError.
+
+        Another VM that is asked in place of the store returns large values only with `large`.
+        """
+        query = {"prefix": prefix, "after": after, "wait_ms": int(wait_s * 1000)}
+        query |= {"large": 1} if large else {}
+        answer = await self._call("GET", f"{WATCH_PATH}?{urlencode(query)}", extra_s=wait_s)
         events = tuple(
             WatchEvent(each.key, None if each.deleted else _bytes(each.value), each.revision)
             for each in answer.events
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -316,8 +316,10 @@
         self._call("watch")
         return [change for at, change in self._changes if at > after], self.revision
 
-    async def follow(self, found: RegisteredVm, after: int) -> tuple[Sequence[Change], int]:
-        self.called.append("follow")
+    async def follow(
+        self, found: RegisteredVm, after: int, *, large: bool
+    ) -> tuple[Sequence[Change], int]:
+        self.called.append("follow large" if large else "follow")
         if self.nobody_forwards:
             raise KeyValueUnavailableError("no answer")
         return [change for at, change in self._changes if at > after], self.revision
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -5,11 +5,12 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import msgspec
 import trio
 
 from front_fakes import QuietLog, vm
 from support import TestCase, trio_test
-from tanagerfront.change_history import ChangeHistory
+from tanagerfront.change_history import MAX_BYTES, ChangeHistory
 from tanagerfront.errors import (
     HistoryLostError,
     KeyValueTimeoutError,
@@ -25,6 +26,7 @@
 from tanagerfront.http_client import Address
 from tanagerfront.http_server import serve_http
 from tanagerfront.instance_directory import LeaderRecord
+from tanagerfront.kv import WatchEvent
 from tanagerfront.platform.changes_wire import ChangesHandler
 from tanagerfront.platform.control import PromotionOrders
 from tanagerfront.platform.fleet_store import PlatformFleetStore
@@ -189,13 +191,31 @@
             await coordinator.watch(view.revision, 0.2)
             follower = PlatformFleetStore(*clients, QuietLog(), ChangeHistory())
             calls = dict(follower.calls)
-            changes, revision = await follower.follow(other, view.revision)
+            changes, revision = await follower.follow(other, view.revision, large=False)
             kinds = [type(each) for each in changes]
             self.assertEqual([InstanceChanged, ConfigurationChanged], kinds)
             self.assertEqual(history.revision, revision)
             self.assertEqual(calls, follower.calls)
             nursery.cancel_scope.cancel()
 
+    @trio_test
+    async def test_large_changes_are_passed_on_only_when_asked_for(self) -> None:
+        # Guards against a VM that the store turns away and that refuses its callers for want of
+        # the configuration in force, which another VM has.
+        async with store() as (_standin, _client, address), trio.open_nursery() as nursery:
+            history = ChangeHistory()
+            history.begin(1)
+            value = msgspec.json.encode({"version": 3, "padding": "x" * (MAX_BYTES + 1)})
+            history.add(1, [WatchEvent("op/config", value, 2)], 2)
+            other = await self._other(nursery, history)
+            clients = [StoreClient(address, 0.3)] * 3
+            follower = PlatformFleetStore(*clients, QuietLog(), ChangeHistory())
+            with self.assertRaises(HistoryLostError):
+                await follower.follow(other, 1, large=False)
+            [change], _ = await follower.follow(other, 1, large=True)
+            self.assertIsInstance(change, ConfigurationChanged)
+            nursery.cancel_scope.cancel()
+
     @trio_test
     async def test_what_another_vm_does_not_have_is_unavailable(self) -> None:
         async with store() as (_standin, _client, address), trio.open_nursery() as nursery:
@@ -204,9 +224,9 @@
                 *[StoreClient(address, 0.3)] * 3, QuietLog(), ChangeHistory()
             )
             with self.assertRaises(HistoryLostError):
-                await follower.follow(other, 5)
+                await follower.follow(other, 5, large=True)
             with self.assertRaises(KeyValueUnavailableError):
-                await follower.follow(vm("nobody"), 5)
+                await follower.follow(vm("nobody"), 5, large=True)
             nursery.cancel_scope.cancel()
 
 
