--- a/src/tanagerfront/failover.py
+++ b/src/tanagerfront/failover.py
@@ -30,12 +30,15 @@
     "InstanceControl",
     "InstanceReport",
     "MoveReason",
+    "MoveView",
     "PromotionOrderer",
     "PromotionOutcome",
     "ReachabilityVotes",
     "decide_move",
     "heartbeat_of",
+    "is_unused",
     "most_advanced",
+    "vms_behind",
 ]
 
 # Small against the 300 to 600 ms that a promotion takes.
@@ -141,6 +144,28 @@
     return MoveReason.UNREACHABLE
 
 
+class MoveView(NamedTuple):
+    """What the promoter knows of the VMs that may still use a primary that moves."""
+
+    record_revision: int
+    # The promoter has taken in all registrations up to this revision.
+    known_revision: int
+    others: Sequence[str]
+    # Newest revision that each VM which was heard lately acts on.
+    seen: Mapping[str, int]
+
+
+def vms_behind(view: MoveView) -> list[str]:
+    """Return the registered VMs that have not said that they have seen the record."""
+    return [name for name in view.others if view.seen.get(name, -1) < view.record_revision]
+
+
+def is_unused(view: MoveView) -> bool:
+    """Tell whether no VM can be using the primary that moves."""
+    # A VM may have registered just before the record was written.
+    return view.known_revision >= view.record_revision and not vms_behind(view)
+
+
 def most_advanced(reports: Mapping[str, InstanceReport]) -> str | None:
     """Return the instance whose log has the newest entry."""
     return max(reports, key=lambda name: reports[name].received, default=None)
@@ -336,20 +361,20 @@
         """Wait until every VM has seen the record or uses no primary for lack of confirmation."""
         limit = written_at + self._beliefs.limits.primary_s + WAIT_MARGIN_S
         while boot_time() < limit:
-            fresh = self._peers.fresh()
-            # A VM may have registered just before the record was written.
-            known = self._sync.revision >= record.revision
-            behind = [
-                each.name
-                for each in self._sync.vms
-                if each.name != self._own.name
-                and (each.name not in fresh or fresh[each.name].seen_revision < record.revision)
-            ]
-            if known and not behind:
+            if is_unused(self._view(record)):
                 return
             await trio.sleep(RETRY_S / 5)
+        behind = vms_behind(self._view(record))
         self._log.decision("waited_for_confirmations", group=record.group, behind=behind)
 
+    def _view(self, record: LeaderRecord) -> MoveView:
+        return MoveView(
+            record_revision=record.revision,
+            known_revision=self._sync.revision,
+            others=[each.name for each in self._sync.vms if each.name != self._own.name],
+            seen={name: each.seen_revision for name, each in self._peers.fresh().items()},
+        )
+
     async def _choose(
         self,
         group: Group,
