--- a/src/tanagerfront/vm_peers.py
+++ b/src/tanagerfront/vm_peers.py
@@ -26,6 +26,8 @@
 __all__ = ["PeerView", "VmPeers"]
 
 MAX_DATAGRAM_BYTES = 65507
+# Longer than it takes until the registration of a VM that sends heartbeats is known.
+FORGET_S = 10.0
 # A failed primary is agreed upon after one or two heartbeats.
 HEARTBEAT_S = 0.3
 # After an announcement the next heartbeat follows this soon: coordinators have then asked the store
@@ -120,6 +122,7 @@
             announced = self._announcement.is_set()
             if announced:
                 self._announcement = trio.Event()
+            self._forget_unregistered()
             listeners = self._listeners()
             heartbeat = self._heartbeat()
             for peer in self._vms():
@@ -128,6 +131,18 @@
             with trio.move_on_after(CONFIRM_S if announced else HEARTBEAT_S):
                 await self._announcement.wait()
 
+    def _forget_unregistered(self) -> None:
+        """Drop old heartbeats of VMs that are gone; a fleet replaces its VMs all the time."""
+        registered = {each.name for each in self._vms()}
+        oldest = boot_time() - FORGET_S
+        gone = [
+            name
+            for name, view in self._views.items()
+            if name not in registered and view.received_at < oldest
+        ]
+        for name in gone:
+            del self._views[name]
+
     async def _run_receive(self) -> None:
         while True:
             try:
--- a/tests/test_vm_peers.py
+++ b/tests/test_vm_peers.py
@@ -119,6 +119,19 @@
             await until(lambda: bool(fleet.heard))
             nursery.cancel_scope.cancel()
 
+    @trio_test
+    async def test_heartbeats_of_vms_that_are_gone_for_good_are_forgotten(self) -> None:
+        # Guards against memory that grows with every VM that was ever replaced.
+        fleet = Fleet()
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            await until(lambda: "vm-1" in fleet.peers[0]._views)
+            old = fleet.peers[0]._views["vm-1"]._replace(received_at=0.0)
+            fleet.peers[0]._views["gone"] = old
+            await until(lambda: "gone" not in fleet.peers[0]._views)
+            self.assertIn("vm-1", fleet.peers[0]._views)
+            nursery.cancel_scope.cancel()
+
 
 class MessageTest(TestCase):
     def test_messages_come_back_as_sent(self) -> None:
