Read the change again: one check less at a start, lost answers out of the average

A start no longer asks the store for a confirmation that its first reading gives. Lost answers counted with seconds in the gate's average of work, so that later statements were refused for a wait that was not there. A newer record that another VM tells of is logged.

--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -161,6 +161,15 @@
         records = (group.record for group in self._directory.groups.values())
         return max((each.revision for each in records if each is not None), default=0)
 
+    @property
+    def revision(self) -> int:
+        """Return the store's revision up to which all changes were taken in."""
+        return self._revision
+
+    def request_check(self) -> None:
+        """Ask the store now instead of at the next interval."""
+        self._check_wanted.set()
+
     async def run(self) -> None:
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -267,7 +276,7 @@
         await self.apply(changes)
 
     async def _follow(self) -> bool:
-        """Take in changes from the coordinator that announced them; return whether all came."""
+        """Take in changes from the VM that announced them; return whether all came."""
         announcer = self._vms.get(self._announcer)
         if announcer is None or self._revision >= self._announced_revision:
             return False
@@ -297,15 +306,6 @@
                 await self._announced.wait()
         self._announced_urgent = False
 
-    @property
-    def revision(self) -> int:
-        """Return the store's revision up to which all changes were taken in."""
-        return self._revision
-
-    def request_check(self) -> None:
-        """Ask the store now instead of at the next interval."""
-        self._check_wanted.set()
-
     def note_echo(self, vm: str, echo: Echo) -> None:
         """Take in what a coordinator answered to a heartbeat of this VM."""
         self._echo_at = boot_time()
@@ -321,6 +321,7 @@
         self._announced_urgent = True
         if not self._note_announced(vm, revision):
             return
+        self._log.decision("newer_record_announced", peer=vm, revision=revision)
         # The store may be out of reach, but the VM that has the record is not.
         self._watching.cancel()
 
@@ -421,8 +422,10 @@
                     self._log.decision("lease_granted", lease=self._lease)
                     self._beliefs.register(asked_at)
                     self._registered.set()
-                    # No primary is used before a confirmation that is newer than this.
-                    self.request_check()
+                    if self._beliefs.first_configuration.is_set():
+                        # No primary is used before a confirmation that is newer than this; after
+                        # a start the first reading of the store is.
+                        self.request_check()
                 elif await self._store.renew(self._lease):
                     self._beliefs.renew_lease(asked_at)
                 else:
--- a/src/tanagerfront/instance_pool.py
+++ b/src/tanagerfront/instance_pool.py
@@ -354,7 +354,8 @@
     ) -> PooledConnection:
         """Return a connection of the organisation.
 
-        Raises OverloadedError at `give_up_at`, or what the opener raises.
+        Raises OverloadedError if the instance has no free slot in time or no connection is free at
+        `give_up_at`, or what the opener raises.
         """
         if self._gate is None:
             connection = await self._take_or_open(organisation)
@@ -414,7 +415,7 @@
         return connection
 
     async def _wait(self, organisation: str, urgency: float, give_up_at: float) -> _Waiter:
-        """Wait for a connection or for the permit to open one."""
+        """Wait for a connection or for the place of a new one."""
         waiter = _Waiter(organisation, urgency)
         self._waiters.append(waiter)
         try:
--- a/src/tanagerfront/slot_gate.py
+++ b/src/tanagerfront/slot_gate.py
@@ -79,7 +79,8 @@
 
     def leave(self, entered_at: float) -> None:
         """Record that a statement has ended."""
-        self._work_s += WORK_SMOOTHING * (trio.current_time() - entered_at - self._work_s)
+        took_s = min(trio.current_time() - entered_at, MAX_HOLD_S)
+        self._work_s += WORK_SMOOTHING * (took_s - self._work_s)
         self._give_back(entered_at)
 
     def _has_room(self) -> bool:
--- a/tests/test_slot_gate.py
+++ b/tests/test_slot_gate.py
@@ -81,3 +81,5 @@
         for each in lost:
             gate.leave(each)
         self.assertEqual(0.0, gate.expected_wait_s)
+        _, refused = await offer(gate, 150.0, 2.0)
+        self.assertEqual(0, refused)
