--- a/src/tanagerfront_lab/processes.py
+++ b/src/tanagerfront_lab/processes.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -22,7 +23,14 @@
 
 from .deployments import SCHEMA_SQL, TEAM, Deployment, digest, document, owner_key
 
-__all__ = ["Cluster", "ClusterOptions", "DatabaseProcess", "VmProcess", "request_once"]
+__all__ = [
+    "Cluster",
+    "ClusterOptions",
+    "DatabaseProcess",
+    "VmProcess",
+    "free_addresses",
+    "request_once",
+]
 
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
@@ -63,13 +71,25 @@
     address: Address
 
 
-def _free_addresses(host: str, count: int) -> list[Address]:
+# Below the ports that Linux gives to outgoing connections, which begin at 32768. One of those could
+# be taken by any connection on the machine before the process that it is meant for starts.
+LISTENING_PORTS = range(20000, 32768)
+
+
+def free_addresses(host: str, count: int) -> list[Address]:
     """Return different addresses; all stay bound until the last is found."""
+    found: list[Address] = []
     with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind((host, 0))
-        return [Address(host, probe.getsockname()[1]) for probe in probes]
+        for port in random.sample(LISTENING_PORTS, len(LISTENING_PORTS)):
+            probe = stack.enter_context(socket.socket())
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+            found.append(Address(host, port))
+            if len(found) == count:
+                return found
+    raise RuntimeError(f"no {count} ports are free on {host}")
 
 
 async def request_once(
@@ -99,7 +119,7 @@
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._commands: dict[str, list[str]] = {}
         databases = len(self.groups) * deployment.instances
-        addresses = iter(_free_addresses("127.0.0.1", 2 + databases + 3 * options.vms))
+        addresses = iter(free_addresses("127.0.0.1", 2 + databases + 3 * options.vms))
         self._platform = next(addresses)
         self._vm_list = next(addresses)
         self._databases = tuple(self._plan_databases(addresses))
