Say each thing once: roles of instances, addresses of VMs, records of primaries, reports

The wire's words for roles stood in two modules; the port for changes was computed in two places and is now a property of the registered VM; writing a record of a primary and asking an instance for its report were each written twice in failover; the homes of an instance were computed twice for an opening and their failures logged in two branches; a caller's farewell was encoded at five places.

Work that was not needed: coordinators were computed for each registration of a batch, now when they are asked for; votes were counted twenty times a second for primaries that this VM reaches. Behaviour is the same.

--- a/src/tanagerfront/failover.py
+++ b/src/tanagerfront/failover.py
@@ -234,15 +234,15 @@
 
     def _votes(self, group: Group) -> ReachabilityVotes:
         leader = group.leader
-        if leader is None:
+        if leader is None or leader.unreachable_since is None:
+            # Nobody is asked about a primary that this VM reaches.
             return ReachabilityVotes(0, 0)
         name = leader.entry.id
         heartbeats = list(self._peers.fresh().values())
         # A peer that has not used the primary lately has no opinion.
         against = sum(name in each.unreachable for each in heartbeats)
         in_favour = sum(name in each.reachable for each in heartbeats)
-        own = leader.unreachable_since is not None
-        return ReachabilityVotes(against + own, against + in_favour + 1)
+        return ReachabilityVotes(against + 1, against + in_favour + 1)
 
     def _is_my_turn(self, group: str) -> bool:
         """Tell whether this VM is the promoter or the next to claim the seat."""
@@ -293,10 +293,7 @@
             return
         await self._await_lead(chosen)
         final = record._replace(instance=chosen.entry.id, moving=False)
-        written = await self._store.write_leader(final)
-        if written is not None:
-            self._directory.set_record(written)
-            self._peers.announce()
+        await self._write(final)
         self._log.decision(
             "primary_moved",
             group=group.name,
@@ -333,12 +330,17 @@
             moving=True,
             revision=current.revision if current else 0,
         )
-        written = await self._store.write_leader(record)
+        written = await self._write(record)
         if written is None:
             self._sync.request_check()
-            return None
-        self._directory.set_record(written)
-        self._peers.announce()
+        return written
+
+    async def _write(self, record: LeaderRecord) -> LeaderRecord | None:
+        """Write a record and tell the other VMs; return None if another VM changed it."""
+        written = await self._store.write_leader(record)
+        if written is not None:
+            self._directory.set_record(written)
+            self._peers.announce()
         return written
 
     async def _fence(
@@ -416,22 +418,28 @@
         reports: dict[str, InstanceReport] = {}
 
         async def ask(instance: Instance) -> None:
-            try:
-                with trio.fail_after(CONTROL_TIMEOUT_S):
-                    if pause_term is None:
-                        report = await self._control.report(instance.entry)
-                    else:
-                        report = await self._control.pause(instance.entry, pause_term)
-            except (TanagerfrontError, trio.TooSlowError) as error:
-                self._log.decision("no_report", instance=instance.entry.id, error=str(error))
-                return
-            reports[instance.entry.id] = report
+            report = await self._report(instance, pause_term)
+            if report is not None:
+                reports[instance.entry.id] = report
 
         async with trio.open_nursery() as nursery:
             for each in replicas:
                 nursery.start_soon(ask, each)
         return reports
 
+    async def _report(
+        self, instance: Instance, pause_term: int | None = None
+    ) -> InstanceReport | None:
+        """Ask an instance, perhaps pausing its replication; return None if it does not answer."""
+        try:
+            with trio.fail_after(CONTROL_TIMEOUT_S):
+                if pause_term is None:
+                    return await self._control.report(instance.entry)
+                return await self._control.pause(instance.entry, pause_term)
+        except (TanagerfrontError, trio.TooSlowError) as error:
+            self._log.decision("no_report", instance=instance.entry.id, error=str(error))
+            return None
+
     async def _order(self, group: Group, chosen: Instance, token: int) -> PromotionOutcome:
         if not self._fit or self._sync.seat is None or self._sync.seat.token > token:
             return PromotionOutcome.REJECTED
@@ -451,14 +459,9 @@
         """Wait until the new primary says that it leads."""
         with trio.move_on_after(ORDER_TIMEOUT_S):
             while chosen.entry.role is not InstanceRole.PRIMARY:
-                try:
-                    with trio.fail_after(CONTROL_TIMEOUT_S):
-                        report = await self._control.report(chosen.entry)
-                except (TanagerfrontError, trio.TooSlowError) as error:
-                    self._log.decision("no_report", instance=chosen.entry.id, error=str(error))
-                else:
-                    if report.role is InstanceRole.PRIMARY:
-                        return
+                report = await self._report(chosen)
+                if report is not None and report.role is InstanceRole.PRIMARY:
+                    return
                 await trio.sleep(RETRY_S / 2)
 
 
--- a/src/tanagerfront/fleet_store.py
+++ b/src/tanagerfront/fleet_store.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
+from .http_client import Address
 from .instance_directory import LeaderRecord
 from .session_model import FrontConfiguration, InstanceEntry
 
@@ -39,6 +40,16 @@
     # Processor time, in cores at full speed.
     cores: float = 1.0
 
+    @property
+    def address(self) -> Address:
+        """Return where the VM takes datagrams and relayed sessions."""
+        return Address(self.host, self.port)
+
+    @property
+    def changes_address(self) -> Address:
+        """Return where the VM passes changes of the store on."""
+        return Address(self.host, self.port + 1)
+
 
 class PromoterSeat(NamedTuple):
     """The VM that may order promotions; `token` grows with each holder."""
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -100,7 +100,8 @@
         self._log = log
         self._timing = timing or SyncTiming()
         self._vms: dict[str, RegisteredVm] = {}
-        self._coordinators: tuple[str, ...] = ()
+        # None until they are asked for, because registrations come in large numbers.
+        self._coordinators: tuple[str, ...] | None = None
         self._shares_outdated = False
         self._missing_since: dict[str, float] = {}
         self._vm_gone_since: dict[str, float] = {}
@@ -127,18 +128,20 @@
     @property
     def coordinators(self) -> Sequence[str]:
         """Return the VMs that follow the store closely for the others."""
+        if self._coordinators is None:
+            self._coordinators = coordinators(self.vms)
         return self._coordinators
 
     @property
     def is_coordinator(self) -> bool:
         """Tell whether this VM follows the store closely; all do while few are registered."""
-        return self._own.name in self._coordinators or len(self._coordinators) < COORDINATORS
+        return self._own.name in self.coordinators or len(self.coordinators) < COORDINATORS
 
     @property
     def listeners(self) -> frozenset[str]:
         """Return the VMs to which all send their heartbeats: coordinators and the promoter."""
         promoter = {self._seat.vm} if self._seat is not None else set()
-        return frozenset({*self._coordinators, *promoter})
+        return frozenset({*self.coordinators, *promoter})
 
     @property
     def is_listener(self) -> bool:
@@ -213,7 +216,7 @@
                 known = self._vms.get(vm.name)
                 self._vms[vm.name] = vm
                 self._vm_gone_since.pop(vm.name, None)
-                self._coordinators = coordinators(self.vms)
+                self._coordinators = None
                 if known is None:
                     self._log.decision("vm_registered", peer=vm.name, vms=len(self._vms))
                     self._shares_outdated = True
@@ -385,7 +388,7 @@
         # The others are confirmed by coordinators, and ask the store when that fails.
         limit_s = self._timing.own_check_s
         if self.is_coordinator:
-            names = self._coordinators
+            names = self.coordinators
             # The first of them checks for all; the next ones follow when it does not.
             place = names.index(self._own.name) if len(names) == COORDINATORS else 0
             limit_s = self._timing.check_s + place * self._timing.stagger_s
@@ -461,7 +464,7 @@
                 continue
             del self._vm_gone_since[name]
             del self._vms[name]
-            self._coordinators = coordinators(self.vms)
+            self._coordinators = None
             self._log.decision("vm_gone", peer=name, vms=len(self._vms))
             self._shares_outdated = True
         if self._shares_outdated:
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -117,7 +117,7 @@
     # Returns the times of the settings file, None while it can't be read.
     reload: Callable[[], FrontTimes | None]
     relays: Callable[[InstanceDirectory, DecisionLog], RelaySide]
-    # Answers the other VMs about changes of the store, at the port after the peers'.
+    # Answers the other VMs about changes of the store.
     changes: Callable[[], ConnectionHandler]
 
 
@@ -202,8 +202,8 @@
         identity = self._identity
         listener = await _listen(identity.callers)
         probes = await _listen(identity.probes)
-        relays = await _listen(Address(identity.host, identity.peers_port))
-        changes = await _listen(Address(identity.host, identity.peers_port + 1))
+        relays = await _listen(self._own.address)
+        changes = await _listen(self._own.changes_address)
         await self._peers.bind()
         self._log.decision("started", **identity._asdict(), incarnation=self._own.incarnation)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
--- a/src/tanagerfront/platform/caller_wire.py
+++ b/src/tanagerfront/platform/caller_wire.py
@@ -24,11 +24,11 @@
 
 
 class _EndedError(Exception):
-    """The connection ends; `farewell` is sent before."""
+    """The connection ends; the failure, if any, is sent before."""
 
-    def __init__(self, farewell: bytes = b"") -> None:
+    def __init__(self, failure: Failure | None = None) -> None:
         super().__init__()
-        self.farewell = farewell
+        self.failure = failure
 
 
 class _CallerConnection:
@@ -56,8 +56,8 @@
                 if query is not None:
                     await self._send(encode_reply(await session.execute(query)))
         except _EndedError as end:
-            if end.farewell:
-                await self._send(end.farewell)
+            if end.failure is not None:
+                await self._send(encode_failure(end.failure))
         except ConnectionLostError as error:
             # Callers leave without notice; their transaction is rolled back below.
             self._services.metrics.count("callers_left")
@@ -78,9 +78,9 @@
         try:
             message = decode_caller_line(line, trio.current_time())
         except BadRequestError as error:
-            raise _EndedError(encode_failure(Failure(FailureCode.MALFORMED, str(error)))) from error
+            raise _EndedError(Failure(FailureCode.MALFORMED, str(error))) from error
         if not isinstance(message, Connect):
-            raise _EndedError(encode_failure(Failure(FailureCode.MALFORMED, "CONNECT comes first")))
+            raise _EndedError(Failure(FailureCode.MALFORMED, "CONNECT comes first"))
         with trio.move_on_after(START_WAIT_S):
             await self._services.beliefs.first_confirmation.wait()
         try:
@@ -93,7 +93,7 @@
                 reason=error.failure.text,
                 confirmed_s=round(self._services.beliefs.confirmation_age_s, 3),
             )
-            raise _EndedError(encode_failure(error.failure)) from error
+            raise _EndedError(error.failure) from error
 
     async def _next(self, session: CallerSession) -> Query | None:
         """Return the next statement, None if a message was answered here."""
@@ -121,15 +121,13 @@
                 return message
             case Bye():
                 raise _EndedError
-        raise _EndedError(
-            encode_failure(Failure(FailureCode.MALFORMED, "the session is open already"))
-        )
+        raise _EndedError(Failure(FailureCode.MALFORMED, "the session is open already"))
 
     async def _line(self) -> bytes:
         try:
             return await self._stream.line()
         except TooLargeError as error:
-            raise _EndedError(encode_failure(Failure(FailureCode.TOO_LARGE, str(error)))) from error
+            raise _EndedError(Failure(FailureCode.TOO_LARGE, str(error))) from error
 
     async def _send(self, data: bytes) -> None:
         with trio.move_on_after(SEND_TIMEOUT_S) as scope:
--- a/src/tanagerfront/platform/changes_wire.py
+++ b/src/tanagerfront/platform/changes_wire.py
@@ -9,17 +9,12 @@
 from ..http_server import ConnectionHandler, Request, Response
 from .store import GONE, NOT_FOUND, OK, WATCH_PATH, Page, StoreClient, encode_events
 
-__all__ = ["ChangesHandler", "FollowedVms", "changes_address"]
+__all__ = ["ChangesHandler", "FollowedVms"]
 
 # VMs are a few milliseconds apart; one that takes longer is overloaded or gone.
 FOLLOW_TIMEOUT_S = 0.3
 
 
-def changes_address(vm: RegisteredVm) -> Address:
-    """Return where a VM answers watches: the port after the one for its peers."""
-    return Address(vm.host, vm.port + 1)
-
-
 class ChangesHandler(ConnectionHandler):
     """Answer other VMs from the changes that this one has taken in."""
 
@@ -48,7 +43,7 @@
 
     async def watch(self, vm: RegisteredVm, after: int, *, large: bool) -> Page:
         """Return the changes that a VM has; raises as `StoreClient.watch` does."""
-        address = changes_address(vm)
+        address = vm.changes_address
         client = self._clients.get(address)
         if client is None:
             client = self._clients[address] = StoreClient(address, FOLLOW_TIMEOUT_S)
--- a/src/tanagerfront/platform/documents.py
+++ b/src/tanagerfront/platform/documents.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "INSTANCE_ROLES",
     "INSTANCE_PREFIX",
     "LEADER_PREFIX",
     "OWN_PREFIX",
@@ -53,7 +54,7 @@
     "bounded": RouteKind.BOUNDED,
     "read_your_writes": RouteKind.READ_YOUR_WRITES,
 }
-_ROLES = {"primary": InstanceRole.PRIMARY, "replica": InstanceRole.REPLICA}
+INSTANCE_ROLES = {"primary": InstanceRole.PRIMARY, "replica": InstanceRole.REPLICA}
 _STATES = {"ready": False, "draining": True}
 
 
@@ -190,7 +191,7 @@
             failure_domain=entry.zone,
             slots=entry.slots,
             draining=_STATES[entry.state],
-            role=_ROLES[entry.db_role],
+            role=INSTANCE_ROLES[entry.db_role],
             born_ms=entry.born,
             revision=revision,
         )
--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -132,8 +132,7 @@
     async def register(self, vm: RegisteredVm, ttl_s: float) -> int:
         """Register a VM under a new lease and return the lease."""
         lease = await self._leases.grant(ttl_s)
-        address = f"{vm.host}:{vm.port}"
-        record = VmRecord(vm.name, address, vm.failure_domain, vm.incarnation, vm.cores)
+        record = VmRecord(vm.name, str(vm.address), vm.failure_domain, vm.incarnation, vm.cores)
         key, value = VM_PREFIX + vm.name, encode_record(record)
         # Without the condition a write whose answer was lost could be executed later and bind the
         # record to a lease that is renewed no more.
--- a/src/tanagerfront/platform/instance_control.py
+++ b/src/tanagerfront/platform/instance_control.py
@@ -14,24 +14,23 @@
 )
 from ..session_model import (
     InstanceEntry,
-    InstanceRole,
     PauseReplication,
     ReportStatus,
     StepDown,
 )
+from .documents import INSTANCE_ROLES
 from .instance_wire import open_instance
 from .lines import parse_entry_id
 
 __all__ = ["LineInstanceControl"]
 
-_ROLES = {"primary": InstanceRole.PRIMARY, "replica": InstanceRole.REPLICA}
-
 
 def _decode_report(row: bytes) -> InstanceReport:
     """Return the row of a status; its further fields are not needed."""
     try:
         role, term, received, *_ = row.decode().split(" ")
-        return InstanceReport(_ROLES[role], int(term), parse_entry_id(received) or EntryId(0, 0))
+        position = parse_entry_id(received) or EntryId(0, 0)
+        return InstanceReport(INSTANCE_ROLES[role], int(term), position)
     except (KeyError, ValueError) as error:
         raise ConnectionLostError("the instance sent a malformed status") from error
 
--- a/src/tanagerfront/platform/instance_wire.py
+++ b/src/tanagerfront/platform/instance_wire.py
@@ -112,7 +112,7 @@
     home: RegisteredVm, entry: InstanceEntry, organisation: str
 ) -> InstanceConnection:
     """Open a session at an instance through another VM; raises as `open_instance` does."""
-    return await _open(Address(home.host, home.port), entry, organisation)
+    return await _open(home.address, entry, organisation)
 
 
 async def _open(address: Address, entry: InstanceEntry, organisation: str) -> InstanceConnection:
--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -93,14 +93,21 @@
 
     def uses_relay(self, entry: InstanceEntry) -> bool:
         """Tell whether statements for an instance go through another VM."""
-        vms = self._vms()
-        return len(vms) >= RELAY_VMS and self._own not in {each.name for each in homes(entry, vms)}
+        return bool(self._relaying_homes(entry))
 
     def home_rank(self, entry: InstanceEntry) -> int:
         """Return 0 for the VM that all use, else the place among those that replace it."""
         names = [each.name for each in homes(entry, self._vms())]
         return names.index(self._own) if self._own in names else 0
 
+    def _relaying_homes(self, entry: InstanceEntry) -> tuple[RegisteredVm, ...]:
+        """Return the VMs to go through, none if this VM connects directly."""
+        vms = self._vms()
+        if len(vms) < RELAY_VMS:
+            return ()
+        found = homes(entry, vms)
+        return () if self._own in {each.name for each in found} else found
+
     async def __call__(self, entry: InstanceEntry, organisation: str) -> Connection:
         """Return a connection; raises what the direct opener raises.
 
@@ -108,27 +115,23 @@
         refuse, because then all VMs together would exceed what the instance accepts.
         """
         refusal: InstanceRefusedError | None = None
-        if self.uses_relay(entry):
-            for home in homes(entry, self._vms()):
-                if trio.current_time() < self._paused_until.get(home.name, float("-inf")):
-                    continue
-                try:
-                    return await self._relay(home, entry, organisation)
-                except InstanceRefusedError as error:
+        for home in self._relaying_homes(entry):
+            if trio.current_time() < self._paused_until.get(home.name, float("-inf")):
+                continue
+            try:
+                return await self._relay(home, entry, organisation)
+            except TanagerfrontError as error:
+                self._log.trouble(
+                    "home_failed", home=home.name, instance=entry.id, error=str(error)
+                )
+                if isinstance(error, InstanceRefusedError):
                     refusal = error
-                    self._log_failure(home, entry, error)
-                except TanagerfrontError as error:
+                else:
                     self._paused_until[home.name] = trio.current_time() + HOME_PAUSE_S
-                    self._log_failure(home, entry, error)
         if refusal is not None:
             raise refusal
         return await self._direct(entry, organisation)
 
-    def _log_failure(
-        self, home: RegisteredVm, entry: InstanceEntry, error: TanagerfrontError
-    ) -> None:
-        self._log.trouble("home_failed", home=home.name, instance=entry.id, error=str(error))
-
 
 class RelaySession:
     """One session of another VM at a home; it holds a connection only while it needs one."""
--- a/src/tanagerfront/vm_peers.py
+++ b/src/tanagerfront/vm_peers.py
@@ -94,7 +94,7 @@
 
     async def bind(self) -> None:
         """Open the socket."""
-        await self._socket.bind((self._own.host, self._own.port))
+        await self._socket.bind(self._own.address)
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -173,7 +173,7 @@
                     event.set()
 
     async def _send(self, peer: RegisteredVm, message: Datagram) -> None:
-        await self._send_to((peer.host, peer.port), message)
+        await self._send_to(peer.address, message)
 
     async def _send_to(self, address: tuple[str, int], message: Datagram) -> None:
         try:
--- a/src/tanagerfront_lab/replay.py
+++ b/src/tanagerfront_lab/replay.py
@@ -48,33 +48,23 @@
     3, 3, 3, 3, 3, 3, 2, 2, 2, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1,
 )  # fmt: skip
 
+# All reads of a group turn to its primary while both replicas lag.
+LAGGING_REPLICAS = LoadPattern(
+    per_s=150.0,
+    seconds=20.0,
+    organisations=GROWN_ORGANISATIONS,
+    slots=3,
+    connections=36,
+    work_s=0.014,
+    opening_s=0.012,
+    objective_s=0.255,
+    deadline_s=1.2,
+    retries=2,
+)
 PATTERNS: Mapping[str, LoadPattern] = {
-    # All reads of a group turn to its primary while both replicas lag.
-    "lagging-replicas": LoadPattern(
-        per_s=150.0,
-        seconds=20.0,
-        organisations=GROWN_ORGANISATIONS,
-        slots=3,
-        connections=36,
-        work_s=0.014,
-        opening_s=0.012,
-        objective_s=0.255,
-        deadline_s=1.2,
-        retries=2,
-    ),
-    # The same with half as many callers again, which is more than the slots can do.
-    "lagging-replicas-burst": LoadPattern(
-        per_s=225.0,
-        seconds=20.0,
-        organisations=GROWN_ORGANISATIONS,
-        slots=3,
-        connections=36,
-        work_s=0.014,
-        opening_s=0.012,
-        objective_s=0.255,
-        deadline_s=1.2,
-        retries=2,
-    ),
+    "lagging-replicas": LAGGING_REPLICAS,
+    # Half as many callers again are more than the slots can do.
+    "lagging-replicas-burst": LAGGING_REPLICAS._replace(per_s=225.0),
 }
 
 
--- a/tests/test_agreement_model.py
+++ b/tests/test_agreement_model.py
@@ -24,10 +24,13 @@
 from support import TestCase
 from tanagerfront.failover import WAIT_MARGIN_S, MoveView, is_unused
 from tanagerfront.fleet_sync import LEASE_TTL_S, SyncTiming
+from tanagerfront.front import LEASE_MARGIN_S
 from tanagerfront.vm_beliefs import BeliefLimits, Beliefs
 from tanagerfront.vm_peers import HEARTBEAT_S, SILENT_INTERVALS
 
-LIMITS = BeliefLimits(keys_s=4.5, primary_s=3.0, lease_s=LEASE_TTL_S - 0.8, leaving_s=5.5)
+LIMITS = BeliefLimits(
+    keys_s=4.5, primary_s=3.0, lease_s=LEASE_TTL_S - LEASE_MARGIN_S, leaving_s=5.5
+)
 STEPS_S = st.sampled_from([0.5, 2.0, 3.5, 10.0])
 
 
