Give a caller's repeat without an idempotency key a reference of its own

Cause: test_killed_vm once reported that a write "occurs 2 times in orders-1". Traced on with 150 instead of 15 calls/s per organisation: the doubled reference had two operations of the load, the first sent to the killed VM (unknown outcome), the second the load's repeat through another VM (200). The database executed exactly one statement for each of them. The load sent no idempotency key, so the service could not relate the two. Change: without a key the load repeats the write under a new reference and notes which one it repeats. The check is unchanged and now covers each call: a row that the system doubles, with or without a key, is found (tests with a VM that executes twice and one that ignores keys). The campaign's baseline still counts rows that callers doubled.

--- a/src/tanagerfront_lab/campaign.py
+++ b/src/tanagerfront_lab/campaign.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from .checker import count_doubled_writes
 from .deployments import Deployment
 from .experiments import Experiment, ExperimentResult, Fault, run_experiment
 from .faults import kill_primary
@@ -37,7 +38,10 @@
 
 
 class Campaign(NamedTuple):
-    """Measures of a deployment over several experiments; shares are between 0 and 1."""
+    """Measures of a deployment over several experiments; shares are between 0 and 1.
+
+    The baseline's write violations include rows that its callers doubled by repeating a call.
+    """
 
     deployment: str
     replica_share: float
@@ -153,7 +157,9 @@
         replica_share=undisturbed.measures.replica_share,
         gaps_s=tuple(result.measures.gaps_s[deployment.groups[0]] for result in failovers),
         write_violations=_write_violations(measured),
-        baseline_write_violations=_write_violations([baseline]),
+        baseline_write_violations=(
+            _write_violations([baseline]) + count_doubled_writes(baseline.history)
+        ),
         other_violations=_other_violations(measured),
         no_fault_refused_share=_refused_share([undisturbed]),
         failover_refused_share=_refused_share(failovers),
--- a/src/tanagerfront_lab/checker.py
+++ b/src/tanagerfront_lab/checker.py
@@ -9,7 +9,7 @@
 
 from .history import History, Operation
 
-__all__ = ["Violation", "check_history", "check_rate"]
+__all__ = ["Violation", "check_history", "check_rate", "count_doubled_writes"]
 
 # Tolerance for rounding only: all times come from the recorder's clock, not from those of the VMs,
 # so clock differences need no margin.
@@ -35,6 +35,19 @@
     return [violation for check in checks for violation in check(history)]
 
 
+def count_doubled_writes(history: History) -> int:
+    """Return how many callers' repeats without an idempotency key wrote a second row.
+
+    They violate no guarantee: without a key the service executes each call.
+    """
+    present = {(row.group, row.ref) for row in history.rows}
+    return sum(
+        (op.group, op.ref) in present and (op.group, op.repeats) in present
+        for op in history.operations
+        if op.repeats
+    )
+
+
 def _group_by_session(operations: Iterable[Operation]) -> Iterator[list[Operation]]:
     sessions: defaultdict[tuple[str, str], list[Operation]] = defaultdict(list)
     for operation in operations:
--- a/src/tanagerfront_lab/history.py
+++ b/src/tanagerfront_lab/history.py
@@ -14,7 +14,8 @@
     """One call; times are in seconds of the recorder's monotonic clock.
 
     A write adds the row (ref, session, seq); a read returns the seqs of its session in `seen`.
-    `executed` is `yes` for an acknowledged call, otherwise the value in the error.
+    `executed` is `yes` for an acknowledged call, otherwise the value in the error. `repeats` is the
+    ref of a write of unknown outcome that the caller sent again without an idempotency key.
     """
 
     kind: Literal["write", "read"]
@@ -32,6 +33,7 @@
     by_replica: bool = False
     eligible: bool = False
     problem: str = ""
+    repeats: str = ""
 
     @property
     def acknowledged(self) -> bool:
--- a/src/tanagerfront_lab/load.py
+++ b/src/tanagerfront_lab/load.py
@@ -130,16 +130,25 @@
         if kind == "read":
             await self._read()
             return
-        self._seq += 1
-        ref = f"{self._name}-{self._seq}"
-        key = ref if self._plan.idempotency_keys else None
-        operation = await self._write(ref, key)
+        operation = await self._write(self._next_ref())
         if operation.executed == "unknown" and self._plan.retry_unknown:
-            await self._write(ref, key)
+            if self._plan.idempotency_keys:
+                await self._write(operation.ref)
+            else:
+                # The service can't relate this call to the first one and may execute both. With a
+                # reference of its own, a row that the service doubles still shows.
+                await self._write(self._next_ref(), repeats=operation.ref)
 
-    async def _write(self, ref: str, key: str | None) -> Operation:
+    def _next_ref(self) -> str:
+        self._seq += 1
+        return f"{self._name}-{self._seq}"
+
+    async def _write(self, ref: str, *, repeats: str = "") -> Operation:
+        key = ref if self._plan.idempotency_keys else None
         params = {"ref": ref, "session": self._name, "seq": self._seq}
-        return await self._call("write", "add", params, key, ref=ref, seq=self._seq)
+        return await self._call(
+            "write", "add", params, key, ref=ref, seq=self._seq, repeats=repeats
+        )
 
     async def _read(self) -> Operation:
         return await self._call("read", "list", {"session": self._name}, None)
