Reserve loopback hosts for the processes of tests, lab, demo and soak

Cause: twice a process of a test cluster ended with "Address already in use". The cluster looked up free ports of 127.0.0.1, released them and started processes that bound them later, also after restarts; whoever ran beside it could take one in between. The soak derived its hosts from the seed, so that two runs of one seed, or of seeds 25,000 apart, shared them, and a restarted stand-in instance bound an ephemeral port again. Change: a ReservedHost is an address of 127.0.0.0/8 that a bound socket reserves until the process ends. Each cluster, each VM of the soak, its instances and each test process that hands out ports have one.

--- a/src/tanagerfront_lab/processes.py
+++ b/src/tanagerfront_lab/processes.py
@@ -4,9 +4,7 @@
 
 import contextlib
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -20,6 +18,7 @@
 
 from tanagerfront.errors import TanagerfrontError, TooManyConnectionsError
 from tanagerfront.http_client import Address, HttpConnection, HttpReply
+from tanagerfront_standin.loopback import ReservedHost
 
 from .deployments import SCHEMA_SQL, TEAM, Deployment, digest, document, owner_key
 
@@ -28,7 +27,6 @@
     "ClusterOptions",
     "DatabaseProcess",
     "VmProcess",
-    "free_addresses",
     "request_once",
 ]
 
@@ -71,30 +69,6 @@
     address: Address
 
 
-# Below the ephemeral port range of Linux, which starts at 32768: any outgoing connection on the
-# machine could take an ephemeral port before the process that is to listen on it starts.
-LISTENING_PORTS = range(20000, 32768)
-
-
-def free_addresses(host: str, count: int) -> list[Address]:
-    """Return `count` distinct unused addresses; raises RuntimeError if there are too few.
-
-    Each port stays bound until the last one is found, so that none is returned twice.
-    """
-    found: list[Address] = []
-    with contextlib.ExitStack() as stack:
-        for port in random.sample(LISTENING_PORTS, len(LISTENING_PORTS)):
-            probe = stack.enter_context(socket.socket())
-            try:
-                probe.bind((host, port))
-            except OSError:
-                continue
-            found.append(Address(host, port))
-            if len(found) == count:
-                return found
-    raise RuntimeError(f"fewer than {count} free ports on {host}")
-
-
 async def request_once(
     address: Address,
     method: str,
@@ -121,12 +95,12 @@
         self._folder = Path(tempfile.mkdtemp(prefix="tanagerfront-"))
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._commands: dict[str, list[str]] = {}
-        databases = len(self.groups) * deployment.instances
-        addresses = iter(free_addresses("127.0.0.1", 2 + databases + 3 * options.vms))
-        self._platform = next(addresses)
-        self._vm_list = next(addresses)
-        self._databases = tuple(self._plan_databases(addresses))
-        self._vms = tuple(self._plan_vms(addresses))
+        # The processes bind their ports at each start, so that no other cluster may share them.
+        self._host = ReservedHost()
+        self._platform = self._host.next_address()
+        self._vm_list = self._host.next_address()
+        self._databases = tuple(self._plan_databases())
+        self._vms = tuple(self._plan_vms())
 
     @property
     def deployment(self) -> Deployment:
@@ -163,17 +137,17 @@
         """Return the directory of the settings and log files."""
         return self._folder
 
-    def _plan_databases(self, addresses: Iterator[Address]) -> Iterator[DatabaseProcess]:
+    def _plan_databases(self) -> Iterator[DatabaseProcess]:
         for group_index, group in enumerate(self.groups):
             for index in range(self._deployment.instances):
                 domain = self._deployment.instance_domain(group_index, index)
                 name = f"{group}-{index + 1}"
-                yield DatabaseProcess(name, group, domain, next(addresses))
+                yield DatabaseProcess(name, group, domain, self._host.next_address())
 
-    def _plan_vms(self, addresses: Iterator[Address]) -> Iterator[VmProcess]:
+    def _plan_vms(self) -> Iterator[VmProcess]:
         for index in range(self._options.vms):
             domain = self._deployment.vm_domain(index)
-            callers, admin, peers = next(addresses), next(addresses), next(addresses)
+            callers, admin, peers = (self._host.next_address() for _ in range(3))
             yield VmProcess(f"vm-{index + 1}", domain, callers, admin, peers)
 
     def group_databases(self, group: str) -> tuple[DatabaseProcess, ...]:
@@ -370,13 +344,14 @@
         self._start(name, [*command, *extra])
 
     def stop_all(self) -> None:
-        """Kill all processes, including suspended ones, and wait for them."""
+        """Kill all processes, including suspended ones, wait for them and release their host."""
         for process in self._processes.values():
             with contextlib.suppress(ProcessLookupError):
                 process.send_signal(signal.SIGCONT)
                 process.kill()
         for process in self._processes.values():
             process.wait()
+        self._host.close()
 
     async def database_status(self, database: DatabaseProcess) -> dict[str, object]:
         """Return a database's status; raises TooManyConnectionsError on an error reply."""
--- a/src/tanagerfront_lab/soak.py
+++ b/src/tanagerfront_lab/soak.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import random
 import signal
 import subprocess
 import sys
 import tempfile
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -19,6 +20,7 @@
 from tanagerfront.platform.line_stream import LineStream
 from tanagerfront_standin.line_group import Commit, LineGroup, LineInstance
 from tanagerfront_standin.link import Direction, TcpLink
+from tanagerfront_standin.loopback import ReservedHost
 from tanagerfront_standin.platform_store import PlatformStore, StoreFaults
 
 from .soak_history import Attempt, SoakHistory
@@ -60,10 +62,9 @@
 class _Vm:
     """One VM process, which reaches the store through its own link."""
 
-    def __init__(self, seed: int, number: int, directory: Path) -> None:
+    def __init__(self, host: str, number: int, directory: Path) -> None:
         self.name = f"vm-{number}"
-        # The loopback address depends on the seed, so that runs with different seeds can overlap.
-        self.host = f"127.{9 + seed // 250 % 100}.{seed % 250}.{number + 1}"
+        self.host = host
         self.front_port, self.ready_port, self.internal_port = 7101, 7102, 7103
         self.settings_path = directory / f"{self.name}.toml"
         self.log_path = directory / f"{self.name}.log"
@@ -105,12 +106,14 @@
 class _Soak:
     """State of one soak run: the group, the store, the VMs and the recorded history."""
 
-    def __init__(self, options: SoakOptions, directory: Path) -> None:
+    def __init__(
+        self, options: SoakOptions, directory: Path, hosts: Sequence[ReservedHost]
+    ) -> None:
         self.options = options
         self.rng = random.Random(options.seed)
-        self.group = LineGroup(GROUP)
+        self.group = LineGroup(GROUP, hosts[-1])
         self.store = PlatformStore(self._promote)
-        self.vms = [_Vm(options.seed, number, directory) for number in range(options.vms)]
+        self.vms = [_Vm(hosts[number].name, number, directory) for number in range(options.vms)]
         self.store_links: dict[str, TcpLink] = {}
         self.instance_links: dict[str, TcpLink] = {}
         self.addresses: dict[str, Address] = {}
@@ -428,7 +431,17 @@
 
 
 async def _run(options: SoakOptions, directory: Path) -> SoakResult:
-    soak = _Soak(options, directory)
+    with contextlib.ExitStack() as stack:
+        # One host for each VM and one for the instances. A VM or an instance that restarts binds
+        # its ports again, so that runs at the same time, with any seeds, must not share them.
+        hosts = [stack.enter_context(ReservedHost()) for _ in range(options.vms + 1)]
+        return await _run_on(options, directory, hosts)
+
+
+async def _run_on(
+    options: SoakOptions, directory: Path, hosts: Sequence[ReservedHost]
+) -> SoakResult:
+    soak = _Soak(options, directory, hosts)
     history = soak.history
     try:
         async with trio.open_nursery() as nursery:
--- a/src/tanagerfront_standin/line_group.py
+++ b/src/tanagerfront_standin/line_group.py
@@ -13,6 +13,8 @@
 from tanagerfront.http_client import Address
 from tanagerfront.platform.line_stream import LineStream
 
+from .loopback import ReservedHost
+
 __all__ = ["Commit", "InstanceOptions", "LineGroup", "LineInstance"]
 
 
@@ -41,7 +43,7 @@
 class LineInstance:
     """One instance; replicas receive the primary's commits after a replication delay."""
 
-    def __init__(self, name: str, group: LineGroup) -> None:
+    def __init__(self, name: str, group: LineGroup, address: Address) -> None:
         self.name = name
         self.group = group
         self.log: list[Commit] = []
@@ -50,7 +52,7 @@
         self.paused_term = 0
         self.replication_paused = False
         self.connections = 0
-        self.address = Address("127.0.0.1", 0)
+        self.address = address
         self.violations: list[str] = []
         self._slots = trio.CapacityLimiter(group.options.slots)
         self._scope: trio.CancelScope | None = None
@@ -68,8 +70,7 @@
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Accept connections until `crash` is called."""
-        listeners = await trio.open_tcp_listeners(self.address.port, host="127.0.0.1")
-        self.address = Address(*listeners[0].socket.getsockname()[:2])
+        listeners = await trio.open_tcp_listeners(self.address.port, host=self.address.host)
         with trio.CancelScope() as self._scope:
             task_status.started()
             await trio.serve_listeners(self._serve, listeners)
@@ -235,10 +236,14 @@
 class LineGroup:
     """Three instances, one of them primary; `discarded` holds the commits that were rolled back."""
 
-    def __init__(self, name: str, options: InstanceOptions | None = None) -> None:
+    def __init__(
+        self, name: str, host: ReservedHost, options: InstanceOptions | None = None
+    ) -> None:
         self.name = name
         self.options = options or InstanceOptions()
-        self.instances = [LineInstance(f"{name}-{number}", self) for number in range(3)]
+        self.instances = [
+            LineInstance(f"{name}-{number}", self, host.next_address()) for number in range(3)
+        ]
         self.instances[0].is_primary = True
         self.discarded: list[Commit] = []
         self._nursery: trio.Nursery | None = None
--- a/tests/standin_group.py
+++ b/tests/standin_group.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-import itertools
-import os
+import functools
 import subprocess
 import sys
 from collections.abc import Sequence
@@ -20,13 +19,16 @@
 from tanagerfront_standin.database import DatabaseOptions, serve_database
 from tanagerfront_standin.database_state import Delays
 from tanagerfront_standin.link import TcpLink
+from tanagerfront_standin.loopback import ReservedHost
 
 SEED_SQL = "CREATE TABLE t (k TEXT PRIMARY KEY, v)"
 TIMEOUT_S = 3.0
 NO_DELAYS = Delays(open_s=0.0)
 
 
-_ports = itertools.count(7101)
+@functools.cache
+def _reserved_host() -> ReservedHost:
+    return ReservedHost()
 
 
 def free_address() -> Address:
@@ -35,9 +37,7 @@
     On a shared host, another test process could bind a free port before the instance listens on
     it, or use it as the local port of a connection.
     """
-    pid = os.getpid()
-    host = f"127.{64 + (pid >> 16) % 64}.{(pid >> 8) % 256}.{pid % 256}"
-    return Address(host, next(_ports))
+    return _reserved_host().next_address()
 
 
 class StandinGroup:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from standin_group import free_address
 from support import TestCase, trio_test
 from tanagerfront.errors import (
     ConnectionLostError,
@@ -109,10 +110,7 @@
             with self.assertRaises(ConnectionLostError) as lost:
                 await first.call("b", ServiceProbe("-900"), 0.1)
             self.assertEqual("unknown", lost.exception.executed)
-            listener = await trio.open_tcp_listeners(0, host="127.0.0.1")
-            closed = Address("127.0.0.1", listener[0].socket.getsockname()[1])
-            await listener[0].aclose()
-            first.set_peers({"b": closed})
+            first.set_peers({"b": free_address()})
             with self.assertRaises(PeerUnreachableError) as unsent:
                 await first.call("b", ServiceProbe("1"), 5)
             self.assertEqual("no", unsent.exception.executed)
--- a/tests/test_session_peers.py
+++ b/tests/test_session_peers.py
@@ -11,6 +11,7 @@
 from msgspec import MsgspecError
 
 from front_fakes import RecordingLog
+from standin_group import free_address
 from support import TestCase, trio_test
 from tanagerfront.fleet_store import RegisteredVm
 from tanagerfront.rate_shares import UNKNOWN_LENDER, RateShares, TokenLoanRequest
@@ -26,13 +27,11 @@
 
 
 def vms_on_free_ports(count: int) -> list[RegisteredVm]:
-    vms = []
-    for number in range(count):
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
-        vms.append(RegisteredVm(f"vm-{number}", "127.0.0.1", port, "suame", "x"))
-    return vms
+    addresses = (free_address() for _ in range(count))
+    return [
+        RegisteredVm(f"vm-{number}", address.host, address.port, "suame", "x")
+        for number, address in enumerate(addresses)
+    ]
 
 
 async def _no_loan(_request: TokenLoanRequest, _lender: str) -> int:
