Wake statements when a primary is confirmed, and resume with the announced record

After the promotion at 11.76 s statements for that group were still refused until all VMs were killed at 13.0 s. (1) Statements that wait for a primary wait for a change of the group; a confirmation, a renewed lease or an answer of an unreachable primary changes what may be used and woke nobody, so they waited 0.4 of their timeout and were refused. The log showed refusals without an obstacle. (2) A VM that hears of a newer record uses no primary until the store confirms its records later than that. Change: the confirmed state reports when primaries may be used again, and waiting statements wake. The suspension also ends when all changes up to the announced record have been applied and decoded: the earlier confirmation is still a bound on what the promoter waits for. The revision of the store counts as applied only after its changes were applied. The decision whether a primary may be used is a module of its own, and a refusal names group, primary and obstacle. Result: the tests of a waiting write and of the suspension fail without the part they guard.

--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -21,6 +21,7 @@
     PooledConnection,
 )
 from .placement import choose_candidate
+from .primary_use import primary_obstacle
 from .rate_shares import RateShares
 from .session_model import (
     NOT_EXECUTED_CODES,
@@ -448,15 +449,8 @@
 
     def _usable_primary(self, group: Group) -> Instance | None:
         """Return the group's primary, None if there is none that this VM may use now."""
-        primary = group.primary
-        if primary is None or not self._services.confirmed_state.primaries_confirmed:
-            return None
-        leaving_since = primary.leaving_since
-        if leaving_since is not None:
-            limit_s = self._services.confirmed_state.limits.leaving_s
-            if boottime_s() - leaving_since > limit_s:
-                return None
-        return primary if primary.unreachable_since is None else None
+        obstacle = primary_obstacle(group, self._services.confirmed_state, boottime_s())
+        return group.primary if obstacle is None else None
 
     async def _acquire_connection(
         self, caller: AuthorisedCaller, at_primary: bool, attempts: Attempts
@@ -530,8 +524,13 @@
         with trio.move_on_at(attempts.wait_deadline):
             await group.changed.wait()
             return
+        obstacle = primary_obstacle(group, self._services.confirmed_state, boottime_s())
         raise RefusedError(
-            FailureCode.OVERLOADED, "the group has no primary that this VM can use at the moment"
+            FailureCode.OVERLOADED,
+            "the group has no primary that this VM can use at the moment",
+            group=group.name,
+            primary=group.primary.registration.id if group.primary else None,
+            obstacle=obstacle.value if obstacle else None,
         )
 
     # Execution
@@ -574,7 +573,9 @@
             raise ConnectionLostError("the instance did not answer in time")
         last_reply = replies[-1]
         is_internal = statements[-1].id == INTERNAL_STATEMENT_ID
-        instance.record_reply(last_reply, None if is_internal else trio.current_time() - started_at)
+        response_s = None if is_internal else trio.current_time() - started_at
+        if instance.record_reply(last_reply, response_s):
+            group.notify()
         if is_primary and last_reply.reached is not None and group.primary is instance:
             group.samples.add(requested_at, last_reply.reached)
         return replies
--- a/src/tanagerfront/confirmed_state.py
+++ b/src/tanagerfront/confirmed_state.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import trio
@@ -41,7 +42,10 @@
         self._lease_renewed_at = float("-inf")
         self._registered_at = float("inf")
         self._suspended_at = float("-inf")
+        self._awaited_revision = 0
         self.stopping = False
+        # Called when a primary may be used again; statements may be waiting for it.
+        self.on_primaries_confirmed: Callable[[], None] = lambda: None
         self.first_configuration = trio.Event()
         self.first_confirmation = trio.Event()
 
@@ -92,12 +96,24 @@
 
     def confirm(self, asked_at: float) -> None:
         """Record that the store confirmed at or after `asked_at` that nothing has changed."""
+        before = self.primaries_confirmed
         self._confirmed_at = max(self._confirmed_at, asked_at)
         self.first_confirmation.set()
+        self._report_confirmed_primaries(before)
 
-    def suspend_primaries(self) -> None:
-        """Use no primary until the store confirms it in a later answer."""
+    def suspend_primaries(self, newer_revision: int) -> None:
+        """Use no primary until the newer record is known or the store confirms all of them."""
         self._suspended_at = boottime_s()
+        self._awaited_revision = max(self._awaited_revision, newer_revision)
+
+    def record_applied(self, revision: int) -> None:
+        """Record that all primary records up to a revision are known."""
+        if revision < self._awaited_revision:
+            return
+        before = self.primaries_confirmed
+        # Earlier confirmations count again: the promoter waits as long as they are valid.
+        self._suspended_at = float("-inf")
+        self._report_confirmed_primaries(before)
 
     def register(self, asked_at: float) -> None:
         """Record that the VM has registered, with a lease requested at `asked_at`."""
@@ -106,12 +122,18 @@
 
     def renew_lease(self, asked_at: float) -> None:
         """Record that the store renewed the VM's lease at or after `asked_at`."""
+        before = self.primaries_confirmed
         self._lease_renewed_at = max(self._lease_renewed_at, asked_at)
+        self._report_confirmed_primaries(before)
 
     def lose_lease(self) -> None:
         """Record that the VM's lease has ended."""
         self._lease_renewed_at = float("-inf")
 
+    def _report_confirmed_primaries(self, before: bool) -> None:
+        if not before and self.primaries_confirmed:
+            self.on_primaries_confirmed()
+
     def apply(self, configuration: FrontConfiguration) -> bool:
         """Apply a configuration if it is newer than the current one; return whether it was."""
         current = self._configuration
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -262,7 +262,7 @@
                 if loaded:
                     await self._catch_up()
                     continue
-                self._revision = await self._load()
+                self._record_applied(await self._load())
                 loaded = True
                 # The VMs of a starting fleet register one after the other.
                 await trio.sleep(self._timing.batch_window_s)
@@ -282,10 +282,12 @@
         if await self._fetch_from_announcer():
             return
         changes: Sequence[Change] = ()
+        revision = self._revision
         with trio.CancelScope() as self._watch_scope:
-            changes, self._revision = await self._store.watch(self._revision, wait_s)
+            changes, revision = await self._store.watch(self._revision, wait_s)
             self._record_connected()
         await self.apply(changes)
+        self._record_applied(revision)
 
     async def _fetch_from_announcer(self) -> bool:
         """Apply changes from the VM that announced them; return whether all were received."""
@@ -301,10 +303,16 @@
         except KeyValueError as error:
             self._log.decision("not_followed", peer=announcer.name, error=str(error))
             return False
-        self._revision = revision
         await self.apply(changes)
+        self._record_applied(revision)
         return revision >= self._announced_revision
 
+    def _record_applied(self, revision: int) -> None:
+        """Record that all changes up to a revision of the store have been applied."""
+        self._revision = revision
+        # A newer record that could not be decoded was not applied.
+        self._confirmed_state.record_applied(min(revision, self.seen_revision))
+
     async def _wait_for_announcement(self) -> None:
         """Wait until newer changes are announced or no coordinator has replied for a while."""
         while self._revision >= self._announced_revision:
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -168,6 +168,7 @@
         self._directory.uses_relay = opener.uses_relay
         self._directory.home_rank = opener.home_rank
         self._directory.on_change = self._log_instance
+        self._confirmed_state.on_primaries_confirmed = self._directory.notify_all
         self._rates = RateShares(own.name, self._borrow, self._surplus_of)
         self._sync = FleetSync(
             adapters.store, self._confirmed_state, self._directory, self._rates, own, log
@@ -322,7 +323,7 @@
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Suspend the use of primaries if a peer has a newer primary record than this VM."""
         if heartbeat.seen_revision > self._sync.seen_revision:
-            self._confirmed_state.suspend_primaries()
+            self._confirmed_state.suspend_primaries(heartbeat.seen_revision)
             self._sync.record_newer_primary(heartbeat.vm, heartbeat.seen_revision)
         elif heartbeat.echo is not None:
             self._sync.record_echo(heartbeat.vm, heartbeat.echo)
--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -88,19 +88,27 @@
         ]
         return min(times, default=None)
 
-    def record_answer(self, reached: EntryId | None, response_s: float | None) -> None:
-        """Record an answer with its position and its response time in seconds, None if unknown."""
+    def record_answer(self, reached: EntryId | None, response_s: float | None) -> bool:
+        """Record an answer with its position and its response time in seconds, None if unknown.
+
+        Return whether the instance was unreachable before.
+        """
         self.answered_at = boottime_s()
-        self.unreachable_since = None
+        regained, self.unreachable_since = self.unreachable_since is not None, None
         if reached is not None:
             self.reached = reached
         if response_s is not None:
             self.response_s += RESPONSE_SMOOTHING * (response_s - self.response_s)
+        return regained
+
+    def record_reply(self, reply: Reply, response_s: float | None) -> bool:
+        """Record a reply, except a refusal by a home, which knows no position.
 
-    def record_reply(self, reply: Reply, response_s: float | None) -> None:
-        """Record a reply, except a refusal by a home, which knows no position."""
+        Return whether the instance was unreachable before.
+        """
         if reply.failure is None or reply.reached is not None:
-            self.record_answer(reply.reached, response_s)
+            return self.record_answer(reply.reached, response_s)
+        return False
 
     def record_failure(self) -> bool:
         """Record a failed connection; return whether this made the instance unreachable."""
@@ -172,6 +180,11 @@
         for group in self._groups.values():
             yield from group.instances.values()
 
+    def notify_all(self) -> None:
+        """Wake the requests of all groups that wait for a usable primary."""
+        for group in self._groups.values():
+            group.notify()
+
     def find(self, instance_id: str) -> Instance | None:
         """Return an instance by its id, None if it is unknown."""
         for instance in self.instances():
--- a/src/tanagerfront/instance_watch.py
+++ b/src/tanagerfront/instance_watch.py
@@ -113,7 +113,8 @@
                 with trio.fail_after(self._timing.sample_timeout_s):
                     statement = InstanceStatement(INTERNAL_STATEMENT_ID, ResetSession())
                     [reply] = await connection.run([statement])
-                instance.record_reply(reply, None)
+                if instance.record_reply(reply, None):
+                    group.notify()
                 if reply.reached is not None and group.primary is instance:
                     group.samples.add(asked_at, reply.reached)
             finally:
--- a/tests/test_agreement_model.py
+++ b/tests/test_agreement_model.py
@@ -152,7 +152,7 @@
             sent_at, lag_s, revision = vm.pending_echo
             vm.pending_echo = None
             if vm.record is None or revision > vm.record.revision:
-                vm.confirmed_state.suspend_primaries()
+                vm.confirmed_state.suspend_primaries(revision)
             else:
                 vm.confirmed_state.confirm(
                     (self.now if self.confirms_at_receipt else sent_at) - lag_s
--- a/tests/test_caller_session.py
+++ b/tests/test_caller_session.py
@@ -54,6 +54,7 @@
         self.log = RecordingLog()
         self.confirmed_state = ConfirmedState(LIMITS)
         self.directory = InstanceDirectory(self._open, "suame")
+        self.confirmed_state.on_primaries_confirmed = self.directory.notify_all
         self.rates = RateShares("vm", self._borrow, lambda _vm, _organisation: 0)
         services = SessionServices(
             self.confirmed_state, self.directory, self.rates, self.log, FrontMetrics()
@@ -174,7 +175,7 @@
         # Guards against reads and writes at a primary that was replaced while this VM could not
         # reach the store.
         vm = await start_vm()
-        vm.confirmed_state.suspend_primaries()
+        vm.confirmed_state.suspend_primaries(newer_revision=2)
         self.assertEqual(
             FailureCode.OVERLOADED, await vm.session(RouteKind.PRIMARY).code("WRITE 1 x")
         )
@@ -196,6 +197,50 @@
         self.assertIsNone(reply.failure)
         self.assertEqual(["WRITE 1 x"], vm.replicas[0].caller_statements)
 
+    @trio_test(mock_clock=True)
+    async def test_a_waiting_write_runs_as_soon_as_the_primary_is_confirmed(self) -> None:
+        # Guards against statements that wait until they are refused although the primary became
+        # usable: a confirmation woke none of them (melegkez-front trouble-3, 11.76 s to 13 s).
+        vm = await start_vm()
+        vm.confirmed_state.suspend_primaries(newer_revision=2)
+        started_at = trio.current_time()
+
+        async def confirm() -> None:
+            await trio.sleep(0.1)
+            vm.confirmed_state.confirm(boottime_s())
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(confirm)
+            reply = await vm.session(RouteKind.PRIMARY).send("WRITE 1 x")
+        self.assertIsNone(reply.failure)
+        self.assertLess(trio.current_time() - started_at, 0.15)
+
+    @trio_test(mock_clock=True)
+    async def test_a_waiting_write_runs_as_soon_as_the_primary_answers_again(self) -> None:
+        # Guards against statements that wait for the next probe, or until they are refused, after
+        # the answer to an earlier statement showed that the primary is reachable.
+        vm = await start_vm()
+        vm.primary.work_s = 0.2
+        started_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(vm.session(RouteKind.PRIMARY).send, "READ 1")
+            await trio.sleep(0.1)
+            vm.group.primary.record_failure()
+            vm.primary.work_s = 0.005
+            reply = await vm.session(RouteKind.PRIMARY).send("WRITE 1 x")
+        self.assertIsNone(reply.failure)
+        self.assertLess(trio.current_time() - started_at, 0.3)
+
+    @trio_test(mock_clock=True)
+    async def test_a_refusal_names_the_group_and_what_prevents_the_use_of_its_primary(self) -> None:
+        # Guards against a refusal whose cause can't be found in the log.
+        vm = await start_vm()
+        vm.confirmed_state.suspend_primaries(newer_revision=2)
+        await vm.session(RouteKind.PRIMARY).code("WRITE 1 x")
+        [refused] = vm.log.inputs_of("refused")
+        found = {name: refused[name] for name in ("group", "primary", "obstacle")}
+        self.assertEqual({"group": GROUP, "primary": "p", "obstacle": "not-confirmed"}, found)
+
     @trio_test(mock_clock=True)
     async def test_a_write_without_a_primary_is_refused_in_time_for_a_retry(self) -> None:
         vm = await start_vm()
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
+from unittest import mock
 
 import trio
 
@@ -11,9 +12,11 @@
 from tanagerfront.confirmed_state import ConfirmedState, StalenessLimits
 from tanagerfront.errors import ConnectionLostError
 from tanagerfront.fleet_store import (
+    CheckResult,
     ConfigurationChanged,
     InstanceChanged,
     InstanceUnregistered,
+    KnownRevisions,
     PrimaryRecordChanged,
     VmChanged,
     VmUnregistered,
@@ -29,6 +32,11 @@
     raise ConnectionLostError("not used", executed="no")
 
 
+async def _no_answer(_known: KnownRevisions) -> CheckResult:
+    await trio.sleep_forever()
+    raise AssertionError("unreachable")
+
+
 async def _no_loan(_request: TokenLoanRequest, _lender: str) -> int:
     return UNKNOWN_LENDER
 
@@ -272,6 +280,54 @@
         self.assertEqual("r", record.instance)
 
 
+class SuspensionTest(TestCase):
+    async def _run_until_suspended(self, synced_vm: SyncedVm, nursery: trio.Nursery) -> None:
+        """Start a VM and let a peer announce a record that the VM doesn't know yet."""
+        nursery.start_soon(synced_vm.sync.run)
+        await trio.sleep(2)
+        assert synced_vm.confirmed_state.primaries_confirmed
+        synced_vm.confirmed_state.suspend_primaries(synced_vm.store.revision + 1)
+        assert not synced_vm.confirmed_state.primaries_confirmed
+
+    @trio_test(mock_clock=True)
+    async def test_primaries_are_used_again_once_the_announced_record_is_known(self) -> None:
+        # Guards against a VM that uses no primary until the coordinators' next check, because it
+        # learned of a new record after their last one (1.2 s in melegkez-front trouble-3).
+        synced_vm = SyncedVm()
+        confirmed: list[float] = []
+        async with trio.open_nursery() as nursery:
+            await self._run_until_suspended(synced_vm, nursery)
+            synced_vm.confirmed_state.on_primaries_confirmed = lambda: confirmed.append(
+                boottime_s()
+            )
+            with mock.patch.object(synced_vm.store, "check", _no_answer):
+                announced_at = boottime_s()
+                synced_vm.store.record(PrimaryRecordChanged(PrimaryRecord(GROUP, "r", 2, False, 0)))
+                await trio.sleep(0.5)
+                nursery.cancel_scope.cancel()
+        self.assertEqual(1, len(confirmed))
+        self.assertLess(confirmed[0] - announced_at, 0.05)
+
+    @trio_test(mock_clock=True)
+    async def test_primaries_stay_suspended_until_the_announced_record_is_known(self) -> None:
+        # Guards against the use of a replaced primary after a change that is older than the
+        # announced record, or after a newer one when the record itself could not be decoded.
+        for change in (
+            VmChanged(vm("b")),
+            PrimaryRecordChanged(PrimaryRecord(GROUP, "r", 2, False, 0)),
+        ):
+            synced_vm = SyncedVm()
+            async with trio.open_nursery() as nursery:
+                await self._run_until_suspended(synced_vm, nursery)
+                if isinstance(change, PrimaryRecordChanged):
+                    synced_vm.confirmed_state.suspend_primaries(synced_vm.store.revision + 2)
+                with mock.patch.object(synced_vm.store, "check", _no_answer):
+                    synced_vm.store.record(change)
+                    await trio.sleep(0.5)
+                    self.assertFalse(synced_vm.confirmed_state.primaries_confirmed)
+                    nursery.cancel_scope.cancel()
+
+
 class LeaseTest(TestCase):
     @trio_test(mock_clock=True)
     async def test_vms_whose_leases_expired_together_still_share_the_rates(self) -> None:
