Keep a VM alive when a background task or a connection meets an unexpected error

The directory's instances were iterated while pools closed connections, and a replacement registered meanwhile; set_connection_shares and remove_unregistered had the same fault. Any unexpected error of a background task, of a datagram's handler or of an HTTP or relay connection ended the process too. Background tasks are started again after an unexpected error, with a log line that says where it was raised; HTTP and relay connections end alone.

--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -30,6 +30,7 @@
 from .rate_shares import RateShares
 from .session_model import boottime_s
 from .session_peer_messages import Echo
+from .supervision import run_restarting
 
 __all__ = ["LEASE_TTL_S", "FleetSync", "SyncTiming"]
 
@@ -183,10 +184,13 @@
     async def run(self) -> None:
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._run_watch)
-            nursery.start_soon(self._run_checks)
-            nursery.start_soon(self._run_lease)
-            nursery.start_soon(self._run_housekeeping)
+            for task in (
+                self._run_watch,
+                self._run_checks,
+                self._run_lease,
+                self._run_housekeeping,
+            ):
+                nursery.start_soon(run_restarting, task, self._log)
 
     async def apply(self, changes: Sequence[Change]) -> None:
         """Apply changes of the store's keys."""
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -27,6 +27,7 @@
 from .session_failover import FailoverController, InstanceControl, PromotionApi, build_heartbeat
 from .session_peer_messages import Heartbeat
 from .session_peers import VmPeers
+from .supervision import run_restarting
 
 __all__ = ["CallerServer", "Front", "FrontAdapters", "FrontTimes", "VmIdentity"]
 
@@ -220,14 +221,14 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._sync.run)
                 nursery.start_soon(self._peers.run)
-                nursery.start_soon(self._failover.run)
-                nursery.start_soon(self._watch.run)
-                nursery.start_soon(self._run_status)
+                nursery.start_soon(run_restarting, self._failover.run, self._log)
+                nursery.start_soon(run_restarting, self._watch.run, self._log)
+                nursery.start_soon(run_restarting, self._run_status, self._log)
                 nursery.start_soon(serve_http, [probes], lambda stream: self._probe_handler())
                 nursery.start_soon(serve_http, [changes], lambda stream: self._changes_handler())
                 nursery.start_soon(trio.serve_listeners, self._callers.serve, [listener])
                 nursery.start_soon(trio.serve_listeners, self._relays.serve, [relays])
-                nursery.start_soon(self._run_reload)
+                nursery.start_soon(run_restarting, self._run_reload, self._log)
                 async for signal_number in signals:
                     if signal_number != signal.SIGHUP:
                         break
--- a/src/tanagerfront/http_server.py
+++ b/src/tanagerfront/http_server.py
@@ -10,12 +10,15 @@
 from urllib.parse import parse_qsl, unquote
 
 import httptools
+import structlog
 import trio
 
 from .errors import BadRequestError, TooLargeError
 
 __all__ = ["ConnectionHandler", "HttpLimits", "Request", "Response", "StreamBody", "serve_http"]
 
+_log = structlog.get_logger(__name__)
+
 RECEIVE_BYTES = 65536
 EMPTY_HEADERS: Sequence[tuple[str, str]] = ()
 StreamBody = Callable[[Callable[[bytes], Awaitable[None]]], Awaitable[None]]
@@ -261,7 +264,12 @@
     effective_limits = limits or HttpLimits()
 
     async def serve_stream(stream: trio.abc.Stream) -> None:
-        handler = handler_factory(stream)
+        try:
+            await serve_and_close(stream, handler_factory(stream))
+        except Exception as error:  # a defect in one connection must not end the others
+            _log.error("connection_failed", error=repr(error))
+
+    async def serve_and_close(stream: trio.abc.Stream, handler: ConnectionHandler) -> None:
         try:
             with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
                 await _serve_connection(stream, handler, effective_limits)
--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 import trio
@@ -175,10 +175,11 @@
             group = self._groups[name] = Group(name)
         return group
 
-    def instances(self) -> Iterator[Instance]:
-        """Yield all instances."""
-        for group in self._groups.values():
-            yield from group.instances.values()
+    def instances(self) -> Sequence[Instance]:
+        """Return all instances; the result does not change while the caller awaits."""
+        return tuple(
+            instance for group in self._groups.values() for instance in group.instances.values()
+        )
 
     def notify_all(self) -> None:
         """Wake the requests of all groups that wait for a usable primary."""
@@ -237,8 +238,9 @@
     async def remove_unregistered(self, after_s: float) -> None:
         """Remove instances that have been unregistered for `after_s` seconds, except primaries."""
         now = boottime_s()
-        for group in self._groups.values():
-            for instance in list(group.instances.values()):
+        # Instances and groups are added while the pools are closed.
+        for group in tuple(self._groups.values()):
+            for instance in tuple(group.instances.values()):
                 unregistered_since = instance.unregistered_since
                 if (
                     unregistered_since is None
--- a/src/tanagerfront/platform/changes_wire.py
+++ b/src/tanagerfront/platform/changes_wire.py
@@ -50,5 +50,5 @@
         try:
             return await client.watch("", after, 0.0, large=large)
         except KeyValueError:
-            del self._clients[address]
+            self._clients.pop(address, None)
             raise
--- a/src/tanagerfront/platform/relay_wire.py
+++ b/src/tanagerfront/platform/relay_wire.py
@@ -51,10 +51,18 @@
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
+        self._open_sessions += 1
+        try:
+            await self._serve(stream)
+        except Exception as error:  # a defect in one session must not end the others
+            self._log.failure("relay_failed", error=repr(error))
+        finally:
+            self._open_sessions -= 1
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
         enable_keepalive(stream, user_timeout_ms=USER_TIMEOUT_MS, idle_s=1, interval_s=1)
         lines = LineStream(stream)
         session: RelaySession | None = None
-        self._open_sessions += 1
         try:
             session = await self._open(lines)
             while session is not None:
@@ -69,10 +77,7 @@
             self._log.decision("relay_ended", error=str(error))
         except (BadRequestError, TooLargeError) as error:
             self._log.failure("relay_refused", error=str(error))
-        except Exception as error:  # a defect in one session must not end the others
-            self._log.failure("relay_failed", error=repr(error))
         finally:
-            self._open_sessions -= 1
             with trio.CancelScope(shield=True):
                 if session is not None:
                     await session.close()
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -17,7 +17,7 @@
 from .confirmed_state import ConfirmedState
 from .decision_log import DecisionLog
 from .entry_id import EntryId
-from .errors import KeyValueError, TanagerfrontError
+from .errors import TanagerfrontError
 from .fleet_store import FleetStore, RegisteredVm
 from .fleet_sync import FleetSync
 from .instance_directory import Group, Instance, InstanceDirectory, PrimaryRecord
@@ -274,9 +274,12 @@
         self._log.decision("primary_move_begins", group=group.name, reason=reason.value)
         try:
             await self._run_failover_steps(group, reason)
-        except (KeyValueError, TanagerfrontError) as error:
+        except TanagerfrontError as error:
             self._log.failure("primary_move_failed", group=group.name, error=str(error))
             await trio.sleep(RETRY_DELAY_S)
+        except Exception as error:  # a defect must not end the failovers of the other groups
+            self._log.failure("primary_move_failed", group=group.name, error=repr(error))
+            await trio.sleep(RETRY_DELAY_S)
         finally:
             self._in_progress.discard(group.name)
 
--- a/src/tanagerfront/session_peers.py
+++ b/src/tanagerfront/session_peers.py
@@ -22,6 +22,7 @@
     decode_datagram,
     encode_datagram,
 )
+from .supervision import run_restarting
 
 __all__ = ["ReceivedHeartbeat", "VmPeers"]
 
@@ -102,8 +103,8 @@
     async def run(self) -> None:
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._run_receive)
-            nursery.start_soon(self._run_heartbeats)
+            nursery.start_soon(run_restarting, self._run_receive, self._log)
+            nursery.start_soon(run_restarting, self._run_heartbeats, self._log)
 
     async def borrow(self, request: TokenLoanRequest, lender: str) -> int:
         """Request a loan of tokens; return how many were granted, or UNKNOWN_LENDER."""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -14,6 +14,8 @@
     async def handle(self, request: Request) -> Response:
         if request.path == "/slow":
             await trio.sleep(60)
+        if request.path == "/defect":
+            raise RuntimeError("unexpected")
         return Response(200, request.body)
 
     def handle_bad_request(self, error: BadRequestError) -> Response:
@@ -39,6 +41,18 @@
                 self.assertEqual((200, body), (reply.status, reply.body))
             nursery.cancel_scope.cancel()
 
+    @trio_test
+    async def test_defect_in_a_handler_ends_only_its_connection(self) -> None:
+        # Guards against an unexpected error in one request that ends the process.
+        async with trio.open_nursery() as nursery:
+            address = await start_server(nursery, HttpLimits())
+            other = await HttpConnection.open(address)
+            connection = await HttpConnection.open(address)
+            with self.assertRaises(ConnectionLostError):
+                await connection.request("GET", "/defect", b"", timeout_s=5)
+            self.assertEqual(200, (await other.request("GET", "/", b"", timeout_s=5)).status)
+            nursery.cancel_scope.cancel()
+
     @trio_test
     async def test_oversized_body_is_rejected(self) -> None:
         # Guards against a request body that exhausts the memory of the VM.
--- a/tests/test_session_peers.py
+++ b/tests/test_session_peers.py
@@ -84,6 +84,24 @@
             self.assertEqual(["vm-1"], list(fleet.peers[0].recent_heartbeats()))
             nursery.cancel_scope.cancel()
 
+    @trio_test
+    async def test_heartbeats_are_received_after_one_that_caused_an_error(self) -> None:
+        # Guards against a process that ends, or hears nobody any more, because of one datagram.
+        fleet = Fleet()
+        received: list[Heartbeat] = []
+
+        def fail_once(heartbeat: Heartbeat) -> None:
+            received.append(heartbeat)
+            if len(received) == 1:
+                raise RuntimeError("unexpected")
+
+        fleet.peers[0].on_heartbeat = fail_once
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            await until(lambda: len(received) > 1)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(1, len(fleet.logs[0].inputs_of("task_restarted")))
+
     @trio_test
     async def test_a_registered_peer_lends_tokens_and_an_unknown_one_does_not(self) -> None:
         fleet = Fleet()
