Do not wait in a failover for VMs whose leases have ended

Cause: after an unanswered step-down the promoter waits until every VM that counts as registered has applied the record or can't be using a primary any more. VMs whose registration ended are counted for 3 s more, which is meant for the shares of rates and connections. Without a lease a VM uses no primary. Change: the wait covers only VMs whose lease has not ended; a stopping VM gives up its own lease before it releases it in the store. Result: the test of the wait fails with the old rule.

--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -133,6 +133,13 @@
         """Return the registered VMs and those whose lease ended within the grace time."""
         return tuple(self._vms.values())
 
+    @property
+    def vms_with_lease(self) -> Sequence[RegisteredVm]:
+        """Return the VMs whose leases have not ended; without a lease a VM uses no primary."""
+        return tuple(
+            vm for name, vm in self._vms.items() if name not in self._vm_unregistered_since
+        )
+
     @property
     def coordinators(self) -> Sequence[str]:
         """Return the names of the VMs that check and watch the store for the fleet."""
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -302,6 +302,8 @@
         lease = self._sync.lease
         if lease is None:
             return
+        # The promoter does not wait for a VM without a lease.
+        self._confirmed_state.lose_lease()
         with trio.move_on_after(RELEASE_TIMEOUT_S):
             try:
                 await self._store.release(lease)
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -400,7 +400,7 @@
         return RecordPropagation(
             record_revision=record.revision,
             registrations_revision=self._sync.revision,
-            other_vms=[vm.name for vm in self._sync.vms if vm.name != self._own.name],
+            other_vms=[vm.name for vm in self._sync.vms_with_lease if vm.name != self._own.name],
             acknowledged={
                 vm: heartbeat.seen_revision
                 for vm, heartbeat in self._peers.recent_heartbeats().items()
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -20,6 +20,7 @@
     PromoterLock,
     PromoterLockAcquired,
     VmChanged,
+    VmUnregistered,
 )
 from tanagerfront.fleet_sync import FleetSync
 from tanagerfront.instance_directory import Group, Instance, InstanceDirectory, PrimaryRecord
@@ -337,6 +338,22 @@
         await promoter.run_with(promoter.fail_primary, 8)
         self.assertEqual("r0", promoter.primary)
 
+    @trio_test(mock_clock=True)
+    async def test_promoter_waits_for_no_vm_whose_lease_ended(self) -> None:
+        # Guards against a group that stays without a primary for 3 s because a VM was lost before:
+        # it can't use a primary without a lease, but is counted for shares for a while.
+        for lease_ended in (True, False):
+            promoter = PromoterVm()
+            promoter.store.record(VmChanged(vm("lost", "adum")))
+
+            def fail(promoter: PromoterVm = promoter, lease_ended: bool = lease_ended) -> None:
+                if lease_ended:
+                    promoter.store.record(VmUnregistered("lost"))
+                promoter.fail_primary()
+
+            await promoter.run_with(fail, 2)
+            self.assertEqual(lease_ended, len(promoter.orders) == 1)
+
     @trio_test(mock_clock=True)
     async def test_vm_without_the_promoter_lock_orders_no_promotion(self) -> None:
         # Guards against two VMs that order promotions for the same group.
