--- a/src/tanagerfront/fair_queue.py
+++ b/src/tanagerfront/fair_queue.py
@@ -22,6 +22,7 @@
 
     __slots__ = (
         "deadline",
+        "displaced",
         "estimate_s",
         "event",
         "granted",
@@ -34,6 +35,7 @@
         self.organisation = organisation
         self.request_class = request_class
         self.deadline = deadline
+        self.displaced = False
         self.event = trio.Event()
         self.granted = False
         self.granted_at = 0.0
@@ -167,6 +169,7 @@
         for name in sorted(classes, reverse=True):
             if name > arriving.request_class and classes[name].waiters:
                 displaced = classes[name].waiters.pop()
+                displaced.displaced = True
                 self._record_removal(displaced.organisation)
                 return displaced
         return None
--- a/src/tanagerfront/http_server.py
+++ b/src/tanagerfront/http_server.py
@@ -177,13 +177,22 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
-async def _write_stream(stream: trio.abc.Stream, body: StreamBody) -> None:
+async def _write_stream(
+    stream: trio.abc.Stream, body: StreamBody, scope: trio.CancelScope, timeout_s: float
+) -> None:
+    """Write a chunked body; the timeout applies to each chunk, not to the pauses between them."""
+
+    async def send(data: bytes) -> None:
+        scope.deadline = trio.current_time() + timeout_s
+        await stream.send_all(data)
+        scope.deadline = math.inf
+
     async def write(chunk: bytes) -> None:
         if chunk:
-            await stream.send_all(b"%x\r\n" % len(chunk) + chunk + b"\r\n")
+            await send(b"%x\r\n" % len(chunk) + chunk + b"\r\n")
 
     await body(write)
-    await stream.send_all(b"0\r\n\r\n")
+    await send(b"0\r\n\r\n")
 
 
 async def _read_request(
@@ -243,7 +252,7 @@
     head = _encode_head(response, keep_alive=keep_alive)
     if response.stream is not None:
         await stream.send_all(head)
-        await _write_stream(stream, response.stream)
+        await _write_stream(stream, response.stream, scope, limits.write_timeout_s)
     else:
         scope.deadline = trio.current_time() + limits.write_timeout_s
         await stream.send_all(head + response.body)
--- a/src/tanagerfront/platform/relay_wire.py
+++ b/src/tanagerfront/platform/relay_wire.py
@@ -84,7 +84,9 @@
                 await lines.close()
 
     async def _open(self, lines: LineStream) -> RelaySession | None:
-        message = await self._next_message(lines, None)
+        message: InstanceConnect | InstanceStatement | Bye = Bye()
+        with trio.move_on_after(FIRST_MESSAGE_TIMEOUT_S):
+            message = await self._next_message(lines, None)
         if not isinstance(message, InstanceConnect):
             return None
         instance = self._directory.find(message.instance)
--- a/src/tanagerfront/rate_shares.py
+++ b/src/tanagerfront/rate_shares.py
@@ -88,16 +88,15 @@
 
     def lend(self, now: float, requested: int) -> int:
         """Remove up to `requested` tokens that this VM doesn't need soon; return how many."""
-        self._refill(now)
-        spare = self._tokens - min(self._use_per_s * LENDER_RESERVE_S, self._capacity / 2)
-        count = max(0, min(requested, int(spare)))
+        count = min(requested, int(self.surplus(now)))
         self._tokens -= count
         return count
 
     def surplus(self, now: float) -> float:
         """Return how many tokens this VM could lend."""
         self._refill(now)
-        return max(0.0, self._tokens - self._use_per_s * LENDER_RESERVE_S)
+        reserve = min(self._use_per_s * LENDER_RESERVE_S, self._capacity / 2)
+        return max(0.0, self._tokens - reserve)
 
     def _refill(self, now: float) -> None:
         elapsed = max(0.0, now - self._refilled_at)
--- a/src/tanagerfront/scheduler.py
+++ b/src/tanagerfront/scheduler.py
@@ -121,6 +121,8 @@
             raise
         if waiter.granted:
             return self._grant_slot(waiter, waiter.granted_at)
+        if waiter.displaced:
+            raise self._build_rejection(waiter, "a more urgent request took the place in the queue")
         self._queue.remove(waiter)
         raise self._build_rejection(waiter, "no slot became available before the deadline")
 
@@ -167,18 +169,18 @@
         return slot
 
     def _check_admission(self, waiter: Waiter) -> None:
-        """Reject a request if it can displace none in a full queue or would wait too long."""
-        if self._queue.waiting_count(waiter.organisation) >= self._settings.max_queued:
-            displaced = self._queue.displace(waiter)
-            if displaced is None:
-                raise self._build_rejection(waiter, "the organisation's request queue is full")
-            displaced.event.set()
+        """Reject a request if it would wait too long or can displace none in a full queue."""
         # With no request of the organisation ahead, the expected wait is 0 and the request is
         # queued. Otherwise one slow statement could raise the average above every deadline, and
         # with all requests rejected no measurement would lower it again.
         wait_s = self._queue.expected_wait_s(waiter, self._limit.value)
         if trio.current_time() + wait_s > waiter.deadline:
             raise self._build_rejection(waiter, "the expected wait for a slot exceeds the deadline")
+        if self._queue.waiting_count(waiter.organisation) >= self._settings.max_queued:
+            displaced = self._queue.displace(waiter)
+            if displaced is None:
+                raise self._build_rejection(waiter, "the organisation's request queue is full")
+            displaced.event.set()
 
     def _dispatch_waiters(self) -> None:
         while self._in_flight < self._limit.value:
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -232,6 +232,8 @@
     def _evaluate(self, group: Group, nursery: trio.Nursery) -> None:
         configuration = self._confirmed_state.configuration
         if configuration is None or group.name not in configuration.groups:
+            self._first_seen.pop(group.name, None)
+            self._due_since.pop(group.name, None)
             return
         if group.name in self._in_progress:
             return
@@ -308,7 +310,12 @@
         outcome = await self._order_promotion(group, chosen, lock.token)
         if outcome is not PromotionOutcome.ORDERED:
             return
-        await self._wait_until_promoted(chosen)
+        if not await self._wait_until_promoted(chosen):
+            # The record stays open, and the next attempt finds out which instance was promoted.
+            self._log.failure(
+                "promotion_not_seen", group=group.name, instance=chosen.registration.id
+            )
+            return
         final = record._replace(instance=chosen.registration.id, moving=False)
         await self._write_primary_record(final)
         self._log.decision(
@@ -497,14 +504,15 @@
             chosen.record_failure()
         return outcome
 
-    async def _wait_until_promoted(self, chosen: Instance) -> None:
-        """Wait until the promoted instance reports the role of primary."""
+    async def _wait_until_promoted(self, chosen: Instance) -> bool:
+        """Wait until the instance reports the role of primary; return False if it does not."""
         with trio.move_on_after(PROMOTION_TIMEOUT_S):
             while chosen.registration.role is not InstanceRole.PRIMARY:
                 report = await self._request_report(chosen)
                 if report is not None and report.role is InstanceRole.PRIMARY:
-                    return
+                    return True
                 await trio.sleep(RETRY_DELAY_S / 2)
+        return chosen.registration.role is InstanceRole.PRIMARY
 
 
 def build_heartbeat(
--- a/src/tanagerfront_lab/cli.py
+++ b/src/tanagerfront_lab/cli.py
@@ -86,6 +86,10 @@
     history: File for the history, as JSON lines.
     json: File for the measures.
     """
+    unknown = [name for name in fault if name not in FAULTS]
+    if unknown:
+        print(f"no fault {', '.join(unknown)}; there are {', '.join(FAULTS)}", file=sys.stderr)
+        sys.exit(2)
     sizes = DEPLOYMENTS[deployment]
     options = ClusterOptions(
         acknowledge=acknowledge,
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 import trio
 
 from support import TestCase, trio_test
@@ -10,10 +12,17 @@
 from tanagerfront.http_server import ConnectionHandler, HttpLimits, Request, Response, serve_http
 
 
+async def _write_much(write: Callable[[bytes], Awaitable[None]]) -> None:
+    for _ in range(100):
+        await write(b"x" * 1_000_000)
+
+
 class EchoHandler(ConnectionHandler):
     async def handle(self, request: Request) -> Response:
         if request.path == "/slow":
             await trio.sleep(60)
+        if request.path == "/stream":
+            return Response(200, stream=_write_much)
         if request.path == "/defect":
             raise RuntimeError("unexpected")
         return Response(200, request.body)
@@ -53,6 +62,24 @@
             self.assertEqual(200, (await other.request("GET", "/", b"", timeout_s=5)).status)
             nursery.cancel_scope.cancel()
 
+    @trio_test
+    async def test_streamed_body_that_is_not_read_ends_the_connection(self) -> None:
+        # Guards against a connection that is held for ever by a peer that stops reading.
+        async with trio.open_nursery() as nursery:
+            address = await start_server(nursery, HttpLimits(write_timeout_s=0.2))
+            stream = await trio.open_tcp_stream(*address)
+            await stream.send_all(b"GET /stream HTTP/1.1\r\n\r\n")
+            await trio.sleep(0.5)
+            received = 0
+            with trio.fail_after(5):
+                try:
+                    while data := await stream.receive_some(1_000_000):
+                        received += len(data)
+                except trio.BrokenResourceError:
+                    pass
+            self.assertLess(received, 100_000_000)
+            nursery.cancel_scope.cancel()
+
     @trio_test
     async def test_oversized_body_is_rejected(self) -> None:
         # Guards against a request body that exhausts the memory of the VM.
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from unittest import mock
 
 import trio
 
@@ -12,6 +13,7 @@
 from tanagerfront.errors import ConnectionLostError
 from tanagerfront.instance_directory import InstanceDirectory
 from tanagerfront.instance_pool import InstanceRefusedError, InstanceStatement
+from tanagerfront.platform import relay_wire
 from tanagerfront.platform.instance_wire import InstanceConnection, open_relay
 from tanagerfront.platform.relay_wire import RelayConnections
 from tanagerfront.session_model import Begin, TransactionState, Verbatim
@@ -64,6 +66,17 @@
             with self.assertRaises(InstanceRefusedError):
                 await home.open("i-2")
 
+    @trio_test
+    async def test_a_connection_without_a_first_message_ends(self) -> None:
+        # Guards against connections that hold a home's descriptors for ever.
+        async with running_home() as home:
+            with mock.patch.object(relay_wire, "FIRST_MESSAGE_TIMEOUT_S", 0.05):
+                stream = await trio.open_tcp_stream(*home.address)
+                with trio.fail_after(2):
+                    self.assertEqual(b"", await stream.receive_some())
+                await trio.sleep(0.05)
+            self.assertEqual(0, home.relays.count)
+
     @trio_test
     async def test_a_stopping_home_lets_open_transactions_finish(self) -> None:
         # Guards against a home that aborts the transactions of other VMs when it restarts.
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -8,12 +8,26 @@
 
 from support import TestCase, trio_test
 from tanagerfront.fleet_roles import rate_holders
-from tanagerfront.rate_shares import UNKNOWN_LENDER, RateShares, TokenLoanRequest
+from tanagerfront.rate_shares import UNKNOWN_LENDER, RateShare, RateShares, TokenLoanRequest
 from tanagerfront.session_model import Organisation
 
 WINDOW_S = 5.0
 
 
+class SurplusTest(TestCase):
+    def test_a_share_announces_what_it_would_lend(self) -> None:
+        # Guards against a lender in constant use that announces nothing, so that nobody asks it
+        # although it would lend half of its share.
+        share = RateShare(0.0)
+        share.set_limits(0.0, 1000.0, 20.0)
+        for step in range(400):
+            share.try_acquire(0.00125 * step)
+        now = 0.55
+        announced = int(share.surplus(now))
+        self.assertGreater(announced, 0)
+        self.assertEqual(announced, share.lend(now, 100))
+
+
 class Fleet:
     """VMs that share one organisation's rate and lend tokens to each other."""
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -200,6 +200,43 @@
             scheduler.release(await scheduler.acquire("one", 1, ORDERS, trio.current_time() + 5))
         self.assertEqual((2, 2), (workload.rejected["one"], len(workload.service_order)))
 
+    @trio_test(mock_clock=True)
+    async def test_displaced_request_learns_why(self) -> None:
+        # Guards against a displaced request that is told that its deadline has passed, which hides
+        # from its caller that a more urgent class fills the queue.
+        scheduler = FairScheduler(1, SchedulerSettings(max_queued=1))
+        reasons: list[str] = []
+
+        async def browse(deadline: float) -> None:
+            try:
+                await scheduler.acquire("one", 1, BROWSING, deadline)
+            except OverloadedError as error:
+                reasons.append(str(error))
+
+        slot = await scheduler.acquire("one", 1, ORDERS, trio.current_time() + 5)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(browse, trio.current_time() + 5)
+            await trio.sleep(0.01)
+            nursery.start_soon(scheduler.acquire, "one", 1, ORDERS, trio.current_time() + 5)
+            await trio.sleep(0.01)
+            scheduler.release(slot)
+        self.assertEqual(["a more urgent request took the place in the queue"], reasons)
+
+    @trio_test(mock_clock=True)
+    async def test_request_that_is_rejected_displaces_none(self) -> None:
+        # Guards against a request that is displaced in vain, by one that is itself rejected because
+        # its deadline can't be met.
+        scheduler = FairScheduler(1, SchedulerSettings(max_queued=2))
+        workload = Workload(scheduler, timeout_s=60)
+        async with trio.open_nursery() as nursery:
+            for request_class in (ORDERS, ORDERS, BROWSING):
+                nursery.start_soon(workload.request, Tenant("one", 0, 1.0, 1.0, request_class))
+                await trio.sleep(0.001)
+            with self.assertRaises(OverloadedError):
+                await scheduler.acquire("one", 1, ORDERS, trio.current_time() + 0.001)
+            self.assertEqual(2, scheduler.queued)
+        self.assertEqual(0, workload.rejected["one"])
+
     @settings(max_examples=60, deadline=None)
     @given(st.lists(st.tuples(st.floats(0, 0.03), st.floats(0, 0.03)), max_size=20))
     def test_cancelled_requests_release_their_slots(self, users: list[tuple[float, float]]) -> None:
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -354,6 +354,27 @@
             await promoter.run_with(fail, 2)
             self.assertEqual(lease_ended, len(promoter.orders) == 1)
 
+    @trio_test(mock_clock=True)
+    async def test_an_instance_that_never_became_primary_is_not_recorded(self) -> None:
+        # Guards against a record that names a replica as primary, because its promotion was ordered
+        # and then not seen: all writes of the group would be refused, and no failover would follow.
+        promoter = PromoterVm()
+        promoter.promotion_outcomes = [PromotionOutcome.ORDERED]
+        promote = promoter.promote
+
+        async def lose_first_order(
+            group: str, name: str, holder: str, token: int
+        ) -> PromotionOutcome:
+            outcome = await promote(group, name, holder, token)
+            if len(promoter.orders) == 1:
+                promoter.control.primary_name = ""
+            return outcome
+
+        promoter.promote = lose_first_order  # type: ignore[method-assign]
+        await promoter.run_with(promoter.fail_primary, 8)
+        self.assertEqual("r0", promoter.primary)
+        self.assertEqual(2, len(promoter.orders))
+
     @trio_test(mock_clock=True)
     async def test_vm_without_the_promoter_lock_orders_no_promotion(self) -> None:
         # Guards against two VMs that order promotions for the same group.
