Compare terms when homes confirm a failed primary, and report an unread list of VMs

(1) A home asked whether it reaches the primary of a term answers for the primary that it knows. One that still knows an earlier primary, which was replaced and is gone, confirmed the failure of its successor; one that knows a later term was outvoted. (2) VmList.fetch returned an empty list if the platform did not answer, so that the guard of membership against a list that was never read had no effect, and the error was not logged. Change: only answers of the same term confirm a failure, and a later term ends the attempt. fetch raises before the first list and logs later failures.

--- a/src/tanagerfront/homes.py
+++ b/src/tanagerfront/homes.py
@@ -187,7 +187,8 @@
         """Return whether a home in another failure domain does not reach the primary either.
 
         A home that still reaches the primary has no veto: both may be in the same partition. If no
-        other home replies, a recent answer of the key-value service is required instead.
+        other home replies, a recent answer of the key-value service is required instead. A home of
+        an earlier term reports on a primary that was replaced; a later term replaced this one.
         """
         report = PrimaryReport(group, term, primary or "")
         others = set(self._role_locks.holders(HOME_ROLE, group).values()) - {self._membership.vm_id}
@@ -204,7 +205,12 @@
         async with trio.open_nursery() as nursery:
             for vm in others:
                 nursery.start_soon(request_reply, vm)
-        if any(not reply.reachable and self._is_from_other_domain(reply) for reply in replies):
+        if any(reply.term > term for reply in replies):
+            return False
+        if any(
+            not reply.reachable and reply.term == term and self._is_from_other_domain(reply)
+            for reply in replies
+        ):
             return True
         no_replies = not replies
         return no_replies and self._services.store.last_answer_age_s < MAX_SERVICE_ANSWER_AGE_S
--- a/src/tanagerfront/vm_list.py
+++ b/src/tanagerfront/vm_list.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 import msgspec
+import structlog
 import trio
 
 from .errors import ConnectionLostError, UnavailableError
@@ -14,6 +15,8 @@
 
 __all__ = ["ListedVm", "VmList", "VmState"]
 
+_log = structlog.get_logger(__name__)
+
 FETCH_TIMEOUT_S = 2.0
 
 
@@ -70,12 +73,19 @@
         return {vm.id: vm for vm in self._last}
 
     async def fetch(self) -> tuple[ListedVm, ...]:
-        """Fetch and return the list, or return the last one if no valid answer arrives."""
+        """Fetch and return the list, or return the last one if no valid answer arrives.
+
+        Raises ConnectionLostError or UnavailableError before the first list: without one, no VM may
+        be taken for unlisted.
+        """
         try:
             self._last = _parse_list(await self._request())
             self._fetched_at = trio.current_time()
-        except (ConnectionLostError, UnavailableError):
+        except (ConnectionLostError, UnavailableError) as error:
             await self._disconnect()
+            if self._fetched_at == float("-inf"):
+                raise
+            _log.warning("vm_list_not_fetched", error=str(error), age_s=round(self.age_s, 1))
         return self._last
 
     async def _request(self) -> bytes:
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -80,12 +80,17 @@
         # Guards against a promotion by a single partitioned VM, and against a home in the same
         # partition as the primary that blocks every promotion.
         failed, reached = PrimaryReply(False, 1, "elsewhere"), PrimaryReply(True, 1, "elsewhere")
+        earlier, later = PrimaryReply(False, 0, "elsewhere"), PrimaryReply(True, 2, "elsewhere")
         same_domain = PrimaryReply(False, 1, "domain-of-vm-0")
         for network, service_age_s, confirmed in (
             (FakePeerNetwork(vm_1=failed, vm_2=reached), 0.0, True),
             (FakePeerNetwork(vm_1=reached, vm_2=reached), 0.0, False),
             (FakePeerNetwork(vm_1=same_domain, vm_2=reached), 0.0, False),
             (FakePeerNetwork(vm_1=reached), 0.0, False),
+            # Guards against a promotion that a home confirms because it does not reach an earlier
+            # primary, and against one for a term that was already followed by another.
+            (FakePeerNetwork(vm_1=earlier, vm_2=reached), 0.0, False),
+            (FakePeerNetwork(vm_1=failed, vm_2=later), 0.0, False),
             (FakePeerNetwork(), 1.0, True),
             (FakePeerNetwork(), 60.0, False),
         ):
