Refuse statements at once in a failover that can't end before their deadline

Cause: a failover waits 3.3 s for a VM that does not answer. Statements for the group were held for 0.4 of their timeout and then refused, one after the other, although none could be executed. Change: a VM notes when it learned that a primary moves. Until 0.8 s statements wait as before, because a failover that all VMs acknowledge takes less. After that a statement is refused at once if the wait for the silent VM ends after its deadline; one that can still be executed waits. An edit of the configuration that loses every swap to other edits now ends at its deadline too.

--- a/src/tanagerfront/_config_apply.py
+++ b/src/tanagerfront/_config_apply.py
@@ -77,6 +77,9 @@
             )
             if trio.current_time() >= deadline:
                 raise _final_error(error, request, outcome_unknown=outcome_unknown) from error
+        if trio.current_time() >= deadline:
+            lost = KeyValueUnavailableError("edits of other sections were accepted first")
+            raise _final_error(lost, request, outcome_unknown=outcome_unknown)
         await trio.sleep(RETRY_DELAY_S * random.uniform(0.5, 1.5))
 
 
--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -21,7 +21,7 @@
     PooledConnection,
 )
 from .placement import choose_candidate
-from .primary_use import primary_obstacle
+from .primary_use import least_wait_s, primary_obstacle
 from .rate_shares import RateShares
 from .session_model import (
     NOT_EXECUTED_CODES,
@@ -520,10 +520,16 @@
         return instance, None if instance is primary else after
 
     async def _wait_for_change(self, group: Group, attempts: Attempts) -> None:
-        """Wait for a change of the group; raises RefusedError at the wait deadline."""
-        with trio.move_on_at(attempts.wait_deadline):
-            await group.changed.wait()
-            return
+        """Wait for a change of the group; raises RefusedError at the wait deadline.
+
+        A statement that can't be executed before its deadline is refused at once.
+        """
+        limits = self._services.confirmed_state.limits
+        least_s = least_wait_s(group, limits, boottime_s())
+        if trio.current_time() + least_s < attempts.deadline:
+            with trio.move_on_at(attempts.wait_deadline):
+                await group.changed.wait()
+                return
         obstacle = primary_obstacle(group, self._services.confirmed_state, boottime_s())
         raise RefusedError(
             FailureCode.OVERLOADED,
@@ -531,6 +537,7 @@
             group=group.name,
             primary=group.primary.registration.id if group.primary else None,
             obstacle=obstacle.value if obstacle else None,
+            least_wait_s=round(least_s, 3),
         )
 
     # Execution
--- a/src/tanagerfront/confirmed_state.py
+++ b/src/tanagerfront/confirmed_state.py
@@ -12,7 +12,10 @@
 
 from .session_model import FrontConfiguration, boottime_s
 
-__all__ = ["ConfirmedState", "StalenessLimits"]
+__all__ = ["CONFIRMATION_MARGIN_S", "ConfirmedState", "StalenessLimits"]
+
+# The promoter adds this to the time for which a VM may use a primary without a confirmation.
+CONFIRMATION_MARGIN_S = 0.3
 
 
 class StalenessLimits(NamedTuple):
--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -126,6 +126,8 @@
         self.instances: dict[str, Instance] = {}
         self.samples = PositionSamples()
         self.primary_record: PrimaryRecord | None = None
+        # When this VM learned that the primary is moving, None while it is not.
+        self.moving_since: float | None = None
         self.changed = trio.Event()
 
     def notify(self) -> None:
@@ -257,6 +259,7 @@
         if group.primary_record is not None and group.primary_record.revision >= record.revision:
             return False
         group.primary_record = record
+        group.moving_since = boottime_s() if record.moving else None
         # Positions sampled at the previous primary may be missing from the new one's log.
         group.samples.clear()
         group.notify()
--- a/src/tanagerfront/primary_use.py
+++ b/src/tanagerfront/primary_use.py
@@ -1,13 +1,20 @@
-"""Decision whether this VM may use a group's primary (session interface); no input or output."""
+"""Decisions on the use of a group's primary, and on waiting for it (session interface).
+
+The load pattern: during a failover all writes of a group, and most of its reads while the replicas
+lag, arrive at VMs that may use no primary. No input or output.
+"""
 
 from __future__ import annotations
 
 import enum
 
-from .confirmed_state import ConfirmedState
+from .confirmed_state import CONFIRMATION_MARGIN_S, ConfirmedState, StalenessLimits
 from .instance_directory import Group
 
-__all__ = ["PrimaryObstacle", "primary_obstacle"]
+__all__ = ["PrimaryObstacle", "least_wait_s", "primary_obstacle"]
+
+# A failover that every VM acknowledged, or whose step-down was answered, takes 0.5 to 0.7 s.
+PROMPT_FAILOVER_S = 0.8
 
 
 class PrimaryObstacle(enum.Enum):
@@ -39,3 +46,14 @@
     if primary.unreachable_since is not None:
         return PrimaryObstacle.UNREACHABLE
     return None
+
+
+def least_wait_s(group: Group, limits: StalenessLimits, now: float) -> float:
+    """Return the least time in seconds until a moving primary may be used, 0 if not known.
+
+    A failover that has not ended promptly waits for a VM that does not answer, until that VM can't
+    be using the old primary any more. A statement that can't wait so long is refused at once.
+    """
+    if group.moving_since is None or now - group.moving_since < PROMPT_FAILOVER_S:
+        return 0.0
+    return max(0.0, group.moving_since + limits.primary_s + CONFIRMATION_MARGIN_S - now)
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -14,7 +14,7 @@
 
 import trio
 
-from .confirmed_state import ConfirmedState
+from .confirmed_state import CONFIRMATION_MARGIN_S, ConfirmedState
 from .decision_log import DecisionLog
 from .entry_id import EntryId
 from .errors import TanagerfrontError
@@ -47,8 +47,6 @@
 UNREACHABLE_THRESHOLD_S = 0.1
 # A group that never had a primary is left alone for this long after its instances registered.
 NO_PRIMARY_GRACE_S = 2.5
-# Added to the time for which a VM may use a primary without a confirmation.
-CONFIRMATION_MARGIN_S = 0.3
 # Control statements may wait for a slot; slower instances are ignored in a failover.
 CONTROL_TIMEOUT_S = 0.5
 # Time for running requests on a leaving primary to end before it steps down.
--- a/tests/test_agreement_model.py
+++ b/tests/test_agreement_model.py
@@ -22,14 +22,10 @@
 )
 
 from support import TestCase
-from tanagerfront.confirmed_state import ConfirmedState, StalenessLimits
+from tanagerfront.confirmed_state import CONFIRMATION_MARGIN_S, ConfirmedState, StalenessLimits
 from tanagerfront.fleet_sync import LEASE_TTL_S
 from tanagerfront.front import LEASE_MARGIN_S
-from tanagerfront.session_failover import (
-    CONFIRMATION_MARGIN_S,
-    RecordPropagation,
-    is_old_primary_unused,
-)
+from tanagerfront.session_failover import RecordPropagation, is_old_primary_unused
 from tanagerfront.session_peers import HEARTBEAT_INTERVAL_S, SILENT_INTERVALS
 
 LIMITS = StalenessLimits(
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from contextlib import suppress
 from typing import NamedTuple
+from unittest import mock
 
 import trio
 import trio.testing
@@ -408,6 +409,20 @@
         self.assertEqual(session_secrets[0], await read_or_create_secret(memory))
 
 
+class LostSwapTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_an_edit_that_loses_every_swap_ends_in_time(self) -> None:
+        # Guards against a call that never returns while other teams' edits are accepted first.
+        editor = ConfigStore(MemoryStore(), apply_timeout_s=2.0)
+        swaps = mock.patch.object(
+            ConfigRecords, "swap_manifest", mock.AsyncMock(return_value=False)
+        )
+        with swaps, trio.fail_after(3), self.assertRaises(KeyValueUnavailableError):
+            await editor.apply("kumasi", section("kumasi"), 0, "edit-000001")
+        accepted = await editor.apply("kumasi", section("kumasi"), 0, "edit-000002")
+        self.assertEqual(1, accepted.edit.version)
+
+
 class ServiceTest(TestCase):
     options = KeyValueOptions(progress_interval_s=0.1)
 
