--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -227,7 +227,8 @@
                 if self._directory.set_primary_record(record):
                     self._log.decision("leader_recorded", **record._asdict())
                     if self.is_coordinator:
-                        # The other VMs wait for a confirmation that is newer than the record.
+                        # Renews the confirmations of all VMs, with the replies to the heartbeats
+                        # that follow a new record.
                         self.request_check()
                     self.on_primary_change()
             case VmChanged(vm):
--- a/src/tanagerfront/session_peers.py
+++ b/src/tanagerfront/session_peers.py
@@ -32,7 +32,7 @@
 # The VMs agree on a failed primary after one or two heartbeats.
 HEARTBEAT_INTERVAL_S = 0.3
 # Delay of the heartbeat after a broadcast: by then the coordinators have checked the store, and
-# their replies confirm the newer primary record.
+# their replies renew the confirmation of a VM that just applied a primary record.
 FOLLOW_UP_DELAY_S = 0.03
 # A peer without a heartbeat for this many intervals gets no loan requests and has no vote.
 SILENT_INTERVALS = 3.5
