--- a/tests/test_caller_session.py
+++ b/tests/test_caller_session.py
@@ -559,6 +559,54 @@
         self.assertTrue(vm.confirmed_state.primaries_confirmed)
 
 
+class FailingInstanceTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_a_read_that_an_instance_fails_is_answered_by_another(self) -> None:
+        # Guards against callers that get the failures of an instance whose health check is good.
+        vm = await start_vm()
+        vm.sample()
+
+        def fail(_instance: FakeInstance, _statement: object) -> Reply:
+            return Reply(failure=Failure(FailureCode.FAILED, "defect"))
+
+        for replica in vm.replicas:
+            replica.answer = fail
+        reply = await vm.session(RouteKind.BOUNDED).send("READ 1")
+        self.assertEqual((b"row",), reply.rows)
+        self.assertEqual(["READ 1"], vm.primary.caller_statements)
+
+    @trio_test(mock_clock=True)
+    async def test_a_write_that_an_instance_fails_is_not_repeated(self) -> None:
+        # Guards against a second execution of a write that ran and failed.
+        vm = await start_vm()
+
+        def fail(_instance: FakeInstance, _statement: object) -> Reply:
+            return Reply(failure=Failure(FailureCode.FAILED, "defect"))
+
+        vm.primary.answer = fail
+        code = await vm.session(RouteKind.PRIMARY).code("WRITE 1 x")
+        self.assertEqual(FailureCode.FAILED, code)
+        self.assertEqual(["WRITE 1 x"], vm.primary.caller_statements)
+
+
+class RestingTransactionTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_a_transaction_of_a_resting_client_frees_its_connection(self) -> None:
+        # Guards against clients that rest inside transactions and hold all connections of an
+        # instance, and against a commit that seems to succeed after the rollback.
+        vm = await start_vm()
+        caller = vm.session(RouteKind.PRIMARY)
+        await caller.send("BEGIN")
+        await caller.send("WRITE 1 x")
+        self.assertEqual(1, vm.group.primary.pool.busy_connections)
+        self.assertEqual(3.0, caller.session.idle_limit_s)
+        await caller.session.expire_transaction()
+        self.assertEqual(0, vm.group.primary.pool.busy_connections)
+        self.assertEqual(FailureCode.ABORTED, await caller.code("COMMIT"))
+        self.assertIsNone(caller.session.idle_limit_s)
+        self.assertNotIn("COMMIT", vm.primary.caller_statements)
+
+
 class UnreachableTest(TestCase):
     @trio_test(mock_clock=True)
     async def test_reads_avoid_an_instance_that_refuses_connections(self) -> None:
