Call the wait for a moving primary expected rather than least

A failover that waits for a silent VM ends earlier if the VM returns or loses its lease, so that the value is no lower bound.

--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -21,7 +21,7 @@
     PooledConnection,
 )
 from .placement import choose_candidate
-from .primary_use import least_wait_s, primary_obstacle
+from .primary_use import expected_wait_s, primary_obstacle
 from .rate_shares import RateShares
 from .session_model import (
     NOT_EXECUTED_CODES,
@@ -522,11 +522,11 @@
     async def _wait_for_change(self, group: Group, attempts: Attempts) -> None:
         """Wait for a change of the group; raises RefusedError at the wait deadline.
 
-        A statement that can't be executed before its deadline is refused at once.
+        A statement that is not expected to be executed before its deadline is refused at once.
         """
         limits = self._services.confirmed_state.limits
-        least_s = least_wait_s(group, limits, boottime_s())
-        if trio.current_time() + least_s < attempts.deadline:
+        expected_s = expected_wait_s(group, limits, boottime_s())
+        if trio.current_time() + expected_s < attempts.deadline:
             with trio.move_on_at(attempts.wait_deadline):
                 await group.changed.wait()
                 return
@@ -537,7 +537,7 @@
             group=group.name,
             primary=group.primary.registration.id if group.primary else None,
             obstacle=obstacle.value if obstacle else None,
-            least_wait_s=round(least_s, 3),
+            expected_wait_s=round(expected_s, 3),
         )
 
     # Execution
--- a/src/tanagerfront/primary_use.py
+++ b/src/tanagerfront/primary_use.py
@@ -11,7 +11,7 @@
 from .confirmed_state import CONFIRMATION_MARGIN_S, ConfirmedState, StalenessLimits
 from .instance_directory import Group
 
-__all__ = ["PrimaryObstacle", "least_wait_s", "primary_obstacle"]
+__all__ = ["PrimaryObstacle", "expected_wait_s", "primary_obstacle"]
 
 # A failover that every VM acknowledged, or whose step-down was answered, takes 0.5 to 0.7 s.
 PROMPT_FAILOVER_S = 0.8
@@ -48,11 +48,11 @@
     return None
 
 
-def least_wait_s(group: Group, limits: StalenessLimits, now: float) -> float:
-    """Return the least time in seconds until a moving primary may be used, 0 if not known.
+def expected_wait_s(group: Group, limits: StalenessLimits, now: float) -> float:
+    """Return the expected time in seconds until a moving primary may be used, 0 if not known.
 
     A failover that has not ended promptly waits for a VM that does not answer, until that VM can't
-    be using the old primary any more. A statement that can't wait so long is refused at once.
+    be using the old primary any more; it ends earlier only if the VM returns or loses its lease.
     """
     if group.moving_since is None or now - group.moving_since < PROMPT_FAILOVER_S:
         return 0.0
--- a/tests/test_primary_use.py
+++ b/tests/test_primary_use.py
@@ -10,7 +10,7 @@
 from support import TestCase, trio_test
 from tanagerfront.confirmed_state import CONFIRMATION_MARGIN_S, ConfirmedState, StalenessLimits
 from tanagerfront.instance_directory import Group, InstanceDirectory, PrimaryRecord
-from tanagerfront.primary_use import PrimaryObstacle, least_wait_s, primary_obstacle
+from tanagerfront.primary_use import PrimaryObstacle, expected_wait_s, primary_obstacle
 from tanagerfront.session_model import RouteKind
 from test_caller_session import start_vm
 
@@ -48,17 +48,17 @@
             self.assertIs(PrimaryObstacle.UNKNOWN, primary_obstacle(other, confirmed, 100.0))
 
     @trio_test(mock_clock=True)
-    async def test_least_wait_over_a_failover(self) -> None:
+    async def test_expected_wait_over_a_failover(self) -> None:
         # Guards against refusals in a prompt failover, and against waiting in one that can't end.
         directory, group = await group_with_primary()
-        self.assertEqual(0.0, least_wait_s(group, LIMITS, 0.0))
+        self.assertEqual(0.0, expected_wait_s(group, LIMITS, 0.0))
         with mock.patch("tanagerfront.instance_directory.boottime_s", lambda: 100.0):
             directory.set_primary_record(PrimaryRecord(GROUP, "p", 2, True, 5))
-        self.assertEqual(0.0, least_wait_s(group, LIMITS, 100.5))
-        self.assertAlmostEqual(2.3, least_wait_s(group, LIMITS, 101.0))
-        self.assertEqual(0.0, least_wait_s(group, LIMITS, 104.0))
+        self.assertEqual(0.0, expected_wait_s(group, LIMITS, 100.5))
+        self.assertAlmostEqual(2.3, expected_wait_s(group, LIMITS, 101.0))
+        self.assertEqual(0.0, expected_wait_s(group, LIMITS, 104.0))
         directory.set_primary_record(PrimaryRecord(GROUP, "r", 2, False, 6))
-        self.assertEqual(0.0, least_wait_s(group, LIMITS, 101.0))
+        self.assertEqual(0.0, expected_wait_s(group, LIMITS, 101.0))
 
 
 class FailoverReplayTest(TestCase):
