--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -190,8 +190,8 @@
 
     def find(self, instance_id: str) -> Instance | None:
         """Return an instance by its id, None if it is unknown."""
-        for instance in self.instances():
-            if instance.registration.id == instance_id:
+        for group in self._groups.values():
+            if (instance := group.instances.get(instance_id)) is not None:
                 return instance
         return None
 
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -303,11 +303,9 @@
         self._log.decision("primary_move_begins", group=group.name, reason=reason.value)
         try:
             await self._run_failover_steps(group, reason)
-        except TanagerfrontError as error:
-            self._log.failure("primary_move_failed", group=group.name, error=str(error))
-            await trio.sleep(RETRY_DELAY_S)
         except Exception as error:  # a defect must not end the failovers of the other groups
-            self._log.failure("primary_move_failed", group=group.name, error=repr(error))
+            text = str(error) if isinstance(error, TanagerfrontError) else repr(error)
+            self._log.failure("primary_move_failed", group=group.name, error=text)
             await trio.sleep(RETRY_DELAY_S)
         finally:
             self._in_progress.discard(group.name)
--- a/src/tanagerfront_lab/checker.py
+++ b/src/tanagerfront_lab/checker.py
@@ -40,7 +40,7 @@
 
     They violate no guarantee: without a key the service executes each call.
     """
-    present = {(row.group, row.ref) for row in history.rows}
+    present = _present_refs(history)
     return sum(
         (op.group, op.ref) in present and (op.group, op.repeats) in present
         for op in history.operations
@@ -48,6 +48,11 @@
     )
 
 
+def _present_refs(history: History) -> frozenset[tuple[str, str]]:
+    """Return group and ref of each final row."""
+    return frozenset((row.group, row.ref) for row in history.rows)
+
+
 def _group_by_session(operations: Iterable[Operation]) -> Iterator[list[Operation]]:
     sessions: defaultdict[tuple[str, str], list[Operation]] = defaultdict(list)
     for operation in operations:
@@ -91,7 +96,7 @@
 
 def _check_lost_writes(history: History) -> Iterator[Violation]:
     """Check that every acknowledged write is among the final rows."""
-    present = {(row.group, row.ref) for row in history.rows}
+    present = _present_refs(history)
     for write in (op for op in history.operations if op.kind == "write" and op.acknowledged):
         if (write.group, write.ref) not in present:
             yield Violation("lost-write", f"{write.ref} acknowledged by {write.vm} is missing")
@@ -99,7 +104,7 @@
 
 def _check_refused_writes(history: History) -> Iterator[Violation]:
     """Check that no write is among the final rows if every response to it said "not run"."""
-    present = {(row.group, row.ref) for row in history.rows}
+    present = _present_refs(history)
     writes = sorted((op for op in history.operations if op.kind == "write"), key=lambda op: op.ref)
     for ref, attempts in itertools.groupby(writes, key=lambda op: op.ref):
         responses = list(attempts)
