Log the store's era, what a load found and the keys that differ in a check

The logs could not show whether the store went back, nor which keys kept a VM from confirming its state.

--- a/src/tanagerfront/fleet_store.py
+++ b/src/tanagerfront/fleet_store.py
@@ -145,11 +145,16 @@
 
 
 class CheckResult(NamedTuple):
-    """Whether all known revisions are current, and the decodable changes of those that differ."""
+    """Known and stored revisions of the keys that differ, and those of their values that decode."""
 
-    current: bool
+    differing: Mapping[str, tuple[int, int]]
     changes: Sequence[Change]
 
+    @property
+    def current(self) -> bool:
+        """Return whether all known revisions are current."""
+        return not self.differing
+
 
 class FleetStore(Protocol):
     """Calls to the store; each raises KeyValueUnavailableError or KeyValueTimeoutError."""
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -434,7 +434,12 @@
                 self._confirmed_state.confirm(requested_at)
                 return
             await self.apply(result.changes)
-        self._log.failure("not_confirmed", reason="the store keeps changing or is not readable")
+        self._log.failure(
+            "not_confirmed",
+            reason="the store keeps changing or is not readable",
+            # Known and stored revisions.
+            differing=result.differing,
+        )
 
     def _known_revisions(self) -> KnownRevisions:
         configuration = self._confirmed_state.configuration
--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -30,6 +30,7 @@
 from .documents import (
     CONFIGURATION_KEY,
     INSTANCE_PREFIX,
+    OWN_PREFIX,
     PRIMARY_PREFIX,
     PROMOTER_KEY,
     VM_PREFIX,
@@ -69,6 +70,14 @@
         self._checks = checks
         self._leases = leases
         self._log = log
+        self._era: int | None = None
+        for client in (watches, checks, leases):
+            client.on_era = self._record_era
+
+    def _record_era(self, era: int) -> None:
+        if era != self._era:
+            self._log.decision("store_era", era=era, previous=self._era)
+            self._era = era
 
     @property
     def calls(self) -> dict[str, int]:
@@ -89,6 +98,16 @@
             isinstance(change, ConfigurationChanged | PrimaryRecordChanged) for change in changes
         )
         primary_records = len(tuple(_suffixes(keys, PRIMARY_PREFIX)))
+        self._log.decision(
+            "store_loaded",
+            era=self._era,
+            revision=page.revision,
+            revisions={
+                found.key: found.revision
+                for found in page.values
+                if found.key == CONFIGURATION_KEY or found.key.startswith(OWN_PREFIX)
+            },
+        )
         return FleetState(
             changes=changes,
             readable=CONFIGURATION_KEY in keys and decoded == primary_records + 1,
@@ -123,17 +142,20 @@
             PRIMARY_PREFIX + group: revision for group, revision in known.primary_records.items()
         }
         keys = list(expected)
-        current = True
+        differing: dict[str, tuple[int, int]] = {}
         changes: list[Change] = []
         for start in range(0, len(keys), MAX_KEYS_PER_CALL):
             batch = {key: expected[key] for key in keys[start : start + MAX_KEYS_PER_CALL]}
             try:
                 await self._checks.swap(batch)
             except SwapConflictError as conflict:
-                current = False
-                newer = (item for item in conflict.items if item.revision != batch.get(item.key))
-                changes += self._changes(newer)
-        return CheckResult(current, changes)
+                found = {item.key: item for item in conflict.items}
+                stored = {key: found[key].revision if key in found else 0 for key in batch}
+                differing |= {
+                    key: (batch[key], stored[key]) for key in batch if stored[key] != batch[key]
+                }
+                changes += self._changes(found[key] for key in differing if key in found)
+        return CheckResult(differing, changes)
 
     async def register(self, vm: RegisteredVm, ttl_s: float) -> int:
         """Register a VM under a new lease and return the lease."""
--- a/src/tanagerfront/platform/store.py
+++ b/src/tanagerfront/platform/store.py
@@ -4,7 +4,7 @@
 
 import base64
 import binascii
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 from urllib.parse import urlencode
 
@@ -36,6 +36,8 @@
 OK, NOT_FOUND, GONE, PRECONDITION_FAILED = 200, 404, 410, 412
 REJECTED_STATUSES = frozenset({429, 503})
 WATCH_PATH = "/v1/kv-watch"
+# Rises by one each time the store returns from an older copy; sent with every reply.
+ERA_HEADER = "store-era"
 
 
 class SwapConflictError(KeyValueUnavailableError):
@@ -118,7 +120,10 @@
         self._timeout_s = timeout_s
         self._connection: HttpConnection | None = None
         self._lock = trio.Lock()
+        self._era: int | None = None
         self.calls = 0
+        # Called with the store's era when a reply has another one than the reply before.
+        self.on_era: Callable[[int], None] = lambda era: None
 
     async def range(self, prefix: str) -> Page:
         """Return all values under a prefix and a revision from which a watch misses no change."""
@@ -200,6 +205,7 @@
         async with self._lock:
             self.calls += 1
             reply = await self._exchange(method, path, body, self._timeout_s + wait_s)
+            self._record_era(reply)
         if reply.status in REJECTED_STATUSES:
             raise KeyValueUnavailableError(f"store rejected the call with status {reply.status}")
         if reply.status == GONE:
@@ -217,6 +223,12 @@
             raise KeyValueUnavailableError(f"unexpected store status {reply.status}")
         return response
 
+    def _record_era(self, reply: HttpReply) -> None:
+        text = reply.headers.get(ERA_HEADER, "")
+        if text.isdecimal() and int(text) != self._era:
+            self._era = int(text)
+            self.on_era(self._era)
+
     async def _exchange(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpReply:
         try:
             if self._connection is None or not self._connection.usable:
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -327,13 +327,16 @@
     async def check(self, known: KnownRevisions) -> CheckResult:
         self._call("check")
         changes: list[Change] = []
+        differing: dict[str, tuple[int, int]] = {}
         if self.configuration and self.configuration.revision != known.configuration:
             changes.append(ConfigurationChanged(self.configuration))
+            differing["op/config"] = (known.configuration, self.configuration.revision)
         for group, revision in known.primary_records.items():
             record = self.primary_records.get(group)
             if record is not None and record.revision != revision:
                 changes.append(PrimaryRecordChanged(record))
-        return CheckResult(not changes, changes)
+                differing[group] = (revision, record.revision)
+        return CheckResult(differing, changes)
 
     async def register(self, vm: RegisteredVm, ttl_s: float) -> int:
         self._call("register")
