--- a/src/tanagerfront_standin/_key_value_impl.py
+++ b/src/tanagerfront_standin/_key_value_impl.py
@@ -10,9 +10,10 @@
 
 import trio
 
-__all__ = ["Change", "KeyValueModel", "LeaseNotFoundError", "decode_key"]
+__all__ = ["Change", "KeyValueModel", "LeaseNotFoundError", "ModelCopy", "decode_key"]
 
 HISTORY_CHANGES = 10_000
+FIRST_LEASE = 7_000_000_000_000_000_001
 
 
 class LeaseNotFoundError(Exception):
@@ -67,6 +68,18 @@
         self.expires_at = trio.current_time() + self.ttl_s
 
 
+class ModelCopy(NamedTuple):
+    """A copy of a model's state, from which it can be restored."""
+
+    entries: dict[bytes, Entry]
+    # TTL in seconds and keys of each lease.
+    leases: dict[int, tuple[int, frozenset[bytes]]]
+    next_lease: int
+    history: tuple[Change, ...]
+    revision: int
+    compact_revision: int
+
+
 def decode_key(text: str | None) -> bytes:
     """Return the bytes of a base64 field."""
     return base64.b64decode(text or "", validate=True)
@@ -90,7 +103,7 @@
     def __init__(self, history_changes: int = HISTORY_CHANGES) -> None:
         self._entries: dict[bytes, Entry] = {}
         self._leases: dict[int, Lease] = {}
-        self._lease_ids = itertools.count(7_000_000_000_000_000_001)
+        self._next_lease = FIRST_LEASE
         self._history: collections.deque[Change] = collections.deque()
         self._history_changes = history_changes
         self._revision = 1
@@ -216,7 +229,9 @@
 
     def grant(self, ttl_s: int, lease: int = 0) -> int:
         """Create a lease with a TTL in seconds and return its id."""
-        lease_id = lease or next(self._lease_ids)
+        lease_id = lease or self._next_lease
+        if not lease:
+            self._next_lease += 1
         self._leases[lease_id] = Lease(ttl_s)
         return lease_id
 
@@ -236,6 +251,33 @@
         if found.keys:
             self._delete(sorted(found.keys), self._revision + 1)
 
+    def copy(self) -> ModelCopy:
+        """Return a copy of the state."""
+        return ModelCopy(
+            dict(self._entries),
+            {
+                number: (lease.ttl_s, frozenset(lease.keys))
+                for number, lease in self._leases.items()
+            },
+            self._next_lease,
+            tuple(self._history),
+            self._revision,
+            self._compact_revision,
+        )
+
+    def restore(self, copy: ModelCopy) -> None:
+        """Return to an earlier state: later revisions and leases are given out again."""
+        self._entries = dict(copy.entries)
+        self._leases = {number: Lease(ttl_s) for number, (ttl_s, _) in copy.leases.items()}
+        for number, (_, keys) in copy.leases.items():
+            self._leases[number].keys |= keys
+        self._next_lease = copy.next_lease
+        self._history = collections.deque(copy.history)
+        self._revision = copy.revision
+        self._compact_revision = copy.compact_revision
+        self._changed.set()
+        self._changed = trio.Event()
+
     def extend_leases(self) -> None:
         """Renew every lease for its full TTL, as etcd does after an outage."""
         for lease in self._leases.values():
--- a/src/tanagerfront_standin/platform_store.py
+++ b/src/tanagerfront_standin/platform_store.py
@@ -12,7 +12,7 @@
 from tanagerfront.http_client import Address
 from tanagerfront.http_server import ConnectionHandler, Request, Response, serve_http
 
-from ._key_value_impl import Change, Entry, KeyValueModel, LeaseNotFoundError
+from ._key_value_impl import Change, Entry, KeyValueModel, LeaseNotFoundError, ModelCopy
 
 __all__ = ["PlatformStore", "PromoteCallback", "StoreFaults"]
 
@@ -75,6 +75,7 @@
         self._model = KeyValueModel()
         self._promote = promote
         self._post_count = 0
+        self._era = 1
         self.faults = StoreFaults()
         self.promotions: list[tuple[str, str, str, int]] = []
 
@@ -106,6 +107,15 @@
         """Drop the change history, so that watches from older revisions fail with 410."""
         self._model.compact()
 
+    def copy(self) -> ModelCopy:
+        """Return a copy of the current state, for `restore`."""
+        return self._model.copy()
+
+    def restore(self, copy: ModelCopy) -> None:
+        """Return to an earlier state in a new era: what was written since is lost."""
+        self._model.restore(copy)
+        self._era += 1
+
     async def _run_leases(self) -> None:
         while True:
             await trio.sleep(LEASE_CHECK_S)
@@ -115,7 +125,11 @@
             self._model.expire_leases()
 
     async def answer(self, request: Request) -> Response:
-        """Handle one call, subject to the simulated faults."""
+        """Handle one call, subject to the simulated faults; every reply names the era."""
+        response = await self._answer(request)
+        return response._replace(headers=(("Store-Era", str(self._era)),))
+
+    async def _answer(self, request: Request) -> Response:
         if self.faults.unresponsive:
             await trio.sleep_forever()
         if self.faults.unavailable:
@@ -172,7 +186,7 @@
         events: list[dict[str, Any]] = []
         with trio.move_on_after(wait_s):
             while True:
-                if after < self._model.compact_revision:
+                if not self._model.compact_revision <= after <= self._model.revision:
                     return _json_response(410)
                 changed = self._model.changed
                 changes = self._model.changes_from(after + 1, prefix or b"\0", prefix + b"\xff")
