Number the store's revisions across eras, and write again what it lost

Cause: revisions identified values. A revision that is given out again made a VM confirm another configuration as its own; positions to resume from lay ahead of the store; and records of primaries that the store had lost could never agree with it again, nor be replaced, because the writes were conditional on lost revisions.

Change: a call that is answered in a later era than it was made in has no result. Revisions are numbered across eras, so that all comparisons and the fencing token only grow. In a new era a VM reads everything and registers again; what it remembers beyond the store stays in force by an order of its own (version of the configuration, term of a record), and lost records are written again. Nothing is confirmed until a coordinator has recorded that the fleet has settled; until then VMs rely on what was confirmed before the outage, and promotions wait as long as it counts.

--- a/src/tanagerfront/confirmed_state.py
+++ b/src/tanagerfront/confirmed_state.py
@@ -11,6 +11,7 @@
 import trio
 
 from .session_model import FrontConfiguration, boottime_s
+from .store_era import era_of
 
 __all__ = ["CONFIRMATION_MARGIN_S", "ConfirmedState", "StalenessLimits"]
 
@@ -42,8 +43,11 @@
         self._limits = limits
         self._configuration: FrontConfiguration | None = None
         self._confirmed_at = float("-inf")
+        # The last confirmation that is newer than the registration of this VM.
+        self._primaries_confirmed_at = float("-inf")
         self._lease_renewed_at = float("-inf")
         self._registered_at = float("inf")
+        self._registration_lost = False
         self._suspended_at = float("-inf")
         self._awaited_revision = 0
         self.stopping = False
@@ -79,13 +83,9 @@
     @property
     def primaries_confirmed(self) -> bool:
         """Return whether the known primaries cannot have been replaced unnoticed."""
-        if not self.lease_valid or self._confirmed_at <= self._registered_at:
-            # The promoter waits only for registered VMs: a confirmation from before the
-            # registration is not enough.
-            return False
-        if self._confirmed_at <= self._suspended_at:
+        if not self.lease_valid or self._primaries_confirmed_at <= self._suspended_at:
             return False
-        return self.confirmation_age_s < self._limits.primary_s
+        return boottime_s() - self._primaries_confirmed_at < self._limits.primary_s
 
     @property
     def lease_valid(self) -> bool:
@@ -101,6 +101,10 @@
         """Record that the store confirmed at or after `asked_at` that nothing has changed."""
         before = self.primaries_confirmed
         self._confirmed_at = max(self._confirmed_at, asked_at)
+        if asked_at > self._registered_at:
+            # The promoter waits only for registered VMs: a confirmation from before the
+            # registration is not enough.
+            self._primaries_confirmed_at = max(self._primaries_confirmed_at, asked_at)
         self.first_confirmation.set()
         self._report_confirmed_primaries(before)
 
@@ -111,7 +115,8 @@
 
     def record_applied(self, revision: int) -> None:
         """Record that all primary records up to a revision are known."""
-        if revision < self._awaited_revision:
+        if revision < self._awaited_revision or era_of(revision) != era_of(self._awaited_revision):
+            # A restored store may have lost the awaited record; only a confirmation helps then.
             return
         before = self.primaries_confirmed
         # Earlier confirmations count again: the promoter waits as long as they are valid.
@@ -121,8 +126,20 @@
     def register(self, asked_at: float) -> None:
         """Record that the VM has registered, with a lease requested at `asked_at`."""
         self._registered_at = boottime_s()
+        if not (self._registration_lost and self.lease_valid):
+            self._primaries_confirmed_at = float("-inf")
+        self._registration_lost = False
         self.renew_lease(asked_at)
 
+    def require_registration(self) -> None:
+        """Record that a restored store may have lost the VM's registration.
+
+        Confirmations from before count as long as they are valid, and the promoter waits for that;
+        later ones don't confirm the primaries until the VM has registered again.
+        """
+        self._registered_at = float("inf")
+        self._registration_lost = True
+
     def renew_lease(self, asked_at: float) -> None:
         """Record that the store renewed the VM's lease at or after `asked_at`."""
         before = self.primaries_confirmed
@@ -138,9 +155,14 @@
             self.on_primaries_confirmed()
 
     def apply(self, configuration: FrontConfiguration) -> bool:
-        """Apply a configuration if it is newer than the current one; return whether it was."""
+        """Apply a configuration if it is newer than the current one; return whether it was.
+
+        The store may return from a copy with an older one, which operators replace.
+        """
         current = self._configuration
         if current is not None and configuration.version <= current.version:
+            revision = max(current.revision, configuration.revision)
+            self._configuration = current._replace(revision=revision)
             return False
         self._configuration = configuration
         self.first_configuration.set()
--- a/src/tanagerfront/errors.py
+++ b/src/tanagerfront/errors.py
@@ -321,6 +321,16 @@
     """Changes after the requested revision are no longer available; all must be read again."""
 
 
+class StoreRestoredError(KeyValueError):
+    """The store has returned from an older copy, so the revisions that a call relied on are void.
+
+    The call may have taken effect.
+    """
+
+    status = 503
+    default_executed = "unknown"
+
+
 class KeyValueTimeoutError(KeyValueError):
     """No valid reply of the key-value service came in time; the call may have taken effect."""
 
--- a/src/tanagerfront/fleet_store.py
+++ b/src/tanagerfront/fleet_store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
@@ -13,6 +13,7 @@
 __all__ = [
     "Change",
     "CheckResult",
+    "EraSettled",
     "ConfigurationChanged",
     "FleetStore",
     "FleetState",
@@ -113,6 +114,13 @@
     """The promoter lock is free."""
 
 
+@dataclass(frozen=True, slots=True)
+class EraSettled:
+    """The fleet relies on the store in this era."""
+
+    era: int
+
+
 Change = (
     ConfigurationChanged
     | InstanceChanged
@@ -122,6 +130,7 @@
     | VmUnregistered
     | PromoterLockAcquired
     | PromoterLockReleased
+    | EraSettled
 )
 
 
@@ -131,6 +140,8 @@
     changes: Sequence[Change]
     instances: frozenset[str]
     vms: frozenset[str]
+    # Groups with a primary record.
+    groups: frozenset[str]
     has_promoter: bool
     # Whether a configuration exists and it and all primary records could be decoded.
     readable: bool
@@ -157,7 +168,22 @@
 
 
 class FleetStore(Protocol):
-    """Calls to the store; each raises KeyValueUnavailableError or KeyValueTimeoutError."""
+    """Calls to the store.
+
+    Each raises KeyValueUnavailableError, KeyValueTimeoutError or, if the store has returned from an
+    older copy, StoreRestoredError. Revisions are numbered across eras.
+    """
+
+    @property
+    def era(self) -> int:
+        """Return the store's era in its latest replies."""
+
+    @property
+    def names_eras(self) -> bool:
+        """Return whether the store's replies name its era."""
+
+    def on_restored(self, callback: Callable[[int], None]) -> None:
+        """Call back with the new era when a reply shows that the store has been restored."""
 
     @property
     def calls(self) -> dict[str, int]:
@@ -195,5 +221,8 @@
     async def acquire_promoter_lock(self, vm: RegisteredVm, lease: int) -> PromoterLock | None:
         """Acquire the promoter lock; return None if another VM holds it."""
 
+    async def settle_era(self, era: int) -> None:
+        """Record that the fleet relies on the store in this era."""
+
     async def write_primary_record(self, record: PrimaryRecord) -> PrimaryRecord | None:
         """Replace a record that is still at `record.revision`; return the new one, else None."""
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -9,11 +9,12 @@
 
 from .confirmed_state import ConfirmedState
 from .decision_log import DecisionLog
-from .errors import HistoryLostError, KeyValueError
+from .errors import HistoryLostError, KeyValueError, StoreRestoredError
 from .fleet_roles import COORDINATORS, coordinators
 from .fleet_store import (
     Change,
     ConfigurationChanged,
+    EraSettled,
     FleetStore,
     InstanceChanged,
     InstanceUnregistered,
@@ -30,6 +31,7 @@
 from .rate_shares import RateShares
 from .session_model import boottime_s
 from .session_peer_messages import Echo
+from .store_era import EraProgress, era_of, era_start
 from .supervision import run_restarting
 
 __all__ = ["LEASE_TTL_S", "FleetSync", "SyncTiming"]
@@ -40,6 +42,10 @@
 HOUSEKEEPING_INTERVAL_S = 0.25
 # Tolerates two lost renewals, and still lets a failed promoter be replaced soon.
 LEASE_TTL_S = 5.0
+# Interval at which lost primary records are written again and the end of settling is tested.
+RESTORATION_INTERVAL_S = 0.1
+# Coordinators write lost records at once; the other VMs only those that no coordinator knew.
+LOST_RECORD_DELAY_S = 0.4
 # Consecutive checks, as long as each of them finds a newer state.
 MAX_CONSECUTIVE_CHECKS = 3
 
@@ -117,6 +123,10 @@
         self._promoter_lock: PromoterLock | None = None
         self._check_requested = trio.Event()
         self._connected = False
+        self._loaded = False
+        self._era = EraProgress()
+        self._restored = trio.Event()
+        self._lease_void = trio.Event()
         self._reconnected = trio.Event()
         self._registered = trio.Event()
         self._revision = 0
@@ -127,6 +137,7 @@
         self._last_echo_at = float("-inf")
         self._announced_urgent = False
         self.on_primary_change: Callable[[], None] = lambda: None
+        store.on_restored(self._begin_era)
 
     @property
     def vms(self) -> Sequence[RegisteredVm]:
@@ -173,11 +184,18 @@
         """Return the lock of the VM that may order promotions, None if it is free."""
         return self._promoter_lock
 
+    @property
+    def era(self) -> EraProgress:
+        """Return the progress in the store's current era."""
+        return self._era
+
     @property
     def seen_revision(self) -> int:
-        """Return the newest revision of a primary record that this VM uses, 0 without one."""
+        """Return a revision up to which this VM uses all primary records."""
         records = (group.primary_record for group in self._directory.groups.values())
-        return max((record.revision for record in records if record is not None), default=0)
+        revisions = [record.revision for record in records if record is not None]
+        # Below all revisions of the era whose state this VM has loaded.
+        return max([era_start(era_of(self._revision)), *revisions])
 
     @property
     def revision(self) -> int:
@@ -195,6 +213,7 @@
                 self._run_watch,
                 self._run_checks,
                 self._run_lease,
+                self._run_restoration,
                 self._run_housekeeping,
             ):
                 nursery.start_soon(run_restarting, task, self._log)
@@ -251,6 +270,38 @@
             case PromoterLockReleased():
                 self._promoter_lock = None
                 self._log.decision("promoter_seat", holder=None)
+            case EraSettled(era):
+                self._settle(era)
+
+    def _settle(self, era: int) -> None:
+        before = self._era.settled
+        self._era.settle(era, at_first_load=not self._revision)
+        if self._era.settled and not before:
+            self._log.decision("store_settled", era=era)
+            if self.is_coordinator:
+                self.request_check()
+
+    def _begin_era(self, era: int) -> None:
+        """Read everything again and register again: the store has returned from an older copy.
+
+        Until the fleet has settled, this VM relies on what was confirmed before the outage.
+        """
+        self._log.decision("store_restored", era=era, previous=self._era.era)
+        self._era.begin(era, boottime_s())
+        self._loaded = False
+        self._record_connected()
+        # Leases are given out again, so that a renewal may renew the lease of another VM.
+        self._lease = None
+        self._lease_void.set()
+        self._confirmed_state.require_registration()
+        self._watch_scope.cancel()
+        self._wake_watch()
+        restored, self._restored = self._restored, trio.Event()
+        restored.set()
+
+    def _wake_watch(self) -> None:
+        announced, self._announced_event = self._announced_event, trio.Event()
+        announced.set()
 
     async def _update_shares(self) -> None:
         """Divide the rates and connections among the registered VMs."""
@@ -265,21 +316,23 @@
         await self._directory.set_connection_shares(len(names), connections)
 
     async def _run_watch(self) -> None:
-        loaded = False
         # A load after the registration also confirms the primaries, which saves a check.
         with trio.move_on_after(self._timing.registration_timeout_s):
             await self._registered.wait()
         while True:
             try:
-                if loaded:
+                if self._loaded:
                     await self._catch_up()
                     continue
-                self._record_applied(await self._load())
-                loaded = True
+                await self._load()
                 # The VMs of a starting fleet register one after the other.
-                await trio.sleep(self._timing.batch_window_s)
+                with trio.move_on_after(self._timing.batch_window_s):
+                    await self._restored.wait()
+            except StoreRestoredError as error:
+                self._log.decision("store_read_again", error=str(error))
+                self._loaded = False
             except HistoryLostError as error:
-                loaded = False
+                self._loaded = False
                 self._record_disconnected("watch", error)
             except KeyValueError as error:
                 self._record_disconnected("watch", error)
@@ -291,6 +344,8 @@
         if not self.is_coordinator:
             await self._wait_for_announcement()
             wait_s = self._timing.catch_up_watch_wait_s
+        if not self._loaded:
+            return
         if await self._fetch_from_announcer():
             return
         changes: Sequence[Change] = ()
@@ -298,6 +353,8 @@
         with trio.CancelScope() as self._watch_scope:
             changes, revision = await self._store.watch(self._revision, wait_s)
             self._record_connected()
+        if not self._loaded:
+            return
         await self.apply(changes)
         self._record_applied(revision)
 
@@ -315,6 +372,8 @@
         except KeyValueError as error:
             self._log.decision("not_followed", peer=announcer.name, error=str(error))
             return False
+        if not self._loaded:
+            return False
         await self.apply(changes)
         self._record_applied(revision)
         return revision >= self._announced_revision
@@ -327,7 +386,7 @@
 
     async def _wait_for_announcement(self) -> None:
         """Wait until newer changes are announced or no coordinator has replied for a while."""
-        while self._revision >= self._announced_revision:
+        while self._loaded and self._revision >= self._announced_revision:
             with trio.move_on_after(self._timing.announcement_timeout_s):
                 await self._announced_event.wait()
             if boottime_s() - self._last_echo_at > self._timing.announcement_timeout_s:
@@ -335,7 +394,7 @@
         # Collects further changes for the same call, except that configurations and primaries are
         # urgent.
         with trio.move_on_after(self._timing.batch_window_s):
-            while not self._announced_urgent:
+            while self._loaded and not self._announced_urgent:
                 await self._announced_event.wait()
         self._announced_urgent = False
 
@@ -346,8 +405,12 @@
         newer = configuration is not None and (echo.configuration_revision > configuration.revision)
         self._announced_urgent = self._announced_urgent or newer
         self._record_announcement(vm, echo.store_revision)
-        if configuration and echo.configuration_revision == configuration.revision:
-            self._confirmed_state.confirm(echo.sent_at - echo.lag_s)
+        if (
+            configuration
+            and echo.configuration_revision == configuration.revision
+            and echo.configuration_version in (configuration.version, 0)
+        ):
+            self._confirm(echo.sent_at - echo.lag_s)
 
     def record_newer_primary(self, vm: str, revision: int) -> None:
         """Record that a VM uses a newer primary record, and interrupt a wait to fetch it."""
@@ -366,33 +429,51 @@
         self._announced_revision = revision
         self._announcer = vm
         if newest:
-            announced, self._announced_event = self._announced_event, trio.Event()
-            announced.set()
+            self._wake_watch()
         return newest
 
+    def _confirm(self, asked_at: float) -> None:
+        self._era.record_confirmation()
+        self._confirmed_state.confirm(asked_at)
+
     def echo(self, sent_at: float) -> Echo:
         """Return the reply to a heartbeat that was just received; `sent_at` is copied to it."""
         configuration = self._confirmed_state.configuration
         return Echo(
             sent_at=sent_at,
-            lag_s=max(0.0, self._confirmed_state.confirmation_age_s),
+            # A confirmation from before the store was restored says nothing of its present state.
+            lag_s=(
+                max(0.0, self._confirmed_state.confirmation_age_s)
+                if self._era.confirmed
+                else float("inf")
+            ),
             configuration_revision=configuration.revision if configuration else 0,
             store_revision=self._revision,
+            configuration_version=configuration.version if configuration else 0,
         )
 
-    async def _load(self) -> int:
+    async def _load(self) -> None:
         requested_at = boottime_s()
         state = await self._store.load()
         self._record_connected()
+        if not self._store.names_eras:
+            self._era.settle(self._era.era)
+        elif self._store.era != self._era.era or not self._revision:
+            # The first reply; later eras begin with a call of `_begin_era`.
+            self._era.begin(self._store.era, requested_at)
         known = {instance.registration.id for instance in self._directory.instances()}
         removals: list[Change] = [InstanceUnregistered(name) for name in known - state.instances]
         removals += [VmUnregistered(name) for name in self._vms.keys() - state.vms]
         if not state.has_promoter and self._promoter_lock is not None:
             removals.append(PromoterLockReleased())
         await self.apply([*state.changes, *removals])
-        if state.readable:
-            self._confirmed_state.confirm(requested_at)
-        return state.revision
+        if self._store.era != self._era.era:
+            return
+        self._directory.keep_lost_records(state.groups)
+        self._loaded = True
+        self._record_applied(state.revision)
+        if state.readable and self._era.settled:
+            self._confirm(requested_at)
 
     async def _run_checks(self) -> None:
         await self._confirmed_state.first_configuration.wait()
@@ -401,6 +482,8 @@
             try:
                 if self._check_is_due():
                     await self._check()
+            except StoreRestoredError as error:
+                self._log.decision("store_read_again", error=str(error))
             except KeyValueError as error:
                 self._record_disconnected("check", error)
                 delay_s = min(self._timing.check_interval_s, delay_s * 2)
@@ -412,6 +495,11 @@
                     await self._check_requested.wait()
 
     def _check_is_due(self) -> bool:
+        if not self._loaded:
+            return False
+        if not self._era.settled:
+            # Nothing can be confirmed; a check only probes a store that does not answer.
+            return not self._connected
         requested = self._check_requested.is_set()
         if requested:
             self._check_requested = trio.Event()
@@ -424,6 +512,12 @@
             limit_s = self._timing.check_interval_s + rank * self._timing.coordinator_stagger_s
         return requested or self._confirmed_state.confirmation_age_s >= limit_s
 
+    def _reload(self) -> None:
+        """Let the watch read everything again."""
+        self._loaded = False
+        self._watch_scope.cancel()
+        self._wake_watch()
+
     async def _check(self) -> None:
         """Compare this VM's revisions with the store's; apply differences and check again."""
         for _ in range(MAX_CONSECUTIVE_CHECKS):
@@ -431,7 +525,8 @@
             result = await self._store.check(self._known_revisions())
             self._record_connected()
             if result.current:
-                self._confirmed_state.confirm(requested_at)
+                if self._era.settled:
+                    self._confirm(requested_at)
                 return
             await self.apply(result.changes)
         self._log.failure(
@@ -440,6 +535,7 @@
             # Known and stored revisions.
             differing=result.differing,
         )
+        self._reload()
 
     def _known_revisions(self) -> KnownRevisions:
         configuration = self._confirmed_state.configuration
@@ -452,6 +548,7 @@
 
     async def _run_lease(self) -> None:
         while True:
+            self._lease_void = trio.Event()
             requested_at = boottime_s()
             delay_s = self._timing.renew_interval_s
             try:
@@ -471,12 +568,57 @@
                     self._lease = None
                     self._confirmed_state.lose_lease()
                     delay_s = 0.0
+            except StoreRestoredError as error:
+                self._log.decision("store_read_again", error=str(error))
+                self._lease = None
+                continue
             except KeyValueError as error:
                 self._record_disconnected("lease", error)
                 await self._wait_before_retry()
                 continue
             self._record_connected()
-            await trio.sleep(delay_s)
+            with trio.move_on_after(delay_s):
+                await self._lease_void.wait()
+
+    async def _run_restoration(self) -> None:
+        """Write again what the store has lost; then let the fleet rely on the store."""
+        while True:
+            await trio.sleep(RESTORATION_INTERVAL_S)
+            if not (self._loaded and self._connected):
+                continue
+            try:
+                await self._write_lost_records()
+                await self._settle_if_due()
+            except KeyValueError as error:
+                self._log.failure("store_call_failed", call="restoration", error=str(error))
+                await trio.sleep(self._timing.retry_delay_s)
+
+    async def _write_lost_records(self) -> None:
+        now = boottime_s()
+        first = self.is_coordinator or self._own.name in self.heartbeat_recipients
+        for name, since in tuple(self._directory.unrecorded.items()):
+            record = self._directory.group(name).primary_record
+            if record is None or not (first or now - since >= LOST_RECORD_DELAY_S):
+                continue
+            written = await self._store.write_primary_record(record)
+            self._log.decision(
+                "lost_record_written", outcome=written is not None, **record._asdict()
+            )
+            if written is None:
+                self._reload()
+                return
+            self._directory.set_primary_record(written)
+            self.on_primary_change()
+
+    async def _settle_if_due(self) -> None:
+        if not self.is_coordinator or self._directory.unrecorded:
+            return
+        names = self.coordinators
+        rank = names.index(self._own.name) if self._own.name in names else 0
+        era = self._era.era
+        if self._era.settling_is_due(boottime_s(), rank, self._timing.coordinator_stagger_s):
+            await self._store.settle_era(era)
+            await self.apply([EraSettled(era)])
 
     async def _run_housekeeping(self) -> None:
         while True:
@@ -518,7 +660,10 @@
         await trio.sleep(self._timing.retry_delay_s)
         if not self._confirmed_state.first_configuration.is_set():
             return
-        until = trio.current_time() + self._timing.disconnected_retry_s
+        # Checks, which probe the store more often, need the state that was loaded.
+        timing = self._timing
+        wait_s = timing.disconnected_retry_s if self._loaded else timing.check_interval_s
+        until = trio.current_time() + wait_s
         while trio.current_time() < until and not self._connected:
             await self._fetch_from_announcer()
             with trio.CancelScope(deadline=until) as self._watch_scope:
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -27,6 +27,7 @@
 from .session_failover import FailoverController, InstanceControl, PromotionApi, build_heartbeat
 from .session_peer_messages import Heartbeat
 from .session_peers import VmPeers
+from .store_era import era_of
 from .supervision import run_restarting
 
 __all__ = ["CallerServer", "Front", "FrontAdapters", "FrontTimes", "VmIdentity"]
@@ -326,7 +327,9 @@
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Suspend the use of primaries if a peer has a newer primary record than this VM."""
         if heartbeat.seen_revision > self._sync.seen_revision:
-            self._confirmed_state.suspend_primaries(heartbeat.seen_revision)
+            # A restored store changes no primary; promotions wait until all VMs have noticed.
+            if era_of(heartbeat.seen_revision) == self._sync.era.era:
+                self._confirmed_state.suspend_primaries(heartbeat.seen_revision)
             self._sync.record_newer_primary(heartbeat.vm, heartbeat.seen_revision)
         elif heartbeat.echo is not None:
             self._sync.record_echo(heartbeat.vm, heartbeat.echo)
--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import NamedTuple
 
 import trio
@@ -60,6 +60,11 @@
     moving: bool
     revision: int
 
+    @property
+    def progress(self) -> tuple[int, bool]:
+        """Return a value that grows with each record of the group, also if the store goes back."""
+        return self.term, not self.moving
+
 
 class Instance:
     """An instance with its connection pool and its recent availability."""
@@ -159,6 +164,7 @@
         self._opener = opener
         self._failure_domain = failure_domain
         self._groups: dict[str, Group] = {}
+        self._unrecorded: dict[str, float] = {}
         self._vms = 1
         self._connections: Mapping[str, int] = {}
         self.on_change: Callable[[str, Instance], None] = lambda change, instance: None
@@ -170,6 +176,14 @@
         """Return the groups by name."""
         return self._groups
 
+    @property
+    def unrecorded(self) -> Mapping[str, float]:
+        """Return the groups whose primary records the store lacks, and since when.
+
+        The revision of such a record is that of the older one in the store, 0 without one.
+        """
+        return self._unrecorded
+
     def group(self, name: str) -> Group:
         """Return a group; create an empty one if it is unknown."""
         group = self._groups.get(name)
@@ -256,15 +270,33 @@
     def set_primary_record(self, record: PrimaryRecord) -> bool:
         """Apply a primary record from the store if it is newer; return whether it was."""
         group = self.group(record.group)
-        if group.primary_record is not None and group.primary_record.revision >= record.revision:
+        known = group.primary_record
+        if known is not None and known.revision >= record.revision:
+            return False
+        if known is not None and known.progress > record.progress:
+            self._keep_record(group, known, record.revision)
             return False
         group.primary_record = record
+        self._unrecorded.pop(group.name, None)
         group.moving_since = boottime_s() if record.moving else None
         # Positions sampled at the previous primary may be missing from the new one's log.
         group.samples.clear()
         group.notify()
         return True
 
+    def keep_lost_records(self, stored: Collection[str]) -> None:
+        """Keep the primary records of the groups that have none in the store any more."""
+        for group in self._groups.values():
+            if group.primary_record is not None and group.name not in stored:
+                self._keep_record(group, group.primary_record, 0)
+
+    def _keep_record(self, group: Group, record: PrimaryRecord, revision: int) -> None:
+        group.primary_record = record._replace(revision=revision)
+        self._unrecorded.setdefault(group.name, boottime_s())
+        if record.moving:
+            # VMs may have confirmed the store's older record until this one is written again.
+            group.moving_since = boottime_s()
+
     def candidate(self, group: Group, instance: Instance, organisation: str) -> Candidate:
         """Return the properties of an instance that its selection is based on."""
         pool = instance.pool
--- a/src/tanagerfront/platform/documents.py
+++ b/src/tanagerfront/platform/documents.py
@@ -26,13 +26,16 @@
     "PRIMARY_PREFIX",
     "OWN_PREFIX",
     "PROMOTER_KEY",
+    "SETTLED_ERA_KEY",
     "VM_PREFIX",
     "PromoterRecord",
+    "SettledEraRecord",
     "VmRecord",
     "decode_configuration",
     "decode_instance",
     "decode_primary_record",
     "decode_promoter",
+    "decode_settled_era",
     "decode_vm",
     "encode_primary_record",
     "encode_record",
@@ -46,6 +49,7 @@
 # Primary records; stored keys contain "leaders/" and cannot be renamed.
 PRIMARY_PREFIX = OWN_PREFIX + "leaders/"
 PROMOTER_KEY = OWN_PREFIX + "promoter"
+SETTLED_ERA_KEY = OWN_PREFIX + "era"
 
 DEFAULT_STATEMENT_TIMEOUT_MS = 1000.0
 DEFAULT_TARGET_LATENCY_MS = 500.0
@@ -129,6 +133,12 @@
     incarnation: str
 
 
+class SettledEraRecord(msgspec.Struct):
+    """The newest era of the store in which the VMs have written again what it had lost."""
+
+    era: int
+
+
 class _PrimaryRecord(msgspec.Struct):
     # While `moving` is set the group has no primary.
     group: str
@@ -141,6 +151,7 @@
 _instance_decoder = msgspec.json.Decoder(_Instance)
 _vm_decoder = msgspec.json.Decoder(VmRecord)
 _promoter_decoder = msgspec.json.Decoder(PromoterRecord)
+_settled_era_decoder = msgspec.json.Decoder(SettledEraRecord)
 _primary_record_decoder = msgspec.json.Decoder(_PrimaryRecord)
 
 
@@ -218,6 +229,11 @@
     return _decode(_promoter_decoder, value)
 
 
+def decode_settled_era(value: bytes) -> int:
+    """Return the newest settled era; raises ConfigurationError."""
+    return _decode(_settled_era_decoder, value).era
+
+
 def decode_primary_record(value: bytes, revision: int) -> PrimaryRecord:
     """Return the record of a group's primary; raises ConfigurationError."""
     document = _decode(_primary_record_decoder, value)
@@ -231,7 +247,7 @@
     return msgspec.json.encode(_PrimaryRecord(group, instance, term, moving))
 
 
-def encode_record(record: VmRecord | PromoterRecord) -> bytes:
+def encode_record(record: VmRecord | PromoterRecord | SettledEraRecord) -> bytes:
     """Return the stored value of a record."""
     return msgspec.json.encode(record)
 
--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from ..change_history import ChangeHistory
 from ..decision_log import DecisionLog
-from ..errors import ConfigurationError, KeyValueTimeoutError
+from ..errors import ConfigurationError, KeyValueTimeoutError, StoreRestoredError
 from ..fleet_store import (
     Change,
     CheckResult,
     ConfigurationChanged,
+    EraSettled,
     FleetState,
     InstanceChanged,
     InstanceUnregistered,
@@ -33,18 +34,21 @@
     OWN_PREFIX,
     PRIMARY_PREFIX,
     PROMOTER_KEY,
+    SETTLED_ERA_KEY,
     VM_PREFIX,
     PromoterRecord,
+    SettledEraRecord,
     VmRecord,
     decode_configuration,
     decode_instance,
     decode_primary_record,
     decode_promoter,
+    decode_settled_era,
     decode_vm,
     encode_primary_record,
     encode_record,
 )
-from .store import LeaseEndedError, Page, StoreClient, SwapConflictError
+from .store import LeaseEndedError, Page, StoreClient, StoreEra, SwapConflictError
 
 __all__ = ["PlatformFleetStore"]
 
@@ -63,6 +67,7 @@
         leases: StoreClient,
         log: DecisionLog,
         history: ChangeHistory,
+        era: StoreEra | None = None,
     ) -> None:
         self._history = history
         self._peer_clients = PeerWatchClients()
@@ -70,14 +75,21 @@
         self._checks = checks
         self._leases = leases
         self._log = log
-        self._era: int | None = None
-        for client in (watches, checks, leases):
-            client.on_era = self._record_era
+        self._era = era or StoreEra()
 
-    def _record_era(self, era: int) -> None:
-        if era != self._era:
-            self._log.decision("store_era", era=era, previous=self._era)
-            self._era = era
+    @property
+    def era(self) -> int:
+        """Return the store's era in its latest replies."""
+        return self._era.number
+
+    @property
+    def names_eras(self) -> bool:
+        """Return whether the store's replies name its era."""
+        return self._era.asked_in is not None
+
+    def on_restored(self, callback: Callable[[int], None]) -> None:
+        """Call back with the new era when a reply shows that the store has been restored."""
+        self._era.on_restored = callback
 
     @property
     def calls(self) -> dict[str, int]:
@@ -97,10 +109,10 @@
         decoded = sum(
             isinstance(change, ConfigurationChanged | PrimaryRecordChanged) for change in changes
         )
-        primary_records = len(tuple(_suffixes(keys, PRIMARY_PREFIX)))
+        groups = frozenset(_suffixes(keys, PRIMARY_PREFIX))
         self._log.decision(
             "store_loaded",
-            era=self._era,
+            era=self.era,
             revision=page.revision,
             revisions={
                 found.key: found.revision
@@ -110,9 +122,10 @@
         )
         return FleetState(
             changes=changes,
-            readable=CONFIGURATION_KEY in keys and decoded == primary_records + 1,
+            readable=CONFIGURATION_KEY in keys and decoded == len(groups) + 1,
             instances=frozenset(_suffixes(keys, INSTANCE_PREFIX)),
             vms=frozenset(_suffixes(keys, VM_PREFIX)),
+            groups=groups,
             has_promoter=PROMOTER_KEY in keys,
             revision=page.revision,
         )
@@ -159,7 +172,9 @@
 
     async def register(self, vm: RegisteredVm, ttl_s: float) -> int:
         """Register a VM under a new lease and return the lease."""
+        era = self.era
         lease = await self._leases.grant(ttl_s)
+        self._require_era(era)
         record = VmRecord(vm.name, str(vm.address), vm.failure_domain, vm.incarnation, vm.cores)
         key, value = VM_PREFIX + vm.name, encode_record(record)
         # An unconditional write whose reply was lost could be executed later and bind the record to
@@ -168,10 +183,16 @@
             await self._leases.swap({key: 0}, {key: value}, lease=lease)
         except SwapConflictError as conflict:
             # A previous process of this VM left its record.
+            self._require_era(era)
             revision = next((item.revision for item in conflict.items if item.key == key), 0)
             await self._leases.swap({key: revision}, {key: value}, lease=lease)
         return lease
 
+    def _require_era(self, era: int) -> None:
+        """Raise StoreRestoredError if the era has ended, and with it the leases."""
+        if self.era != era:
+            raise StoreRestoredError(f"store is in era {self.era}; the lease is of era {era}")
+
     async def renew(self, lease: int) -> bool:
         """Renew a lease; return whether it still exists."""
         try:
@@ -186,22 +207,38 @@
 
     async def acquire_promoter_lock(self, vm: RegisteredVm, lease: int) -> PromoterLock | None:
         """Acquire the promoter lock; return None if another VM holds it."""
+        era = self.era
         current = await self._checks.get(PROMOTER_KEY)
         holder = decode_promoter(current.value) if current else None
         if holder is not None and current is not None:
             if holder.vm != vm.name:
                 return None
-            if holder.incarnation == vm.incarnation:
+            # The store may have restored the lock under a lease that is not renewed any more.
+            if holder.incarnation == vm.incarnation and current.lease == lease:
                 return PromoterLock(holder.vm, holder.incarnation, current.revision)
-        # A record of another incarnation of this VM may be replaced: that process has ended.
+        # A record of another incarnation of this VM may be replaced: that process has ended. The
+        # revision is the fencing token and grows across eras of the store.
         value = encode_record(PromoterRecord(vm.name, vm.incarnation))
         expected = {PROMOTER_KEY: current.revision if current else 0}
+        self._require_era(era)
         try:
             token = await self._checks.swap(expected, {PROMOTER_KEY: value}, lease=lease)
         except SwapConflictError:
             return None
         return PromoterLock(vm.name, vm.incarnation, token)
 
+    async def settle_era(self, era: int) -> None:
+        """Record that the fleet relies on the store in this era."""
+        current = await self._checks.get(SETTLED_ERA_KEY)
+        value = encode_record(SettledEraRecord(era))
+        try:
+            await self._checks.swap(
+                {SETTLED_ERA_KEY: current.revision if current else 0}, {SETTLED_ERA_KEY: value}
+            )
+        except SwapConflictError:
+            # Another coordinator has recorded it.
+            return
+
     async def write_primary_record(self, record: PrimaryRecord) -> PrimaryRecord | None:
         """Replace the record at `record.revision`; return it, or None if it was not current."""
         key = PRIMARY_PREFIX + record.group
@@ -265,6 +302,8 @@
         return None
     if key == CONFIGURATION_KEY:
         return ConfigurationChanged(decode_configuration(value, revision))
+    if key == SETTLED_ERA_KEY:
+        return EraSettled(decode_settled_era(value))
     if key.startswith(PRIMARY_PREFIX):
         return PrimaryRecordChanged(decode_primary_record(value, revision))
     return None
--- a/src/tanagerfront/platform/main.py
+++ b/src/tanagerfront/platform/main.py
@@ -19,7 +19,7 @@
 from .instance_wire import can_connect, open_instance, open_relay
 from .relay_wire import RelayConnections
 from .settings import FrontSettings, load_settings, settings_path
-from .store import StoreClient
+from .store import StoreClient, StoreEra
 
 __all__ = ["main", "run_front"]
 
@@ -37,8 +37,9 @@
 async def run_front(settings: FrontSettings) -> None:
     """Run the VM until SIGTERM."""
     log = DecisionLog(settings.vm)
+    era = StoreEra()
     watches, checks, leases = (
-        StoreClient(settings.store_address, STORE_TIMEOUT_S) for _ in range(3)
+        StoreClient(settings.store_address, STORE_TIMEOUT_S, era) for _ in range(3)
     )
     identity = VmIdentity(
         name=settings.vm,
@@ -59,7 +60,7 @@
 
     history = ChangeHistory()
     adapters = FrontAdapters(
-        store=PlatformFleetStore(watches, checks, leases, log, history),
+        store=PlatformFleetStore(watches, checks, leases, log, history, era),
         opener=open_instance,
         relay=open_relay,
         can_connect=can_connect,
--- a/src/tanagerfront/platform/store.py
+++ b/src/tanagerfront/platform/store.py
@@ -16,9 +16,11 @@
     HistoryLostError,
     KeyValueTimeoutError,
     KeyValueUnavailableError,
+    StoreRestoredError,
 )
 from ..http_client import Address, HttpConnection, HttpReply
 from ..kv import KeyValue, WatchEvent
+from ..store_era import FIRST_ERA, era_of, global_revision, stored_revision
 
 __all__ = [
     "GONE",
@@ -28,6 +30,7 @@
     "LeaseEndedError",
     "Page",
     "StoreClient",
+    "StoreEra",
     "SwapConflictError",
     "encode_watch_response",
 ]
@@ -104,26 +107,54 @@
     return msgspec.json.encode(_Response(events=items, at_revision=revision))
 
 
-def _key_value(item: _Item) -> KeyValue:
-    return KeyValue(item.key, _decode_value(item.value), item.revision, item.lease)
+class StoreEra:
+    """The era in the store's latest replies, shared by all clients of one store."""
+
+    def __init__(self) -> None:
+        self._number: int | None = None
+        # Called when a reply shows another era than the replies before, not for the first reply.
+        self.on_restored: Callable[[int], None] = lambda era: None
+
+    @property
+    def number(self) -> int:
+        """Return the era; a store that names none stays in its first."""
+        return FIRST_ERA if self._number is None else self._number
+
+    def record(self, reply: HttpReply, asked_in: int | None) -> None:
+        """Record the era of a reply; raises StoreRestoredError if the call was made in another."""
+        text = reply.headers.get(ERA_HEADER, "")
+        if not text.isdecimal():
+            return
+        era, before = int(text), self._number
+        if before is None or era > before:
+            self._number = era
+            if before is not None:
+                self.on_restored(era)
+        if asked_in is not None and not era == asked_in == self._number:
+            raise StoreRestoredError(f"store is in era {era}; the call relied on era {asked_in}")
+
+    @property
+    def asked_in(self) -> int | None:
+        """Return the era on which a call made now relies, None before the first reply."""
+        return self._number
 
 
 class StoreClient:
     """Call the store over one persistent connection, one call at a time.
 
     Every call raises KeyValueUnavailableError if it had no effect, and KeyValueTimeoutError if it
-    may have had an effect or may still have one later.
+    may have had an effect or may still have one later. Revisions are numbered across eras; a call
+    that is answered in a later era than it was made in raises StoreRestoredError.
     """
 
-    def __init__(self, address: Address, timeout_s: float) -> None:
+    def __init__(self, address: Address, timeout_s: float, era: StoreEra | None = None) -> None:
         self._address = address
         self._timeout_s = timeout_s
+        # None for a peer VM, which numbers revisions across eras itself.
+        self._era = era
         self._connection: HttpConnection | None = None
         self._lock = trio.Lock()
-        self._era: int | None = None
         self.calls = 0
-        # Called with the store's era when a reply has another one than the reply before.
-        self.on_era: Callable[[int], None] = lambda era: None
 
     async def range(self, prefix: str) -> Page:
         """Return all values under a prefix and a revision from which a watch misses no change."""
@@ -134,8 +165,8 @@
             query = {"prefix": prefix} | ({"after": after} if after else {})
             response = await self._call("GET", f"/v1/kv-range?{urlencode(query)}")
             # Pages are read at different revisions, so a watch has to start at the first page's.
-            revision = revision or response.at_revision
-            values += [_key_value(item) for item in response.items]
+            revision = revision or self._global(response.at_revision)
+            values += [self._key_value(item) for item in response.items]
             if not response.has_more or not response.items:
                 return Page(tuple(values), (), revision)
             after = response.items[-1].key
@@ -151,14 +182,18 @@
         Waits up to `wait_s` seconds for a change. Without `large` a peer VM that serves the call
         in place of the store refuses it if the changes are large.
         """
-        query = {"prefix": prefix, "after": after, "wait_ms": int(wait_s * 1000)}
+        query = {"prefix": prefix, "after": self._stored(after), "wait_ms": int(wait_s * 1000)}
         query |= {"large": 1} if large else {}
         response = await self._call("GET", f"{WATCH_PATH}?{urlencode(query)}", wait_s=wait_s)
         events = tuple(
-            WatchEvent(item.key, None if item.deleted else _decode_value(item.value), item.revision)
+            WatchEvent(
+                item.key,
+                None if item.deleted else _decode_value(item.value),
+                self._global(item.revision),
+            )
             for item in response.events
         )
-        return Page((), events, response.at_revision)
+        return Page((), events, self._global(response.at_revision))
 
     async def swap(
         self,
@@ -174,7 +209,8 @@
         body = msgspec.json.encode(
             {
                 "expected_revision": [
-                    {"key": key, "revision": revision} for key, revision in expected.items()
+                    {"key": key, "revision": self._stored(revision)}
+                    for key, revision in expected.items()
                 ],
                 "puts": [
                     {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
@@ -184,7 +220,7 @@
             }
         )
         response = await self._call("POST", "/v1/kv-txn", body)
-        return response.revision
+        return self._global(response.revision)
 
     async def grant(self, ttl_s: float) -> int:
         """Create a lease and return its id."""
@@ -202,10 +238,13 @@
     async def _call(
         self, method: str, path: str, body: bytes = b"", *, wait_s: float = 0.0
     ) -> _Response:
+        # The call's revisions are of this era, also if it waits for the connection.
+        asked_in = self._era.asked_in if self._era else None
         async with self._lock:
             self.calls += 1
             reply = await self._exchange(method, path, body, self._timeout_s + wait_s)
-            self._record_era(reply)
+            if self._era is not None:
+                self._era.record(reply, asked_in)
         if reply.status in REJECTED_STATUSES:
             raise KeyValueUnavailableError(f"store rejected the call with status {reply.status}")
         if reply.status == GONE:
@@ -214,7 +253,7 @@
             raise LeaseEndedError("lease has expired or was revoked")
         try:
             response = _response_decoder.decode(reply.body or b"{}")
-            current = [_key_value(item) for item in response.items if item.revision]
+            current = [self._key_value(item) for item in response.items if item.revision]
         except (msgspec.MsgspecError, binascii.Error) as error:
             raise KeyValueTimeoutError(f"malformed store response: {error}") from error
         if reply.status == PRECONDITION_FAILED:
@@ -223,11 +262,21 @@
             raise KeyValueUnavailableError(f"unexpected store status {reply.status}")
         return response
 
-    def _record_era(self, reply: HttpReply) -> None:
-        text = reply.headers.get(ERA_HEADER, "")
-        if text.isdecimal() and int(text) != self._era:
-            self._era = int(text)
-            self.on_era(self._era)
+    def _global(self, revision: int) -> int:
+        return revision if self._era is None else global_revision(self._era.number, revision)
+
+    def _stored(self, revision: int) -> int:
+        """Return the store's own number of a revision; raises StoreRestoredError if it is void."""
+        if self._era is None:
+            return revision
+        if revision and era_of(revision) != self._era.number:
+            raise StoreRestoredError("revision of an earlier era of the store")
+        return stored_revision(revision)
+
+    def _key_value(self, item: _Item) -> KeyValue:
+        return KeyValue(
+            item.key, _decode_value(item.value), self._global(item.revision), item.lease
+        )
 
     async def _exchange(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpReply:
         try:
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -24,6 +24,7 @@
 from .session_model import GroupOptions, InstanceRegistration, InstanceRole, boottime_s
 from .session_peer_messages import Heartbeat
 from .session_peers import VmPeers
+from .store_era import era_of
 
 __all__ = [
     "FailoverController",
@@ -159,6 +160,8 @@
     other_vms: Sequence[str]
     # Newest revision applied by each VM with a recent heartbeat.
     acknowledged: Mapping[str, int]
+    # How long VMs whose registrations a restored store has lost may still be using a primary.
+    unknown_vms_for_s: float = 0.0
 
 
 def vms_behind(propagation: RecordPropagation) -> list[str]:
@@ -172,6 +175,8 @@
 
 def is_old_primary_unused(propagation: RecordPropagation) -> bool:
     """Return whether no VM can still be using the old primary."""
+    if propagation.unknown_vms_for_s > 0.0:
+        return False
     # The promoter may not know yet of a VM that registered just before the record was written.
     return propagation.registrations_revision >= propagation.record_revision and not vms_behind(
         propagation
@@ -263,10 +268,19 @@
         self._in_progress.add(group.name)
         nursery.start_soon(self._run_failover, group, reason)
 
+    @property
+    def _unknown_vms_for_s(self) -> float:
+        """Return how long VMs that a restored store has lost may still be using a primary."""
+        limit_s = self._confirmed_state.limits.primary_s + CONFIRMATION_MARGIN_S
+        return max(0.0, limit_s - self._sync.era.for_s(boottime_s()))
+
     def _is_postponed(self, group: Group, reason: FailoverReason, now: float) -> bool:
         draining_since = group.primary.draining_since if group.primary else None
         if draining_since is None:
             return False
+        if reason is FailoverReason.LEAVING and self._unknown_vms_for_s > 0.0:
+            # The leaving primary serves until the failover can go through without a wait.
+            return True
         heard = self._peers.recent_heartbeats()
         silent = [
             vm.name
@@ -333,6 +347,10 @@
             self._log.failure("no_candidate", group=group.name)
             await trio.sleep(RETRY_DELAY_S)
             return
+        if group.primary_record != record:
+            # The store has been restored, and VMs may use the primary of an older record again.
+            self._log.failure("primary_move_outdated", group=group.name, term=record.term)
+            return
         outcome = await self._order_promotion(group, chosen, lock.token)
         if outcome is not PromotionOutcome.ORDERED:
             return
@@ -438,6 +456,7 @@
                 vm: heartbeat.seen_revision
                 for vm, heartbeat in self._peers.recent_heartbeats().items()
             },
+            unknown_vms_for_s=self._unknown_vms_for_s,
         )
 
     async def _choose_replica(
@@ -514,6 +533,7 @@
             not self._lease_is_current
             or self._sync.promoter_lock is None
             or self._sync.promoter_lock.token > token
+            or era_of(token) != self._sync.era.era
         ):
             return PromotionOutcome.REJECTED
         outcome = await self._promotion_api.promote(
--- a/src/tanagerfront/session_peer_messages.py
+++ b/src/tanagerfront/session_peer_messages.py
@@ -27,6 +27,8 @@
     configuration_revision: int
     # Newest revision that the replying VM has applied.
     store_revision: int
+    # After its return from a copy the store may hold an older version than VMs know.
+    configuration_version: int = 0
 
 
 class Heartbeat(msgspec.Struct, tag="h", array_like=True):
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -51,6 +51,7 @@
     TransactionState,
     Verbatim,
 )
+from tanagerfront.store_era import FIRST_ERA
 
 GROUP = "orders"
 
@@ -290,6 +291,20 @@
             self.lose_answers -= 1
             raise KeyValueTimeoutError("no answer")
 
+    @property
+    def era(self) -> int:
+        return FIRST_ERA
+
+    @property
+    def names_eras(self) -> bool:
+        return False
+
+    def on_restored(self, callback: Callable[[int], None]) -> None:
+        pass
+
+    async def settle_era(self, era: int) -> None:
+        self._call("settle_era")
+
     async def load(self) -> FleetState:
         self._call("load")
         changes: list[Change] = [VmChanged(registered) for registered in self.vms.values()]
@@ -303,6 +318,7 @@
             changes,
             frozenset(self.registrations),
             frozenset(self.vms),
+            frozenset(self.primary_records),
             self.promoter_lock is not None,
             self.configuration is not None,
             self.revision,
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -16,7 +16,7 @@
 from tanagerfront.http_client import Address
 from tanagerfront.instance_directory import InstanceDirectory
 from tanagerfront.platform.fleet_store import PlatformFleetStore
-from tanagerfront.platform.store import StoreClient
+from tanagerfront.platform.store import StoreClient, StoreEra
 from tanagerfront.rate_shares import UNKNOWN_LENDER, RateShares, TokenLoanRequest
 from tanagerfront.session_model import InstanceRegistration
 from tanagerfront_standin.platform_store import PlatformStore, StoreFaults
@@ -87,8 +87,9 @@
     def __init__(self, name: str, address: Address) -> None:
         self.address = address
         self.log = RecordingLog()
+        era = StoreEra()
         self.store = PlatformFleetStore(
-            *(StoreClient(address, 0.3) for _ in range(3)), self.log, ChangeHistory()
+            *(StoreClient(address, 0.3, era) for _ in range(3)), self.log, ChangeHistory(), era
         )
         self.state = ConfirmedState(StalenessLimits(4.5, 3.0, 4.0, 5.5))
         self.directory = InstanceDirectory(_no_opener, "suame")  # type: ignore[arg-type]
