Replace a recorded primary that another has followed

Cause: a record of the store was taken for the present one whatever the instances said. Change: a record is superseded when an instance of the group has entries of a later term; its primary is not used, and the promoter records the present one by a failover. A final record has the term that the new primary reports, so that a promoter that has just started does not record too low a term.

--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -156,6 +156,18 @@
         ]
         return max(claimants, key=lambda instance: instance.registration.revision, default=None)
 
+    @property
+    def superseded(self) -> bool:
+        """Return whether another primary has followed the recorded one, unknown to the store.
+
+        A restored store may hold the record of an earlier primary, which no VM knows better.
+        """
+        record = self.primary_record
+        if record is None or record.moving:
+            return False
+        terms = (instance.reached.term for instance in self.instances.values() if instance.reached)
+        return any(term > record.term for term in terms)
+
 
 class InstanceDirectory:
     """Registered groups and instances; the state of instances is kept across re-registrations."""
--- a/src/tanagerfront/primary_use.py
+++ b/src/tanagerfront/primary_use.py
@@ -22,6 +22,7 @@
 
     UNKNOWN = "unknown"
     MOVING = "moving"
+    SUPERSEDED = "superseded"
     NOT_CONFIRMED = "not-confirmed"
     LEAVING = "leaving"
     UNREACHABLE = "unreachable"
@@ -38,6 +39,8 @@
     if primary is None:
         moving = group.primary_record is not None and group.primary_record.moving
         return PrimaryObstacle.MOVING if moving else PrimaryObstacle.UNKNOWN
+    if group.superseded:
+        return PrimaryObstacle.SUPERSEDED
     if not confirmed_state.primaries_confirmed:
         return PrimaryObstacle.NOT_CONFIRMED
     leaving_since = primary.leaving_since
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -76,6 +76,7 @@
     UNREACHABLE = "unreachable"
     LEADERLESS = "leaderless"
     UNFINISHED = "unfinished"
+    SUPERSEDED = "superseded"
 
 
 class PromotionOutcome(enum.Enum):
@@ -129,6 +130,8 @@
     record, primary = group.primary_record, group.primary
     if record is not None and record.moving:
         return FailoverReason.UNFINISHED
+    if group.superseded:
+        return FailoverReason.SUPERSEDED
     if primary is None:
         has_replicas = any(not instance.leaving for instance in group.instances.values())
         return (
@@ -354,13 +357,17 @@
         outcome = await self._order_promotion(group, chosen, lock.token)
         if outcome is not PromotionOutcome.ORDERED:
             return
-        if not await self._wait_until_promoted(chosen):
+        term = await self._wait_until_promoted(chosen)
+        if term is None:
             # The record stays open, and the next attempt finds out which instance was promoted.
             self._log.failure(
                 "promotion_not_seen", group=group.name, instance=chosen.registration.id
             )
             return
-        final = record._replace(instance=chosen.registration.id, moving=False)
+        # A promoter that has just started may not have known the term of the old primary.
+        final = record._replace(
+            instance=chosen.registration.id, term=max(record.term, term), moving=False
+        )
         await self._write_primary_record(final)
         self._log.decision(
             "primary_moved",
@@ -368,7 +375,7 @@
             reason=reason.value,
             old=old_primary.registration.id if old_primary else None,
             new=chosen.registration.id,
-            term=record.term,
+            term=final.term,
             token=lock.token,
             fenced=last_entry,
             took_ms=round((boottime_s() - started) * 1000),
@@ -550,15 +557,17 @@
             chosen.record_failure()
         return outcome
 
-    async def _wait_until_promoted(self, chosen: Instance) -> bool:
-        """Wait until the instance reports the role of primary; return False if it does not."""
+    async def _wait_until_promoted(self, chosen: Instance) -> int | None:
+        """Wait until the instance is primary; return its term, 0 if not known, None if it isn't."""
         with trio.move_on_after(PROMOTION_TIMEOUT_S):
-            while chosen.registration.role is not InstanceRole.PRIMARY:
+            while True:
                 report = await self._request_report(chosen)
                 if report is not None and report.role is InstanceRole.PRIMARY:
-                    return True
+                    return report.term
+                if chosen.registration.role is InstanceRole.PRIMARY:
+                    break
                 await trio.sleep(RETRY_DELAY_S / 2)
-        return chosen.registration.role is InstanceRole.PRIMARY
+        return 0 if chosen.registration.role is InstanceRole.PRIMARY else None
 
 
 def build_heartbeat(
--- a/tests/test_primary_use.py
+++ b/tests/test_primary_use.py
@@ -9,9 +9,11 @@
 from front_fakes import GROUP, FakeInstance, registration
 from support import TestCase, trio_test
 from tanagerfront.confirmed_state import CONFIRMATION_MARGIN_S, ConfirmedState, StalenessLimits
+from tanagerfront.entry_id import EntryId
 from tanagerfront.instance_directory import Group, InstanceDirectory, PrimaryRecord
 from tanagerfront.primary_use import PrimaryObstacle, expected_wait_s, primary_obstacle
 from tanagerfront.session_model import RouteKind
+from tanagerfront.store_era import global_revision
 from test_caller_session import start_vm
 
 LIMITS = StalenessLimits(keys_s=4.5, primary_s=3.0, lease_s=4.0, leaving_s=5.5)
@@ -47,6 +49,31 @@
             other = directory.group("other")
             self.assertIs(PrimaryObstacle.UNKNOWN, primary_obstacle(other, confirmed, 100.0))
 
+    @trio_test(mock_clock=True)
+    async def test_a_primary_that_another_has_followed_is_not_used(self) -> None:
+        # Guards against reads from an earlier primary that a restored store names.
+        directory, group = await group_with_primary()
+        await directory.apply(registration("r"))
+        directory.set_primary_record(PrimaryRecord(GROUP, "p", 2, False, 5))
+        confirmed = ConfirmedState(LIMITS)
+        group.instances["r"].reached = EntryId(3, 1)
+        self.assertIs(PrimaryObstacle.SUPERSEDED, primary_obstacle(group, confirmed, 100.0))
+
+    @trio_test(mock_clock=True)
+    async def test_a_record_beyond_the_restored_store_is_kept(self) -> None:
+        # Guards against a primary that becomes the former one again, with the store's old record.
+        directory, group = await group_with_primary()
+        lost = PrimaryRecord(GROUP, "r", 2, False, 30)
+        directory.set_primary_record(lost)
+        restored = global_revision(2, 10)
+        self.assertFalse(directory.set_primary_record(PrimaryRecord(GROUP, "p", 2, True, restored)))
+        self.assertEqual(lost._replace(revision=restored), group.primary_record)
+        self.assertEqual([GROUP], list(directory.unrecorded))
+        directory.keep_lost_records([])
+        self.assertEqual(lost._replace(revision=0), group.primary_record)
+        directory.set_primary_record(lost._replace(revision=restored + 1))
+        self.assertEqual({}, directory.unrecorded)
+
     @trio_test(mock_clock=True)
     async def test_expected_wait_over_a_failover(self) -> None:
         # Guards against refusals in a prompt failover, and against waiting in one that can't end.
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -33,7 +33,9 @@
     InstanceReport,
     PromotionOutcome,
     ReachabilityVotes,
+    RecordPropagation,
     decide_failover,
+    is_old_primary_unused,
     is_postponed,
     most_advanced,
 )
@@ -99,6 +101,16 @@
         test_group.primary_record = PrimaryRecord(GROUP, "p", 2, True, 5)
         self.assertEqual(FailoverReason.UNFINISHED, self._decide(test_group))
 
+    def test_a_primary_that_another_has_followed_is_replaced_in_the_record(self) -> None:
+        # Guards against a group that takes no writes to the end, because a restored store names an
+        # earlier primary and no VM that knew the newer one lives.
+        test_group = group()
+        test_group.primary_record = PrimaryRecord(GROUP, "p", 2, False, 5)
+        test_group.instances["p"].reached = EntryId(2, 9)
+        self.assertIsNone(self._decide(test_group))
+        test_group.instances["r0"].reached = EntryId(3, 1)
+        self.assertEqual(FailoverReason.SUPERSEDED, self._decide(test_group))
+
     @given(st.dictionaries(st.text(min_size=1), st.tuples(st.integers(0, 9), st.integers(0, 99))))
     def test_most_advanced_replica_has_every_entry_of_the_others(
         self, logs: dict[str, tuple[int, int]]
@@ -115,6 +127,14 @@
         self.assertEqual(best is None, not logs)
 
 
+class RestoredStoreTest(TestCase):
+    def test_nothing_is_ordered_while_vms_that_the_store_forgot_may_use_the_primary(self) -> None:
+        # Guards against a promotion that a VM without a registration has not heard of.
+        propagation = RecordPropagation(5, 5, [], {}, unknown_vms_for_s=0.1)
+        self.assertFalse(is_old_primary_unused(propagation))
+        self.assertTrue(is_old_primary_unused(propagation._replace(unknown_vms_for_s=0.0)))
+
+
 class FakeInstanceControl:
     """Control connections to the instances; those in `unresponsive` do not answer."""
 
