Stay ready while the fleet settles after the store was restored

Cause: a VM that starts in the second in which nothing can be confirmed failed two readiness probes, and the platform sent it no callers for seconds more. It also renewed its first lease for nothing, because the era before the first reply was taken for an earlier one.

Change: a VM that expects a confirmation soon is ready and refuses keyed statements at once meanwhile. Tests for the fencing token, the registration, a VM that starts on the old copy, and calls that are answered in a later era.

--- a/src/tanagerfront/confirmed_state.py
+++ b/src/tanagerfront/confirmed_state.py
@@ -50,6 +50,7 @@
         self._registration_lost = False
         self._suspended_at = float("-inf")
         self._awaited_revision = 0
+        self._expected_until = float("-inf")
         self.stopping = False
         # Called when a primary may be used again; statements may be waiting for it.
         self.on_primaries_confirmed: Callable[[], None] = lambda: None
@@ -94,8 +95,14 @@
 
     @property
     def ready(self) -> bool:
-        """Return whether this VM accepts new callers."""
-        return not self.stopping and self._configuration is not None and self.keys_confirmed
+        """Return whether this VM accepts new callers.
+
+        The platform takes seconds to send callers again to a VM that was not ready, so that one
+        that expects a confirmation soon stays ready and refuses their statements meanwhile.
+        """
+        if self.stopping or self._configuration is None:
+            return False
+        return self.keys_confirmed or boottime_s() < self._expected_until
 
     def confirm(self, asked_at: float) -> None:
         """Record that the store confirmed at or after `asked_at` that nothing has changed."""
@@ -108,6 +115,10 @@
         self.first_confirmation.set()
         self._report_confirmed_primaries(before)
 
+    def expect_confirmation(self, until: float) -> None:
+        """Record that a confirmation is expected by then."""
+        self._expected_until = until
+
     def suspend_primaries(self, newer_revision: int) -> None:
         """Use no primary until the newer record is known or the store confirms all of them."""
         self._suspended_at = boottime_s()
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -31,7 +31,7 @@
 from .rate_shares import RateShares
 from .session_model import boottime_s
 from .session_peer_messages import Echo
-from .store_era import EraProgress, era_of, era_start
+from .store_era import SETTLING_S, EraProgress, era_of, era_start
 from .supervision import run_restarting
 
 __all__ = ["LEASE_TTL_S", "FleetSync", "SyncTiming"]
@@ -46,6 +46,8 @@
 RESTORATION_INTERVAL_S = 0.1
 # Coordinators write lost records at once; the other VMs only those that no coordinator knew.
 LOST_RECORD_DELAY_S = 0.4
+# A coordinator ends the settling; the others hear of it with their next heartbeat.
+EXPECTED_SETTLING_S = SETTLING_S + 1.0
 # Consecutive checks, as long as each of them finds a newer state.
 MAX_CONSECUTIVE_CHECKS = 3
 
@@ -119,6 +121,8 @@
         self._shares_outdated = False
         self._instance_unregistered_since: dict[str, float] = {}
         self._vm_unregistered_since: dict[str, float] = {}
+        # Registrations in a restored store that are older than what this VM knows.
+        self._outdated: dict[str, tuple[InstanceRegistration, float]] = {}
         self._lease: int | None = None
         self._promoter_lock: PromoterLock | None = None
         self._check_requested = trio.Event()
@@ -472,7 +476,9 @@
         self._directory.keep_lost_records(state.groups)
         self._loaded = True
         self._record_applied(state.revision)
-        if state.readable and self._era.settled:
+        if not self._era.settled:
+            self._confirmed_state.expect_confirmation(requested_at + EXPECTED_SETTLING_S)
+        elif state.readable:
             self._confirm(requested_at)
 
     async def _run_checks(self) -> None:
--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -172,7 +172,7 @@
 
     async def register(self, vm: RegisteredVm, ttl_s: float) -> int:
         """Register a VM under a new lease and return the lease."""
-        era = self.era
+        era = self._era.asked_in
         lease = await self._leases.grant(ttl_s)
         self._require_era(era)
         record = VmRecord(vm.name, str(vm.address), vm.failure_domain, vm.incarnation, vm.cores)
@@ -188,9 +188,9 @@
             await self._leases.swap({key: revision}, {key: value}, lease=lease)
         return lease
 
-    def _require_era(self, era: int) -> None:
+    def _require_era(self, era: int | None) -> None:
         """Raise StoreRestoredError if the era has ended, and with it the leases."""
-        if self.era != era:
+        if era is not None and self.era != era:
             raise StoreRestoredError(f"store is in era {self.era}; the lease is of era {era}")
 
     async def renew(self, lease: int) -> bool:
@@ -207,7 +207,7 @@
 
     async def acquire_promoter_lock(self, vm: RegisteredVm, lease: int) -> PromoterLock | None:
         """Acquire the promoter lock; return None if another VM holds it."""
-        era = self.era
+        era = self._era.asked_in
         current = await self._checks.get(PROMOTER_KEY)
         holder = decode_promoter(current.value) if current else None
         if holder is not None and current is not None:
--- a/src/tanagerfront_standin/_key_value_impl.py
+++ b/src/tanagerfront_standin/_key_value_impl.py
@@ -58,7 +58,7 @@
 class Lease:
     """A lease with its TTL in seconds and the keys attached to it."""
 
-    def __init__(self, ttl_s: int) -> None:
+    def __init__(self, ttl_s: float) -> None:
         self.ttl_s = ttl_s
         self.expires_at = 0.0
         self.keys: set[bytes] = set()
@@ -73,7 +73,7 @@
 
     entries: dict[bytes, Entry]
     # TTL in seconds and keys of each lease.
-    leases: dict[int, tuple[int, frozenset[bytes]]]
+    leases: dict[int, tuple[float, frozenset[bytes]]]
     next_lease: int
     history: tuple[Change, ...]
     revision: int
@@ -227,7 +227,7 @@
         self._history.clear()
         self._compact_revision = self._revision
 
-    def grant(self, ttl_s: int, lease: int = 0) -> int:
+    def grant(self, ttl_s: float, lease: int = 0) -> int:
         """Create a lease with a TTL in seconds and return its id."""
         lease_id = lease or self._next_lease
         if not lease:
@@ -235,7 +235,7 @@
         self._leases[lease_id] = Lease(ttl_s)
         return lease_id
 
-    def keep_alive(self, lease: int) -> int:
+    def keep_alive(self, lease: int) -> float:
         """Renew a lease and return its TTL in seconds, 0 if it doesn't exist."""
         found = self._leases.get(lease)
         if found is None:
--- a/src/tanagerfront_standin/platform_store.py
+++ b/src/tanagerfront_standin/platform_store.py
@@ -103,6 +103,10 @@
         deletion = {"key": _encode_base64(key.encode())}
         self._model.txn({"success": [{"request_delete_range": deletion}]})
 
+    def grant(self, ttl_s: float) -> int:
+        """Create a lease directly and return its id."""
+        return self._model.grant(ttl_s)
+
     def compact(self) -> None:
         """Drop the change history, so that watches from older revisions fail with 410."""
         self._model.compact()
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -11,7 +11,7 @@
 from support import TestCase, trio_test
 from tanagerfront.change_history import ChangeHistory
 from tanagerfront.confirmed_state import ConfirmedState, StalenessLimits
-from tanagerfront.errors import ConnectionLostError
+from tanagerfront.errors import ConnectionLostError, StoreRestoredError
 from tanagerfront.fleet_sync import FleetSync
 from tanagerfront.http_client import Address
 from tanagerfront.instance_directory import InstanceDirectory
@@ -101,6 +101,10 @@
         configuration = self.state.configuration
         return configuration.version if configuration else 0
 
+    @property
+    def settled_era(self) -> int | None:
+        return self.sync.era.era if self.sync.era.settled else None
+
     @property
     def primary(self) -> str | None:
         primary = self.directory.group(GROUP).primary
@@ -170,3 +174,79 @@
             reader = StoredVm("b", synced.address)
             await reader.sync.apply((await reader.store.load()).changes)
             self.assertEqual("r", reader.primary)
+
+    @trio_test
+    async def test_a_fencing_token_is_higher_than_those_before_the_restore(self) -> None:
+        # Guards against two promoters with the same token, as the lock's revisions are given out
+        # again.
+        async with stored_vm() as (fleet, synced):
+            copy = fleet.store.copy()
+            fleet.configure(2)
+            lease = synced.sync.lease
+            assert lease is not None
+            before = await synced.store.acquire_promoter_lock(vm("a"), lease)
+            await outage(fleet)
+            fleet.store.restore(copy)
+            fleet.store.faults = StoreFaults()
+            await eventually(lambda: synced.settled_era == 2 and synced.sync.lease is not None)
+            assert synced.sync.lease is not None
+            after = await synced.store.acquire_promoter_lock(vm("a"), synced.sync.lease)
+            assert before is not None and after is not None
+            self.assertGreater(after.token, before.token)
+
+    @trio_test
+    async def test_a_vm_whose_registration_was_lost_registers_again(self) -> None:
+        # Guards against a VM that renews the lease of another VM, whose number was given out again,
+        # and is counted by no promoter.
+        async with stored_vm() as (fleet, synced):
+            other = StoredVm("b", synced.address)
+            copy = fleet.store.copy()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(other.sync.run)
+                await eventually(lambda: other.sync.lease is not None)
+                await outage(fleet)
+                fleet.store.restore(copy)
+                # The lease that VM b had.
+                fleet.store.grant(30.0)
+                fleet.store.faults = StoreFaults()
+                await trio.sleep(RECOVERY_S)
+                self.assertIn("b", {registered.name for registered in synced.sync.vms_with_lease})
+                self.assertTrue(other.state.primaries_confirmed)
+                nursery.cancel_scope.cancel()
+
+    @trio_test
+    async def test_a_vm_that_starts_on_the_old_copy_accepts_no_key_before_it_has_settled(
+        self,
+    ) -> None:
+        # Guards against a withdrawn key that is in use again, and against a VM that the platform
+        # takes out of rotation for seconds although it serves within one.
+        async with stored_vm() as (fleet, synced):
+            copy = fleet.store.copy()
+            fleet.configure(2, ["other"])
+            await eventually(lambda: synced.version == 2)
+            await outage(fleet)
+            fleet.store.restore(copy)
+            fleet.store.faults = StoreFaults()
+            started = StoredVm("b", synced.address)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(started.sync.run)
+                await eventually(lambda: started.version == 1)
+                self.assertFalse(started.state.keys_confirmed)
+                self.assertTrue(started.state.ready)
+                fleet.configure(2, ["other"])
+                await eventually(lambda: started.state.keys_confirmed)
+                self.assertEqual(2, started.version)
+                nursery.cancel_scope.cancel()
+
+    @trio_test
+    async def test_a_call_answered_in_a_later_era_has_no_result(self) -> None:
+        # Guards against a check that finds the same revisions in a restored store by chance.
+        async with stored_vm() as (fleet, synced):
+            era = StoreEra()
+            client = StoreClient(synced.address, 0.3, era)
+            await client.range("")
+            fleet.store.restore(fleet.store.copy())
+            with self.assertRaises(StoreRestoredError):
+                await client.swap({"absent": 0})
+            self.assertEqual(2, era.number)
+            await client.swap({"absent": 0})
