Keep what instances reported after the copy that the store returns from

Cause: a store that returns from a copy holds the entry of an instance from before its report that it leaves, or from before its end, so that the instance got new work. Change: the entries that are read when an era begins are compared with what the VM knows, by the start of the instance and its own count of reports. An older one changes nothing unless it is still there when that of a silent instance would be gone.

The test of the restored registration failed before.

--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -29,7 +29,7 @@
 )
 from .instance_directory import InstanceDirectory
 from .rate_shares import RateShares
-from .session_model import boottime_s
+from .session_model import InstanceRegistration, boottime_s
 from .session_peer_messages import Echo
 from .store_era import SETTLING_S, EraProgress, era_of, era_start
 from .supervision import run_restarting
@@ -48,6 +48,8 @@
 LOST_RECORD_DELAY_S = 0.4
 # A coordinator ends the settling; the others hear of it with their next heartbeat.
 EXPECTED_SETTLING_S = SETTLING_S + 1.0
+# The entry of an instance that has left is removed from a restored store within this time.
+OUTDATED_REGISTRATION_S = 4.0
 # Consecutive checks, as long as each of them finds a newer state.
 MAX_CONSECUTIVE_CHECKS = 3
 
@@ -242,9 +244,11 @@
                     )
                     self._shares_outdated = True
             case InstanceChanged(registration):
+                self._outdated.pop(registration.id, None)
                 self._instance_unregistered_since.pop(registration.id, None)
                 await self._directory.apply(registration)
             case InstanceUnregistered(instance_id):
+                self._outdated.pop(instance_id, None)
                 self._instance_unregistered_since.setdefault(instance_id, boottime_s())
             case PrimaryRecordChanged(record):
                 if self._directory.set_primary_record(record):
@@ -470,7 +474,8 @@
         removals += [VmUnregistered(name) for name in self._vms.keys() - state.vms]
         if not state.has_promoter and self._promoter_lock is not None:
             removals.append(PromoterLockReleased())
-        await self.apply([*state.changes, *removals])
+        changes = [change for change in state.changes if not self._is_outdated(change)]
+        await self.apply([*changes, *removals])
         if self._store.era != self._era.era:
             return
         self._directory.keep_lost_records(state.groups)
@@ -481,6 +486,36 @@
         elif state.readable:
             self._confirm(requested_at)
 
+    def _is_outdated(self, change: Change) -> bool:
+        """Return whether a restored store holds an older registration than this VM knows.
+
+        It would return an instance that has left to use. The registration is applied if it is still
+        there when that of a silent instance would have been removed.
+        """
+        if not isinstance(change, InstanceChanged):
+            return False
+        registration = change.registration
+        instance = self._directory.find(registration.id)
+        if instance is None or era_of(instance.registration.revision) == self._era.era:
+            return False
+        known = instance.registration
+        unregistered = (
+            instance.unregistered_since is not None
+            or registration.id in self._instance_unregistered_since
+        )
+        if registration.age_order > known.age_order or (
+            registration.age_order == known.age_order and not unregistered
+        ):
+            return False
+        self._outdated.setdefault(registration.id, (registration, boottime_s()))
+        self._log.decision("outdated_registration", known=known, stored=registration)
+        return True
+
+    async def _apply_outdated(self, now: float) -> None:
+        for registration, since in tuple(self._outdated.values()):
+            if now - since >= OUTDATED_REGISTRATION_S:
+                await self.apply([InstanceChanged(registration)])
+
     async def _run_checks(self) -> None:
         await self._confirmed_state.first_configuration.wait()
         delay_s = self._timing.retry_delay_s
@@ -636,6 +671,7 @@
                 if now - since >= self._timing.instance_grace_s:
                     del self._instance_unregistered_since[instance_id]
                     await self._directory.mark_unregistered(instance_id)
+            await self._apply_outdated(now)
             await self._remove_unregistered_vms(now)
             await self._directory.remove_unregistered(INSTANCE_RETENTION_S)
             await self._directory.trim_pools()
--- a/src/tanagerfront/platform/documents.py
+++ b/src/tanagerfront/platform/documents.py
@@ -114,6 +114,7 @@
     db_role: str
     slots: int = 1
     born: int = 0
+    sequence: int = 0
 
 
 class VmRecord(msgspec.Struct):
@@ -212,6 +213,7 @@
             role=INSTANCE_ROLES[document.db_role],
             born_ms=document.born,
             revision=revision,
+            sequence=document.sequence,
         )
     except (msgspec.MsgspecError, KeyError, ValueError) as error:
         raise ConfigurationError(
--- a/src/tanagerfront/session_model.py
+++ b/src/tanagerfront/session_model.py
@@ -293,3 +293,10 @@
     role: InstanceRole
     born_ms: int
     revision: int
+    # Counts the instance's own reports since its start.
+    sequence: int = 0
+
+    @property
+    def age_order(self) -> tuple[int, int]:
+        """Return a value that grows with each report of the instance, if its clock does."""
+        return self.born_ms, self.sequence
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -214,6 +214,23 @@
                 self.assertTrue(other.state.primaries_confirmed)
                 nursery.cancel_scope.cancel()
 
+    @trio_test
+    async def test_an_instance_that_had_left_is_not_used_again(self) -> None:
+        # Guards against new work on an instance whose report that it leaves the store has lost.
+        async with stored_vm() as (fleet, synced):
+            copy = fleet.store.copy()
+            fleet.register_instance("r", "replica", state="draining", sequence=5)
+            replica = synced.directory.group(GROUP).instances["r"]
+            await eventually(lambda: replica.leaving)
+            since = replica.leaving_since
+            await outage(fleet)
+            fleet.store.restore(copy)
+            fleet.store.faults = StoreFaults()
+            await eventually(lambda: synced.settled_era == 2)
+            self.assertEqual(since, replica.leaving_since)
+            fleet.register_instance("r", "replica", sequence=6)
+            await eventually(lambda: not replica.leaving)
+
     @trio_test
     async def test_a_vm_that_starts_on_the_old_copy_accepts_no_key_before_it_has_settled(
         self,
