--- a/src/tanagerfront_lab/cli.py
+++ b/src/tanagerfront_lab/cli.py
@@ -219,18 +219,25 @@
 
 @app.command
 def soak(
-    *, seed: int = 1, runs: int = 1, seconds: float = 20.0, vms: int = 4, keep: Path | None = None
+    *,
+    seed: int = 1,
+    runs: int = 1,
+    seconds: float = 20.0,
+    vms: int = 4,
+    restores: int = 0,
+    keep: Path | None = None,
 ) -> None:
     """Run the session interface under faults and check its promises.
 
     Parameters
     ----------
     seed: First seed; further runs use the next ones.
+    restores: How often the store returns from an older copy, beside random faults.
     keep: Directory for settings and logs of the VMs.
     """
     failed = 0
     for number in range(seed, seed + runs):
-        options = SoakOptions(number, seconds, vms)
+        options = SoakOptions(number, seconds, vms, restores=restores)
         result = run_soak(options, keep / str(number) if keep else None)
         print(
             f"seed {result.seed}: {result.served} served, {result.refused} refused, "
--- a/src/tanagerfront_lab/soak.py
+++ b/src/tanagerfront_lab/soak.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -21,7 +22,7 @@
 from tanagerfront_standin.line_group import Commit, LineGroup, LineInstance
 from tanagerfront_standin.link import Direction, TcpLink
 from tanagerfront_standin.loopback import ReservedHost
-from tanagerfront_standin.platform_store import PlatformStore, StoreFaults
+from tanagerfront_standin.platform_store import ModelCopy, PlatformStore, StoreFaults
 
 from .soak_history import Attempt, SoakHistory
 
@@ -37,16 +38,23 @@
 HEARTBEAT_INTERVAL_S = 0.4
 # Time after the last fault within which callers must be served again.
 RECOVERY_LIMIT_S = 12.0
+# The oldest copy from which the store is restored is 8 s old.
+COPY_INTERVAL_S = 0.5
+MAX_COPIES = 16
 ORGANISATION = {"name": "foremen", "priority": 1, "rate_per_s": 4000, "burst": 4000}
 
 
 class SoakOptions(NamedTuple):
-    """Parameters of a soak run; `seconds` is the time during which faults are injected."""
+    """Parameters of a soak run; `seconds` is the time during which faults are injected.
+
+    The store is restored from a copy `restores` times, beside the random faults.
+    """
 
     seed: int
     seconds: float = 20.0
     vms: int = 4
     clients: int = 10
+    restores: int = 0
 
 
 class SoakResult(NamedTuple):
@@ -121,6 +129,9 @@
         self.history = SoakHistory()
         self.faults: list[str] = []
         self.version = 0
+        self.registered: dict[str, Any] = {}
+        # Copies of the store, the newest last, one for each COPY_INTERVAL_S.
+        self.copies: deque[ModelCopy] = deque(maxlen=MAX_COPIES)
         self.api_keys = ["key-a", "key-b"]
 
     async def _promote(self, group: str, name: str, holder: str, token: int) -> bool:
@@ -129,11 +140,16 @@
             for _, _, used_by, used_token in self.store.promotions
         ):
             self.history.record_violation(f"fencing token {token} was used by two holders")
+        if any(token < used_token for _, _, _, used_token in self.store.promotions):
+            self.history.record_violation(f"fencing token {token} is lower than an earlier one")
         return await self.group.promote(name)
 
     def configure(self) -> None:
         """Store a new version of the operator's configuration."""
         self.version += 1
+        self._put_configuration()
+
+    def _put_configuration(self) -> None:
         routes = [
             {
                 "name": f"r-{consistency}",
@@ -159,7 +175,6 @@
 
     async def run_registration(self) -> None:
         """Update the registrations of the instances in the store whenever their state changes."""
-        registered: dict[str, Any] = {}
         while True:
             for number, instance in enumerate(self.group.instances):
                 entry = {
@@ -175,8 +190,8 @@
                     entry if instance.running and instance.name not in self.unregistered else None
                 )
                 store_unavailable = self.store.faults.unavailable or self.store.faults.unresponsive
-                if registration != registered.get(instance.name) and not store_unavailable:
-                    registered[instance.name] = registration
+                if registration != self.registered.get(instance.name) and not store_unavailable:
+                    self.registered[instance.name] = registration
                     key = f"servers/{instance.name}"
                     if registration:
                         self.store.put(key, registration)
@@ -184,6 +199,12 @@
                         self.store.delete(key)
             await trio.sleep(HEARTBEAT_INTERVAL_S / 4)
 
+    async def run_copies(self) -> None:
+        """Copy the store periodically."""
+        while True:
+            self.copies.append(self.store.copy())
+            await trio.sleep(COPY_INTERVAL_S)
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the group, the store and the VMs; wait until every VM accepts sessions."""
         await nursery.start(self.group.run)
@@ -193,6 +214,7 @@
             self.addresses[instance.name] = await nursery.start(link.run)
         self.configure()
         nursery.start_soon(self.run_registration)
+        nursery.start_soon(self.run_copies)
         for vm in self.vms:
             link = self.store_links[vm.name] = TcpLink(store)
             vm.write_settings(await nursery.start(link.run))
@@ -223,6 +245,7 @@
             self._cut_store,
             self._silence,
             self._store_fault,
+            self._restore_store,
             self._crash_instance,
             self._crash_primary,
             self._cut_instance,
@@ -285,6 +308,22 @@
         if self.rng.random() < 0.3:
             self.store.compact()
 
+    async def run_restores(self) -> None:
+        """Restore the store at regular intervals."""
+        for _ in range(self.options.restores):
+            await trio.sleep(self.options.seconds / (self.options.restores + 1))
+            await self._restore_store(self.rng.uniform(0.3, 3.0))
+
+    async def _restore_store(self, seconds: float) -> None:
+        """Lose what was written since a copy; the operator and the instances write theirs again."""
+        self.store.faults = StoreFaults(unavailable=True)
+        await trio.sleep(seconds / 2)
+        self.store.restore(self.rng.choice(self.copies))
+        self._put_configuration()
+        # Differs from every registration, so that each is written, or deleted, again.
+        self.registered = {instance.name: "restored" for instance in self.group.instances}
+        self.store.faults = StoreFaults()
+
     async def _crash(self, instance: LineInstance, seconds: float) -> None:
         if not all(instance.running for instance in self.group.instances):
             return
@@ -450,6 +489,7 @@
             async with trio.open_nursery() as clients:
                 for number in range(options.clients):
                     clients.start_soon(soak.run_client, number, faults_end + RECOVERY_LIMIT_S + 4)
+                clients.start_soon(soak.run_restores)
                 await soak.run_faults(faults_end)
                 await trio.sleep(RECOVERY_LIMIT_S)
                 before = history.outcome_counts()
--- a/src/tanagerfront_standin/platform_store.py
+++ b/src/tanagerfront_standin/platform_store.py
@@ -14,7 +14,7 @@
 
 from ._key_value_impl import Change, Entry, KeyValueModel, LeaseNotFoundError, ModelCopy
 
-__all__ = ["PlatformStore", "PromoteCallback", "StoreFaults"]
+__all__ = ["ModelCopy", "PlatformStore", "PromoteCallback", "StoreFaults"]
 
 LEASE_CHECK_S = 0.05
 MAX_WATCH_MS = 30_000
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,12 @@
         self.assertEqual((), result.violations)
         self.assertGreater(result.served, 100)
 
+    def test_short_run_with_a_restored_store_violates_no_guarantee(self) -> None:
+        # Guards against a fleet that does not recover when the store loses seconds of its state.
+        result = run_soak(SoakOptions(seed=8, seconds=8.0, vms=3, clients=6, restores=2))
+        self.assertEqual((), result.violations)
+        self.assertGreater(result.served, 100)
+
     def test_seeds_that_failed_before_pass(self) -> None:
         for seed in REGRESSIONS:
             self.assertEqual((), run_soak(SoakOptions(seed)).violations, f"seed {seed}")
