Number the revisions of the HTTP interface's service across restores

Found by asking what rests on a service that only goes forward: role locks, group records and the document are replaced only by entries of a higher revision or version, and a watch from a lost revision waits for it silently. After a restore a lock of a VM that has ended would be taken for held, a lease with a number given out again be renewed for another VM, and an edit get the version of a lost one, which the VMs that know the lost one never adopt.

The client recognises a restored service by its cluster id, or by a linearizable reply below a revision known before, and numbers revisions across restores; swaps, leases and watches of before fail. A group's record is read with the service's revision, so that one that is missing can be watched. A VM with a newer document than the service writes it again, also before an edit.

--- a/src/tanagerfront/_config_service.py
+++ b/src/tanagerfront/_config_service.py
@@ -13,7 +13,7 @@
     decode_manifest,
 )
 from .errors import KeyValueError
-from .kv import KeyValueStore
+from .kv import KeyValue, KeyValueStore
 
 __all__ = ["MANIFEST_KEY", "ConfigRecords", "StoredManifest"]
 
@@ -32,6 +32,13 @@
     revision: int
 
 
+def stored_manifest(stored: KeyValue | None) -> StoredManifest:
+    """Return the manifest under its key, or the empty one at revision 0."""
+    if stored is None:
+        return StoredManifest(EMPTY_MANIFEST, ABSENT_REVISION)
+    return StoredManifest(decode_manifest(stored.value), stored.revision)
+
+
 class ConfigRecords:
     """Read and write the document's keys; methods raise KeyValueError."""
 
@@ -45,10 +52,7 @@
 
     async def read_manifest(self) -> StoredManifest:
         """Return the stored manifest, or the empty one at revision 0."""
-        stored = await self._store.get(MANIFEST_KEY)
-        if stored is None:
-            return StoredManifest(EMPTY_MANIFEST, ABSENT_REVISION)
-        return StoredManifest(decode_manifest(stored.value), stored.revision)
+        return stored_manifest(await self._store.get(MANIFEST_KEY))
 
     async def swap_manifest(self, manifest: Manifest, revision: int) -> bool:
         """Replace the manifest if it is still at `revision`; return whether it was."""
--- a/src/tanagerfront/config_store.py
+++ b/src/tanagerfront/config_store.py
@@ -14,7 +14,7 @@
 import trio
 
 from ._config_apply import EditRequest, EditResult, apply_edit, check_base_version
-from ._config_service import MANIFEST_KEY, ConfigRecords
+from ._config_service import MANIFEST_KEY, ConfigRecords, StoredManifest, stored_manifest
 from ._document import Document, section_diff
 from ._manifest import Edit, Manifest, body_digest, decode_manifest
 from .configuration import Configuration
@@ -110,6 +110,9 @@
         """
         if not EDIT_ID_PATTERN.fullmatch(edit_id):
             raise BadRequestError(f"invalid edit id {edit_id!r}: must be {EDIT_ID_RULE}")
+        with suppress(KeyValueError):
+            # Without it the edit conflicts with its base version, or is retried below.
+            await self._write_lost_document(await self._records.read_manifest())
         request = EditRequest(team, text, base_version, edit_id, self._clock())
         result = await apply_edit(
             self._records, self._load_document, request, self._apply_timeout_s
@@ -151,8 +154,28 @@
         entries, revision = await self._store.range(MANIFEST_KEY)
         for value in entries:
             await self._adopt_manifest(decode_manifest(value.value))
+        stored = next((value for value in entries if value.key == MANIFEST_KEY), None)
+        await self._write_lost_document(stored_manifest(stored))
         return revision
 
+    async def _write_lost_document(self, stored: StoredManifest) -> None:
+        """Write the document in force again if a restored store has an older one.
+
+        Otherwise its version would be given to another document, which no VM would adopt.
+        """
+        document = self._document
+        if document.manifest.version <= stored.manifest.version:
+            return
+        for text in document.configuration.sections.values():
+            await self._records.write_body(text)
+        written = await self._records.swap_manifest(document.manifest, stored.revision)
+        _log.warning(
+            "configuration document written again after the store lost it",
+            version=document.manifest.version,
+            stored_version=stored.manifest.version,
+            written=written,
+        )
+
     async def _watch(self, start_revision: int) -> None:
         events = cast(
             AsyncGenerator[WatchEvent, None], self._store.watch(MANIFEST_KEY, start_revision)
--- a/src/tanagerfront/group_record.py
+++ b/src/tanagerfront/group_record.py
@@ -128,9 +128,13 @@
 
     async def refresh(self) -> None:
         """Read the record from the key-value service; raises KeyValueError."""
-        found = await _call_with_timeout(lambda: self._store.get(self._key), READ_TIMEOUT_S)
+        values, revision = await _call_with_timeout(
+            lambda: self._store.range(self._key), READ_TIMEOUT_S
+        )
+        found = next((value for value in values if value.key == self._key), None)
         if found is None:
-            self._update_cache(None, self._revision)
+            # The store may have been restored from a copy without the record.
+            self._update_cache(None, revision)
         else:
             self._update_cache(found.value, found.revision)
 
--- a/src/tanagerfront/kv_etcd.py
+++ b/src/tanagerfront/kv_etcd.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from ._kv_etcd_era import ClusterEra
 from .errors import (
     ConnectionLostError,
     KeyValueError,
@@ -38,7 +39,10 @@
 
 
 class EtcdStore:
-    """KeyValueStore with a small connection pool to one of the service's addresses at a time."""
+    """KeyValueStore with a small connection pool to one of the service's addresses at a time.
+
+    Revisions are numbered across restores of the service, after which leases count as ended.
+    """
 
     def __init__(
         self,
@@ -54,6 +58,9 @@
         self._connection_permits = trio.Semaphore(max_connections)
         self._idle_connections: list[_IdleConnection] = []
         self._last_answer_at = float("-inf")
+        self._era = ClusterEra()
+        # The era in which each lease was granted; a restored service grants their ids again.
+        self._lease_eras: dict[int, int] = {}
 
     @property
     def _address(self) -> Address:
@@ -70,15 +77,18 @@
     async def get(self, key: str) -> KeyValue | None:
         """Return the current value, None if the key does not exist."""
         reply = await self._read("/v3/kv/range", {"key": _encode(key)})
-        return next(_key_values(reply), None)
+        return next(self._key_values(reply), None)
 
     async def range(self, prefix: str) -> tuple[tuple[KeyValue, ...], int]:
         """Return all values under a prefix and the store revision."""
         reply = await self._read("/v3/kv/range", _prefix_range(prefix))
-        return tuple(_key_values(reply)), int(reply["header"]["revision"])
+        revision = self._era.numbered(int(reply["header"]["revision"]))
+        return tuple(self._key_values(reply)), revision
 
     async def put_if(self, key: str, value: bytes, revision: int, *, lease: int = 0) -> bool:
         """Write if the key is at `revision`, 0 for an absent key; return whether it was."""
+        if lease and not self._is_lease_current(lease):
+            raise KeyValueError(LEASE_NOT_FOUND)
         put = {"key": _encode(key), "value": _encode(value), "lease": str(lease)}
         return await self._swap(key, revision, {"request_put": put})
 
@@ -89,17 +99,27 @@
     async def grant(self, ttl_s: int) -> int:
         """Create a lease of `ttl_s` seconds and return its id."""
         reply = await self._write("/v3/lease/grant", {"TTL": str(ttl_s), "ID": "0"})
-        return int(reply["ID"])
+        lease = int(reply["ID"])
+        self._lease_eras[lease] = self._era.known.era
+        return lease
+
+    def _is_lease_current(self, lease: int) -> bool:
+        return self._lease_eras.get(lease, self._era.known.era) == self._era.known.era
 
     async def keep_alive(self, lease: int) -> float:
         """Renew a lease and return its TTL in seconds, 0 if it has expired."""
         reply = await self._write("/v3/lease/keepalive", {"ID": str(lease)})
+        if not self._is_lease_current(lease):
+            return 0.0
         return float(reply["result"].get("TTL", 0))
 
     async def revoke(self, lease: int) -> None:
         """Revoke a lease, which deletes its keys."""
+        if not self._is_lease_current(lease):
+            return
         try:
             await self._write("/v3/lease/revoke", {"ID": str(lease)})
+            self._lease_eras.pop(lease, None)
         except KeyValueError as error:
             # An expired lease needs no revocation.
             if error.message != LEASE_NOT_FOUND:
@@ -107,9 +127,13 @@
 
     async def watch(self, prefix: str, start_revision: int) -> AsyncIterator[WatchEvent]:
         """Yield changes under a prefix from a revision; raises KeyValueError on end or silence."""
+        asked = self._era.known
+        stored_start = self._era.stored(start_revision)
+        if stored_start is None:
+            raise KeyValueError("watch ended: the service was restored")
         request = {
             **_prefix_range(prefix),
-            "start_revision": str(start_revision),
+            "start_revision": str(stored_start),
             "progress_notify": True,
         }
         body = json.dumps({"create_request": request}).encode()
@@ -120,8 +144,12 @@
             )
             async with aclosing(chunks), aclosing(_split_lines(chunks)) as lines:  # type: ignore[type-var]
                 async for line in lines:
-                    for event in _watch_events(line):
-                        yield event
+                    result = _watch_result(line)
+                    header = result.get("header", {})
+                    if self._era.record(header, asked, linearizable=False):
+                        raise KeyValueError("watch ended: the service was restored")
+                    for event in _watch_events(result):
+                        yield event._replace(revision=self._era.numbered(event.revision))
         except ConnectionLostError as error:
             raise KeyValueUnavailableError(f"watch of {prefix} failed: {error}") from error
         raise KeyValueUnavailableError(f"watch of {prefix} was closed by the service")
@@ -133,24 +161,45 @@
             await entry.connection.close()
 
     async def _swap(self, key: str, revision: int, operation: dict[str, Any]) -> bool:
+        stored = self._era.stored(revision)
+        if stored is None:
+            return False
         compare = {
             "key": _encode(key),
             "target": "MOD",
             "result": "EQUAL",
-            "mod_revision": str(revision),
+            "mod_revision": str(stored),
         }
         reply = await self._write("/v3/kv/txn", {"compare": [compare], "success": [operation]})
         return bool(reply.get("succeeded", False))
 
+    def _key_values(self, reply: dict[str, Any]) -> Iterator[KeyValue]:
+        for entry in reply.get("kvs", ()):
+            yield KeyValue(
+                base64.b64decode(entry["key"]).decode(),
+                base64.b64decode(entry.get("value", "")),
+                self._era.numbered(int(entry["mod_revision"])),
+                int(entry.get("lease", 0)),
+            )
+
     async def _read(self, path: str, message: dict[str, Any]) -> dict[str, Any]:
+        asked = self._era.known
         try:
-            return await self._call(path, message)
+            reply = await self._call(path, message)
         except KeyValueTimeoutError as error:
             # A read has no side effect, so a timeout leaves nothing uncertain.
             raise KeyValueUnavailableError(error.message) from error
+        self._era.record(reply["header"], asked, linearizable=True)
+        return reply
 
     async def _write(self, path: str, message: dict[str, Any]) -> dict[str, Any]:
-        return await self._call(path, message)
+        asked = self._era.known
+        reply = await self._call(path, message)
+        header = reply.get("header") or reply.get("result", {}).get("header", {})
+        # Only transactions are answered with the revision that they were executed at.
+        if self._era.record(header, asked, linearizable=path == "/v3/kv/txn"):
+            raise KeyValueTimeoutError("the service was restored during the call")
+        return reply
 
     async def _call(self, path: str, message: dict[str, Any]) -> dict[str, Any]:
         deadline = trio.current_time() + self._timeout_s
@@ -206,16 +255,6 @@
     return {"key": _encode(raw), "range_end": _encode(raw[:-1] + bytes([raw[-1] + 1]))}
 
 
-def _key_values(reply: dict[str, Any]) -> Iterator[KeyValue]:
-    for entry in reply.get("kvs", ()):
-        yield KeyValue(
-            base64.b64decode(entry["key"]).decode(),
-            base64.b64decode(entry.get("value", "")),
-            int(entry["mod_revision"]),
-            int(entry.get("lease", 0)),
-        )
-
-
 def _parse_reply(reply: HttpReply) -> dict[str, Any]:
     message: dict[str, Any] = {}
     with suppress(ValueError):
@@ -243,12 +282,12 @@
         yield partial_line
 
 
-def _watch_events(line: bytes) -> Iterator[WatchEvent]:
+def _watch_result(line: bytes) -> dict[str, Any]:
     try:
         message = json.loads(line)
     except ValueError as error:
         raise KeyValueUnavailableError("malformed line in a watch stream") from error
-    result = message.get("result")
+    result: dict[str, Any] | None = message.get("result")
     if result is None:
         raise KeyValueUnavailableError(f"watch rejected: {message.get('error', message)}")
     if result.get("canceled"):
@@ -256,6 +295,10 @@
         canceled = result.get("cancel_reason", "canceled")
         reason = f"history up to {compacted} was dropped" if compacted else canceled
         raise KeyValueError(f"watch ended: {reason}")
+    return result
+
+
+def _watch_events(result: dict[str, Any]) -> Iterator[WatchEvent]:
     for event in result.get("events", ()):
         entry = event["kv"]
         deleted = event.get("type") == "DELETE"
--- a/src/tanagerfront_standin/key_value.py
+++ b/src/tanagerfront_standin/key_value.py
@@ -18,7 +18,13 @@
 )
 
 from ._faults import CallCounter, Faults, NoLeaderError, RateLimiter
-from ._key_value_impl import HISTORY_CHANGES, KeyValueModel, LeaseNotFoundError, decode_key
+from ._key_value_impl import (
+    HISTORY_CHANGES,
+    KeyValueModel,
+    LeaseNotFoundError,
+    ModelCopy,
+    decode_key,
+)
 
 __all__ = ["KeyValueOptions", "KeyValueService"]
 
@@ -46,6 +52,7 @@
     def __init__(self, options: KeyValueOptions | None = None) -> None:
         self._options = options or KeyValueOptions()
         self._model = KeyValueModel(self._options.history_changes)
+        self._cluster_id = 1
         self._faults = Faults()
         self._calls = CallCounter()
         self._write_rate = RateLimiter(self._options.writes_per_s)
@@ -61,6 +68,15 @@
         """Return the call counts."""
         return self._calls
 
+    def copy(self) -> ModelCopy:
+        """Return a copy of the current state, for `restore`."""
+        return self._model.copy()
+
+    def restore(self, copy: ModelCopy, *, new_cluster: bool = True) -> None:
+        """Return to an earlier state, as a restored snapshot does in a new cluster."""
+        self._model.restore(copy)
+        self._cluster_id += new_cluster
+
     def set_faults(self, values: dict[str, Any]) -> None:
         """Set faults; the end of an outage extends all leases.
 
@@ -126,7 +142,11 @@
         return response
 
     def _header(self) -> dict[str, str]:
-        return {"cluster_id": "1", "member_id": "1", "revision": str(self._model.revision)}
+        return {
+            "cluster_id": str(self._cluster_id),
+            "member_id": "1",
+            "revision": str(self._model.revision),
+        }
 
     def _range(self, message: dict[str, Any]) -> Response:
         entries = [entry.to_json() for entry in self._model.range(message)]
--- a/tests/fake_databases.py
+++ b/tests/fake_databases.py
@@ -270,7 +270,9 @@
                 yield WatchEvent(found.key, found.value, found.revision)
 
     async def range(self, prefix: str) -> tuple[tuple[KeyValue, ...], int]:
-        raise NotImplementedError
+        await self._cross_network()
+        found = tuple(value for key, value in self._data.items() if key.startswith(prefix))
+        return found, max((value.revision for value in found), default=0)
 
     async def delete_if(self, key: str, revision: int) -> bool:
         raise NotImplementedError
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -448,3 +448,42 @@
                 with trio.fail_after(3):
                     await wait_version(reader, version)
             nursery.cancel_scope.cancel()
+
+
+class RestoredServiceTest(TestCase):
+    options: KeyValueOptions | None = None
+
+    @key_value_test
+    async def test_a_lost_document_is_written_again_and_its_version_not_given_out_again(
+        self, service: KeyValueService, address: Address
+    ) -> None:
+        # Guards against a VM that keeps an edit which the service lost, while other VMs adopt
+        # another document of the same version.
+        editor, other = ConfigStore(EtcdStore(address)), ConfigStore(EtcdStore(address))
+        await apply_next_edit(editor)
+        copy = service.copy()
+        await apply_next_edit(editor)
+        lost = editor.current
+        service.restore(copy)
+        await other.read()
+        self.assertEqual(lost.version - 1, other.current.version)
+        await editor.apply("frost", section("frost"), 0, "edit-frost")
+        self.assertEqual(lost.version + 1, (await other.read()).version)
+        self.assertEqual(lost.sections["kumasi"], other.current.sections["kumasi"])
+
+    @key_value_test
+    async def test_a_vm_that_watches_writes_a_lost_document_again(
+        self, service: KeyValueService, address: Address
+    ) -> None:
+        editor, other = ConfigStore(EtcdStore(address)), ConfigStore(EtcdStore(address))
+        await apply_next_edit(editor)
+        copy = service.copy()
+        await apply_next_edit(editor)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(editor.run)
+            await trio.sleep(0.2)
+            service.restore(copy)
+            with trio.fail_after(5):
+                while (await other.read()).version < editor.current.version:  # noqa: ASYNC110
+                    await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
--- a/tests/test_key_value.py
+++ b/tests/test_key_value.py
@@ -279,3 +279,83 @@
             await store.get("a")
         self.assertIsNone(await store.get("a"))
         await store.close()
+
+
+class RestoredServiceTest(KeyValueTest):
+    # Guards against a VM that never learns of a lock, record or configuration again, because the
+    # restored service gives out revisions below those that the VM knows.
+
+    async def _write_and_restore(
+        self, service: KeyValueService, store: EtcdStore, *, new_cluster: bool
+    ) -> int:
+        """Write two values, lose both, and return the revision of the second."""
+        await store.put_if("w/kept", b"1", 0)
+        copy = service.copy()
+        await store.put_if("w/lost", b"1", 0)
+        lost = await store.get("w/lost")
+        assert lost is not None
+        service.restore(copy, new_cluster=new_cluster)
+        return lost.revision
+
+    @key_value_test
+    async def test_revisions_grow_across_a_restore(
+        self, service: KeyValueService, address: Address
+    ) -> None:
+        for new_cluster in (True, False):
+            store = EtcdStore(address)
+            lost = await self._write_and_restore(service, store, new_cluster=new_cluster)
+            values, revision = await store.range("w/")
+            self.assertEqual(["w/kept"], [value.key for value in values])
+            self.assertGreater(revision, lost)
+            self.assertGreater(values[0].revision, lost)
+            await store.delete_if("w/kept", values[0].revision)
+
+    @key_value_test
+    async def test_a_swap_at_a_revision_given_out_again_fails(
+        self, service: KeyValueService, address: Address
+    ) -> None:
+        store = EtcdStore(address)
+        lost = await self._write_and_restore(service, store, new_cluster=True)
+        await EtcdStore(address).put_if("w/lost", b"another", 0)
+        await store.get("w/lost")
+        self.assertFalse(await store.put_if("w/lost", b"2", lost))
+
+    @key_value_test
+    async def test_a_watch_over_a_restore_ends(
+        self, service: KeyValueService, address: Address
+    ) -> None:
+        store = EtcdStore(address)
+        await store.put_if("w/kept", b"1", 0)
+        copy = service.copy()
+        _, revision = await store.range("w/")
+
+        async def restore() -> None:
+            await trio.sleep(0.2)
+            service.restore(copy)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(restore)
+            with trio.fail_after(3), self.assertRaisesRegex(KeyValueError, "restored"):
+                await self._read_event(store, revision + 1)
+        with self.assertRaisesRegex(KeyValueError, "restored"):
+            await self._read_event(store, revision + 1)
+
+    async def _read_event(self, store: EtcdStore, revision: int) -> WatchEvent:
+        async with watch(store, "w/", revision) as events:
+            return cast(WatchEvent, await anext(events))
+
+    @key_value_test
+    async def test_a_lease_given_out_again_is_not_renewed(
+        self, service: KeyValueService, address: Address
+    ) -> None:
+        # Guards against two VMs that renew the same lease, of which one holds no locks.
+        store, other = EtcdStore(address), EtcdStore(address)
+        copy = service.copy()
+        lease = await store.grant(10)
+        service.restore(copy)
+        await other.get("any")
+        self.assertEqual(lease, await other.grant(10))
+        await store.get("any")
+        self.assertEqual(0.0, await store.keep_alive(lease))
+        with self.assertRaises(KeyValueError):
+            await store.put_if("w/lock", b"", 0, lease=lease)
