Ask the store for the failover's lock and record right before the order

Found with the state of a promoter in mind that is cut off while the store is restored: it ordered a promotion by a confirmation of up to 2 s before, while the other VMs rely on the restored store, without the promoter's record, after one second, and use the old primary.

The test failed before.

--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -227,6 +227,15 @@
             return None
         return PromoterLock(vm.name, vm.incarnation, token)
 
+    async def is_failover_current(self, lock: PromoterLock, record: PrimaryRecord) -> bool:
+        """Return whether the store still holds the lock and the record."""
+        expected = {PROMOTER_KEY: lock.token, PRIMARY_PREFIX + record.group: record.revision}
+        try:
+            await self._checks.swap(expected)
+        except SwapConflictError:
+            return False
+        return True
+
     async def settle_era(self, era: int) -> None:
         """Record that the fleet relies on the store in this era."""
         current = await self._checks.get(SETTLED_ERA_KEY)
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -350,9 +350,13 @@
             self._log.failure("no_candidate", group=group.name)
             await trio.sleep(RETRY_DELAY_S)
             return
-        if group.primary_record != record:
+        if not (
+            group.primary_record == record and await self._store.is_failover_current(lock, record)
+        ):
             # The store has been restored, and VMs may use the primary of an older record again.
             self._log.failure("primary_move_outdated", group=group.name, term=record.term)
+            self._sync.request_check()
+            await trio.sleep(RETRY_DELAY_S)
             return
         outcome = await self._order_promotion(group, chosen, lock.token)
         if outcome is not PromotionOutcome.ORDERED:
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -302,6 +302,10 @@
     def on_restored(self, callback: Callable[[int], None]) -> None:
         pass
 
+    async def is_failover_current(self, lock: PromoterLock, record: PrimaryRecord) -> bool:
+        self._call("is_failover_current")
+        return self.promoter_lock == lock and self.primary_records.get(record.group) == record
+
     async def settle_era(self, era: int) -> None:
         self._call("settle_era")
 
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -399,6 +399,20 @@
         await promoter.run_with(promoter.fail_primary, 8)
         self.assertEqual("r0", promoter.primary)
 
+    @trio_test(mock_clock=True)
+    async def test_nothing_is_ordered_while_the_store_cannot_confirm_the_failover(self) -> None:
+        # Guards against an order by a promoter that has not heard that the store was restored
+        # without its record, when other VMs already rely on the older one.
+        promoter = PromoterVm()
+        promoter.store.record(VmChanged(vm("b", "adum")))
+        promoter.peers.receive_heartbeat("b", seen=0, unreachable=["p"])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(promoter.run_with, promoter.fail_primary, 3)
+            await trio.sleep(1.5)
+            promoter.store.down = True
+            promoter.peers.receive_heartbeat("b", seen=99, unreachable=["p"])
+        self.assertEqual([], promoter.orders)
+
     @trio_test(mock_clock=True)
     async def test_promoter_waits_for_no_vm_whose_lease_ended(self) -> None:
         # Guards against a group that stays without a primary for 3 s because a VM was lost before:
