--- a/tests/test_agreement_model.py
+++ b/tests/test_agreement_model.py
@@ -27,6 +27,14 @@
 from tanagerfront.front import LEASE_MARGIN_S
 from tanagerfront.session_failover import RecordPropagation, is_old_primary_unused
 from tanagerfront.session_peers import HEARTBEAT_INTERVAL_S, SILENT_INTERVALS
+from tanagerfront.store_era import (
+    FIRST_ERA,
+    SETTLING_S,
+    era_of,
+    era_start,
+    global_revision,
+    stored_revision,
+)
 
 LIMITS = StalenessLimits(
     keys_s=4.5, primary_s=3.0, lease_s=LEASE_TTL_S - LEASE_MARGIN_S, leaving_s=5.5
@@ -224,6 +232,149 @@
         assert self.vm.used_primary in (None, self.primary)
 
 
+class StoreCopy(NamedTuple):
+    record: Record
+    revision: int
+    registered: bool
+
+
+class RestoredStoreModel(FailoverModel):
+    """The store may return from a copy, which each side notices with its next call.
+
+    The VM keeps a record beyond the store's; the promoter writes its record again, and lets the
+    fleet rely on the store when it has settled.
+    """
+
+    settles: ClassVar[bool] = True
+    waits_for_unknown_vms: ClassVar[bool] = True
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.copy: StoreCopy | None = None
+        self.era = FIRST_ERA
+        self.settled_era = FIRST_ERA
+        self.vm_era = FIRST_ERA
+        self.promoter_era = FIRST_ERA
+        self.promoter_noticed_at = float("-inf")
+        self.promoter_record = self.record
+        self.confirmed_era = FIRST_ERA
+
+    @rule()
+    def store_is_copied(self) -> None:
+        self.copy = StoreCopy(self.record, self.revision, self.lease_expires_at is not None)
+
+    @precondition(lambda self: self.copy is not None)
+    @rule(outage_s=st.sampled_from([0.1, 2.0]))
+    def store_is_restored(self, outage_s: float) -> None:
+        assert self.copy is not None
+        self.now += outage_s
+        copy, self.copy = self.copy, None
+        self.era += 1
+        self.revision = self._in_era(copy.revision)
+        self.record = copy.record._replace(revision=self._in_era(copy.record.revision))
+        self.lease_expires_at = self.now + LEASE_TTL_S if copy.registered else None
+        if not self.settles:
+            self.settled_era = self.era
+
+    def _in_era(self, revision: int) -> int:
+        return global_revision(self.era, stored_revision(revision))
+
+    @staticmethod
+    def _progress(record: Record) -> tuple[int, bool]:
+        return record.instance + record.moving, not record.moving
+
+    @rule(answered=st.booleans())
+    def vm_registers_or_renews(self, answered: bool) -> None:
+        self._notice_as_vm()
+        super().vm_registers_or_renews(answered)
+
+    @rule(answered=st.booleans())
+    def store_answers_read(self, answered: bool) -> None:
+        self._notice_as_vm()
+        super().store_answers_read(answered)
+
+    def _notice_as_vm(self) -> None:
+        if self.vm_era == self.era:
+            return
+        self.vm_era = self.era
+        vm = self.vm
+        vm.confirmed_state.require_registration()
+        # Replies of the era before have no result any more.
+        vm.lease_requested_at = vm.pending_read = None
+        self.lease_expires_at = None
+        self.revision += 1
+
+    @rule()
+    def deliver_answers(self) -> None:
+        vm = self.vm
+        if vm.pending_read is not None:
+            asked_at, record = vm.pending_read
+            if vm.record is not None and self._progress(vm.record) > self._progress(record):
+                record = vm.record._replace(revision=record.revision)
+                vm.pending_read = (asked_at, record)
+            if self.settled_era < era_of(record.revision):
+                vm.pending_read = None
+                vm.record = record
+        super().deliver_answers()
+
+    @rule(answered=st.booleans())
+    def answer_heartbeat(self, answered: bool) -> None:
+        seen = self.vm.record.revision if self.vm.record else 0
+        self.last_heartbeat = (self.now, max(seen, era_start(self.vm_era)))
+        lag_s = float("inf")
+        if self.confirmed_era == self.promoter_era == self.vm_era:
+            lag_s = self.now - self.confirmed_at
+        revision = self.promoter_record.revision
+        if self.vm.record is not None and era_of(revision) != era_of(self.vm.record.revision):
+            # The VM reads the store, which the rules above do.
+            return
+        self.vm.pending_echo = (self.now, lag_s, revision)
+        if answered:
+            self.deliver_answers()
+
+    @rule()
+    def promoter_syncs_with_store(self) -> None:
+        if self.promoter_era != self.era:
+            self.promoter_era, self.promoter_noticed_at = self.era, self.now
+        if self._progress(self.promoter_record) > self._progress(self.record):
+            self.revision += 1
+            self.record = self.promoter_record._replace(revision=self.revision)
+            if self.written_at is not None:
+                self.written_at = self.now
+        self.promoter_record = self.record
+        if self.now - self.promoter_noticed_at >= SETTLING_S:
+            self.settled_era = self.era
+        if self.settled_era == self.era:
+            self.confirmed_at, self.confirmed_era = self.now, self.era
+        self.deliver_watch_to_promoter()
+
+    @precondition(lambda self: self.written_at is None and self.promoter_era == self.era)
+    @rule()
+    def promoter_records_failover(self) -> None:
+        super().promoter_records_failover()
+        self.promoter_record = self.record
+
+    @precondition(lambda self: self.written_at is not None)
+    @rule()
+    def promoter_orders_promotion(self) -> None:
+        if self.promoter_era != self.era:
+            return
+        if self.waits_for_unknown_vms and self._unknown_vms_for_s > 0.0:
+            return
+        before = self.primary
+        super().promoter_orders_promotion()
+        if self.primary != before:
+            self.promoter_record = self.record
+
+    @property
+    def _unknown_vms_for_s(self) -> float:
+        return self.wait_s - (self.now - self.promoter_noticed_at)
+
+    def _record_propagation(self) -> RecordPropagation:
+        propagation = super()._record_propagation()
+        return propagation._replace(record_revision=self.promoter_record.revision)
+
+
 def _run(machine: type[FailoverModel], examples: int) -> None:
     run_state_machine_as_test(
         machine,
@@ -242,8 +393,34 @@
     def test_no_vm_uses_a_replaced_primary(self) -> None:
         _run(FailoverModel, 500)
 
-    def _assert_violated(self, **changes: object) -> None:
-        machine = type("Mutated", (FailoverModel,), changes)
+    def test_no_vm_uses_a_replaced_primary_after_the_store_was_restored(self) -> None:
+        _run(RestoredStoreModel, 500)
+
+    def test_nothing_is_confirmed_before_the_promoter_has_written_its_record_again(self) -> None:
+        # Guards against a VM that missed a failover and relies on a restored store before the
+        # promoter's record is back. The steps are explicit, because the search does not find them.
+        for settles, used_primary in ((True, None), (False, 0)):
+            machine = type("Mutated", (RestoredStoreModel,), {"settles": settles})()
+            self.addCleanup(machine.teardown)
+            machine.vm_may_be_registered(registered=True)
+            machine.store_is_copied()
+            machine.promoter_records_failover()
+            machine.wait(seconds=3.5, heartbeats=False)
+            machine.promoter_orders_promotion()
+            machine.store_is_restored(outage_s=0.1)
+            machine.vm_registers_or_renews(answered=True)
+            machine.now += 0.001
+            machine.store_answers_read(answered=True)
+            self.assertEqual((1, used_primary), (machine.primary, machine.vm.used_primary))
+
+    def test_without_waiting_for_unknown_vms_a_replaced_primary_is_used(self) -> None:
+        # Guards against a promotion that a VM whose registration was lost has not heard of.
+        self._assert_violated(RestoredStoreModel, waits_for_unknown_vms=False)
+
+    def _assert_violated(
+        self, model: type[FailoverModel] = FailoverModel, **changes: object
+    ) -> None:
+        machine = type("Mutated", (model,), changes)
         with self.assertRaises(AssertionError):
             _run(machine, 4000)
 
