Do not compare revisions of an earlier era in a check

Found in the read of the change: a VM whose restored store holds an entry that can't be decoded, or lacks the configuration, keeps the revision of the era before. Its check then failed before any call, again and again without a pause, which blocked the whole process.

Change: such an entry counts as missing in a check, so that the store's differs and nothing is confirmed; after an unconfirmed check the VM waits for a check interval.

--- a/src/tanagerfront/confirmed_state.py
+++ b/src/tanagerfront/confirmed_state.py
@@ -137,6 +137,7 @@
     def register(self, asked_at: float) -> None:
         """Record that the VM has registered, with a lease requested at `asked_at`."""
         self._registered_at = boottime_s()
+        # After the store was restored the promoter still counts confirmations from before.
         if not (self._registration_lost and self.lease_valid):
             self._primaries_confirmed_at = float("-inf")
         self._registration_lost = False
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -525,6 +525,7 @@
                     await self._check()
             except StoreRestoredError as error:
                 self._log.decision("store_read_again", error=str(error))
+                await trio.sleep(delay_s)
             except KeyValueError as error:
                 self._record_disconnected("check", error)
                 delay_s = min(self._timing.check_interval_s, delay_s * 2)
@@ -577,6 +578,8 @@
             differing=result.differing,
         )
         self._reload()
+        # An entry that can't be decoded stays until its writer replaces it.
+        await trio.sleep(self._timing.check_interval_s)
 
     def _known_revisions(self) -> KnownRevisions:
         configuration = self._confirmed_state.configuration
@@ -584,8 +587,12 @@
         primary_revisions: dict[str, int] = {}
         for name in configuration.groups:
             record = self._directory.group(name).primary_record
-            primary_revisions[name] = record.revision if record else 0
-        return KnownRevisions(configuration.revision, primary_revisions)
+            primary_revisions[name] = self._revision_in_era(record.revision) if record else 0
+        return KnownRevisions(self._revision_in_era(configuration.revision), primary_revisions)
+
+    def _revision_in_era(self, revision: int) -> int:
+        """Return a revision, 0 if the entry was not read again since the store was restored."""
+        return revision if era_of(revision) == self._era.era else 0
 
     async def _run_lease(self) -> None:
         while True:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -255,6 +255,26 @@
                 self.assertEqual(2, started.version)
                 nursery.cancel_scope.cancel()
 
+    @trio_test
+    async def test_a_copy_with_an_unreadable_configuration_is_neither_used_nor_confirmed(
+        self,
+    ) -> None:
+        # Guards against a VM that takes an invalid configuration, and against one that compares
+        # revisions of the era before without a pause, which blocked the whole process.
+        async with stored_vm() as (fleet, synced):
+            fleet.store.put("op/config", {"version": "none"})
+            copy = fleet.store.copy()
+            fleet.configure(2)
+            await eventually(lambda: synced.version == 2)
+            await outage(fleet)
+            fleet.store.restore(copy)
+            fleet.store.faults = StoreFaults()
+            await trio.sleep(RECOVERY_S)
+            self.assertEqual(2, synced.version)
+            self.assertFalse(synced.state.primaries_confirmed)
+            fleet.configure(3)
+            await eventually(lambda: synced.version == 3 and synced.state.primaries_confirmed)
+
     @trio_test
     async def test_a_call_answered_in_a_later_era_has_no_result(self) -> None:
         # Guards against a check that finds the same revisions in a restored store by chance.
