--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -32,6 +32,7 @@
 from tanagerfront.kv import WatchEvent
 from tanagerfront.kv_etcd import EtcdStore
 from tanagerfront.messages import ConfigOffer
+from tanagerfront_standin._key_value_impl import ModelCopy
 from tanagerfront_standin.key_value import KeyValueOptions, KeyValueService
 
 TEAMS = ("kumasi", "frost")
@@ -453,6 +454,13 @@
 class RestoredServiceTest(TestCase):
     options: KeyValueOptions | None = None
 
+    async def _edit_twice(self, service: KeyValueService, editor: ConfigStore) -> ModelCopy:
+        """Apply two edits and return a copy of the service without the second."""
+        await apply_next_edit(editor)
+        copy = service.copy()
+        await apply_next_edit(editor)
+        return copy
+
     @key_value_test
     async def test_a_lost_document_is_written_again_and_its_version_not_given_out_again(
         self, service: KeyValueService, address: Address
@@ -460,9 +468,7 @@
         # Guards against a VM that keeps an edit which the service lost, while other VMs adopt
         # another document of the same version.
         editor, other = ConfigStore(EtcdStore(address)), ConfigStore(EtcdStore(address))
-        await apply_next_edit(editor)
-        copy = service.copy()
-        await apply_next_edit(editor)
+        copy = await self._edit_twice(service, editor)
         lost = editor.current
         service.restore(copy)
         await other.read()
@@ -476,9 +482,7 @@
         self, service: KeyValueService, address: Address
     ) -> None:
         editor, other = ConfigStore(EtcdStore(address)), ConfigStore(EtcdStore(address))
-        await apply_next_edit(editor)
-        copy = service.copy()
-        await apply_next_edit(editor)
+        copy = await self._edit_twice(service, editor)
         async with trio.open_nursery() as nursery:
             await nursery.start(editor.run)
             await trio.sleep(0.2)
