Let relayed statements carry their urgency, and replies the instance's load

A home orders the statements of all VMs for an instance's slots, but knew neither priority, latency objective nor deadline of a relayed statement. A VM that relays knew of the instance's load only what its own statements met. Both travel on messages that pass anyway. A VM registers the version of the relay protocol that it accepts, so that builds of both kinds work side by side. The settings name the optional parts that a deployment uses (FrontFeatures). Nothing uses them yet.

--- a/src/tanagerfront/fleet_store.py
+++ b/src/tanagerfront/fleet_store.py
@@ -30,6 +30,11 @@
 ]
 
 
+# Version of the protocol between a VM and a home. From the second version on, statements carry
+# their urgency and replies the load of the instance.
+RELAY_VERSION = 2
+
+
 class RegisteredVm(NamedTuple):
     """A VM with a valid lease; peers reach it at HOST:PORT."""
 
@@ -40,6 +45,8 @@
     incarnation: str
     # Processor time, in cores at full speed.
     cores: float = 1.0
+    # Version of the relay protocol that the VM accepts as a home.
+    relay_version: int = 1
 
     @property
     def address(self) -> Address:
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -14,7 +14,7 @@
 from .confirmed_state import ConfirmedState, StalenessLimits
 from .decision_log import DecisionLog
 from .errors import KeyValueError
-from .fleet_store import FleetStore, RegisteredVm
+from .fleet_store import RELAY_VERSION, FleetStore, RegisteredVm
 from .fleet_sync import LEASE_TTL_S, FleetSync
 from .front_metrics import FrontMetrics
 from .http_client import Address
@@ -30,7 +30,7 @@
 from .store_era import era_of
 from .supervision import run_restarting
 
-__all__ = ["CallerServer", "Front", "FrontAdapters", "FrontTimes", "VmIdentity"]
+__all__ = ["CallerServer", "Front", "FrontAdapters", "FrontFeatures", "FrontTimes", "VmIdentity"]
 
 METRICS_PATH = "/metrics"
 # The platform takes a VM out of rotation after two probes, one per second, without a 200 response.
@@ -74,6 +74,19 @@
     grace_s: float
 
 
+class FrontFeatures(NamedTuple):
+    """Optional behaviour that the settings of a deployment ask for."""
+
+    # Statements wait for an instance's slots in the order of their urgency.
+    urgency_order: bool = False
+    # Limit for the last request to an instance of an evacuated failure domain, in seconds; None
+    # where the operators evacuate none.
+    evacuation_s: float | None = None
+    # Factor and number of requests by which a cold instance may exceed its rate in a second.
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
+
+
 class CallerServer(Protocol):
     """Server for the connections of callers, independent of their protocol."""
 
@@ -145,9 +158,15 @@
     """The components of one VM, run until the VM is stopped."""
 
     def __init__(
-        self, identity: VmIdentity, times: FrontTimes, adapters: FrontAdapters, log: DecisionLog
+        self,
+        identity: VmIdentity,
+        times: FrontTimes,
+        adapters: FrontAdapters,
+        log: DecisionLog,
+        features: FrontFeatures | None = None,
     ) -> None:
         self._identity = identity
+        self._features = features or FrontFeatures()
         self._times = times
         self._reload_times = adapters.load_times
         self._probe_path = adapters.probe_path
@@ -161,6 +180,7 @@
             identity.failure_domain,
             uuid.uuid4().hex[:12],
             identity.cores,
+            RELAY_VERSION,
         )
         self._confirmed_state = ConfirmedState(_staleness_limits(times))
         opener = RoutingOpener(
--- a/src/tanagerfront/instance_pool.py
+++ b/src/tanagerfront/instance_pool.py
@@ -17,6 +17,7 @@
     Execute,
     Failure,
     FailureCode,
+    InstanceLoad,
     InstanceRegistration,
     PauseReplication,
     Prepare,
@@ -26,6 +27,7 @@
     Rollback,
     SetValue,
     StepDown,
+    Urgency,
     Verbatim,
 )
 from .slot_admission import SlotAdmission
@@ -97,11 +99,15 @@
 
 
 class InstanceStatement(NamedTuple):
-    """A statement for an instance; the instance refuses it unless its log contains `after`."""
+    """A statement for an instance; the instance refuses it unless its log contains `after`.
+
+    `urgency` is for the home that relays the statement; instances never get it.
+    """
 
     id: str
     statement: StatementBody
     after: EntryId | None = None
+    urgency: Urgency | None = None
 
 
 class Connection(Protocol):
@@ -332,6 +338,11 @@
         """Return the number of connections, idle or busy."""
         return self._open
 
+    @property
+    def load(self) -> InstanceLoad | None:
+        """Return the instance's load, None if this VM doesn't admit statements to its slots."""
+        return None if self._slot_admission is None else self._slot_admission.load
+
     def set_registration(self, registration: InstanceRegistration) -> None:
         """Set a newer registration of the same instance."""
         self._registration = registration
--- a/src/tanagerfront/platform/documents.py
+++ b/src/tanagerfront/platform/documents.py
@@ -125,6 +125,8 @@
     failure_domain: str
     incarnation: str
     cores: float = 1.0
+    # Version of the relay protocol that the VM accepts; builds before the second write none.
+    relay_version: int = 1
 
 
 class PromoterRecord(msgspec.Struct):
--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -175,7 +175,14 @@
         era = self._era.asked_in
         lease = await self._leases.grant(ttl_s)
         self._require_era(era)
-        record = VmRecord(vm.name, str(vm.address), vm.failure_domain, vm.incarnation, vm.cores)
+        record = VmRecord(
+            vm.name,
+            str(vm.address),
+            vm.failure_domain,
+            vm.incarnation,
+            vm.cores,
+            vm.relay_version,
+        )
         key, value = VM_PREFIX + vm.name, encode_record(record)
         # An unconditional write whose reply was lost could be executed later and bind the record to
         # a lease that is no longer renewed.
@@ -299,7 +306,13 @@
         host, port = parse_address(record.address)
         return VmChanged(
             RegisteredVm(
-                record.vm, host, port, record.failure_domain, record.incarnation, record.cores
+                record.vm,
+                host,
+                port,
+                record.failure_domain,
+                record.incarnation,
+                record.cores,
+                record.relay_version,
             )
         )
     if key == PROMOTER_KEY:
--- a/src/tanagerfront/platform/instance_wire.py
+++ b/src/tanagerfront/platform/instance_wire.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from ..errors import BadRequestError, ConnectionLostError, TooManyConnectionsError
-from ..fleet_store import RegisteredVm
+from ..fleet_store import RELAY_VERSION, RegisteredVm
 from ..http_client import Address, enable_keepalive, open_tcp
 from ..instance_pool import InstanceRefusedError, InstanceStatement
 from ..session_model import FailureCode, InstanceRegistration, Reply
@@ -33,8 +33,10 @@
 class InstanceConnection:
     """One session at an instance; any failure makes the connection unusable."""
 
-    def __init__(self, stream: LineStream) -> None:
+    def __init__(self, stream: LineStream, relay_version: int | None = None) -> None:
         self._stream = stream
+        # None for an instance, and for a home that accepts only the first version.
+        self._relay_version = relay_version
         self._usable = True
 
     @property
@@ -52,7 +54,7 @@
 
         Raises TooManyConnectionsError, InstanceRefusedError or ConnectionLostError.
         """
-        await self._stream.send(encode_connect(group, organisation, instance))
+        await self._stream.send(encode_connect(group, organisation, instance, self._relay_version))
         match await self._read_message():
             case Ready():
                 return
@@ -69,7 +71,10 @@
         A cancelled call leaves the connection unusable.
         """
         self._usable = False
-        await self._stream.send(b"".join(encode_query(statement) for statement in statements))
+        to_home = self._relay_version is not None
+        await self._stream.send(
+            b"".join(encode_query(statement, to_home=to_home) for statement in statements)
+        )
         replies = [await self._read_reply() for _ in statements]
         self._usable = True
         return replies
@@ -91,10 +96,10 @@
                     signature = proof
                 case Error(reported):
                     failure = reported
-                case Ready(state, reached):
+                case Ready(state, reached, load):
                     if signature is None and failure is None:
                         raise ConnectionLostError("reply ended without COMPLETE or ERROR")
-                    return Reply(tuple(rows), failure, signature, state, reached)
+                    return Reply(tuple(rows), failure, signature, state, reached, load)
 
     async def _read_message(self) -> InstanceMessage:
         try:
@@ -117,15 +122,19 @@
     home: RegisteredVm, registration: InstanceRegistration, organisation: str
 ) -> InstanceConnection:
     """Open a session at an instance through another VM; raises as `open_instance` does."""
-    return await _open(home.address, registration, organisation)
+    version = min(home.relay_version, RELAY_VERSION)
+    return await _open(home.address, registration, organisation, version if version > 1 else None)
 
 
 async def _open(
-    address: Address, registration: InstanceRegistration, organisation: str
+    address: Address,
+    registration: InstanceRegistration,
+    organisation: str,
+    relay_version: int | None = None,
 ) -> InstanceConnection:
     stream = await open_tcp(address, timeout_s=TCP_CONNECT_TIMEOUT_S)
     enable_keepalive(stream, user_timeout_ms=USER_TIMEOUT_MS, idle_s=1, interval_s=1)
-    connection = InstanceConnection(LineStream(stream))
+    connection = InstanceConnection(LineStream(stream), relay_version)
     try:
         await connection.connect(registration.group, organisation, registration.id)
     except BaseException:
--- a/src/tanagerfront/platform/lines.py
+++ b/src/tanagerfront/platform/lines.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
+import trio
+
 from ..entry_id import EntryId
 from ..errors import BadRequestError
 from ..instance_pool import InstanceStatement
@@ -15,6 +18,7 @@
     Execute,
     Failure,
     FailureCode,
+    InstanceLoad,
     PauseReplication,
     Prepare,
     Query,
@@ -27,6 +31,7 @@
     Statement,
     StepDown,
     TransactionState,
+    Urgency,
     Verbatim,
     Write,
 )
@@ -55,6 +60,9 @@
 END = b"\r\n"
 MAX_MESSAGE_BYTES = 1024 * 1024
 NO_POSITION = "-"
+URGENCY_PREFIX = "URGENCY "
+# Longer than any statement may wait; bounds what a malformed or malicious message can ask for.
+MAX_REMAINING_S = 60.0
 
 _CODE_BY_WORD = {
     "BUSY": FailureCode.OVERLOADED,
@@ -91,6 +99,7 @@
     group: str
     organisation: str
     instance: str
+    relay_version: int = 1
 
 
 class Row(NamedTuple):
@@ -116,6 +125,7 @@
 
     state: TransactionState
     reached: EntryId | None
+    load: InstanceLoad | None = None
 
 
 InstanceMessage = Row | Complete | Error | Ready
@@ -186,13 +196,14 @@
     text = line.decode("utf-8", "replace")
     word, _, rest = text.partition(" ")
     if word == "CONNECT":
-        fields = rest.split(" ")
-        if len(fields) != 3:
-            raise BadRequestError("CONNECT requires group, organisation and instance")
-        return InstanceConnect(*fields)
+        return _decode_relay_connect(rest.split(" "))
     if word != "QUERY":
         return Bye()
     query_id, _, statement = rest.partition(" ")
+    urgency = None
+    if statement.startswith(URGENCY_PREFIX):
+        _, text, statement = statement.split(" ", 2)
+        urgency = _decode_urgency(text)
     after = None
     if statement.startswith("AFTER "):
         _, position, statement = statement.split(" ", 2)
@@ -203,11 +214,43 @@
                 "malformed log position after AFTER; expected TERM.NUMBER"
             ) from error
     if statement == "RESET":
-        return InstanceStatement(query_id, ResetSession(), after)
+        return InstanceStatement(query_id, ResetSession(), after, urgency)
     match _decode_statement(statement):
         case Begin() | SetValue() | Prepare() | Execute() | Rollback() as decoded:
-            return InstanceStatement(query_id, decoded, after)
-    return InstanceStatement(query_id, Verbatim(statement), after)
+            return InstanceStatement(query_id, decoded, after, urgency)
+    return InstanceStatement(query_id, Verbatim(statement), after, urgency)
+
+
+def _decode_relay_connect(fields: list[str]) -> InstanceConnect:
+    match fields:
+        case [group, organisation, instance]:
+            return InstanceConnect(group, organisation, instance)
+        case [group, organisation, instance, version] if version.isdecimal():
+            return InstanceConnect(group, organisation, instance, int(version))
+    raise BadRequestError("CONNECT requires group, organisation and instance")
+
+
+def _decode_urgency(text: str) -> Urgency | None:
+    """Return the urgency of a relayed statement, None if it is malformed.
+
+    VMs don't compare clocks, so the message holds the time left until each limit. A statement
+    with a malformed urgency is served like one without.
+    """
+    try:
+        priority, objective_ms, deadline_ms, in_transaction = text.split("/")
+        now = trio.current_time()
+        return Urgency(
+            max(0, int(priority)),
+            now + _remaining_s(objective_ms),
+            now + _remaining_s(deadline_ms),
+            in_transaction == "1",
+        )
+    except ValueError:
+        return None
+
+
+def _remaining_s(milliseconds: str) -> float:
+    return max(-MAX_REMAINING_S, min(MAX_REMAINING_S, int(milliseconds) / 1000))
 
 
 def encode_reply(reply: Reply) -> bytes:
@@ -223,7 +266,24 @@
 
 def encode_ready(reply: Reply) -> bytes:
     """Encode READY, which ends a reply and the opening of a session."""
-    return f"READY {_WORD_BY_STATE[reply.state]} {_entry_text(reply.reached)}".encode() + END
+    load = f" {_load_text(reply.load)}" if reply.load is not None else ""
+    return f"READY {_WORD_BY_STATE[reply.state]} {_entry_text(reply.reached)}{load}".encode() + END
+
+
+def _load_text(load: InstanceLoad) -> str:
+    wait_ms = round(load.expected_wait_s * 1000)
+    return f"{load.sequence}/{load.running}/{load.waiting}/{wait_ms}"
+
+
+def _decode_load(text: str) -> InstanceLoad | None:
+    """Return the load in a home's reply, None if there is none or it is malformed."""
+    try:
+        sequence, running, waiting, wait_ms = (int(field) for field in text.split("/"))
+    except ValueError:
+        return None
+    if min(sequence, running, waiting, wait_ms) < 0:
+        return None
+    return InstanceLoad(sequence, running, waiting, min(wait_ms / 1000, MAX_REMAINING_S))
 
 
 def encode_failure(failure: Failure) -> bytes:
@@ -231,18 +291,34 @@
     return f"ERROR {_WORD_BY_CODE[failure.code]} {failure.text or '-'}".encode() + END
 
 
-def encode_connect(group: str, organisation: str, instance: str) -> bytes:
-    """Encode the first message to an instance, which rejects a group or id other than its own."""
-    return f"CONNECT {group} {organisation} {instance}".encode() + END
+def encode_connect(
+    group: str, organisation: str, instance: str, relay_version: int | None = None
+) -> bytes:
+    """Encode the first message to an instance, which rejects a group or id other than its own.
+
+    `relay_version` is sent to a home that accepts it; instances never get it.
+    """
+    version = f" {relay_version}" if relay_version is not None else ""
+    return f"CONNECT {group} {organisation} {instance}{version}".encode() + END
 
 
-def encode_query(statement: InstanceStatement) -> bytes:
-    """Encode a statement for an instance."""
+def encode_query(statement: InstanceStatement, *, to_home: bool = False) -> bytes:
+    """Encode a statement for an instance, or with its urgency for the home that relays it."""
     after = statement.after
     prefix = f"AFTER {_entry_text(after)} " if after is not None else ""
+    if to_home and statement.urgency is not None:
+        prefix = f"{URGENCY_PREFIX}{_urgency_text(statement.urgency)} {prefix}"
     return f"QUERY {statement.id} {prefix}{_statement_text(statement)}".encode() + END
 
 
+def _urgency_text(urgency: Urgency) -> str:
+    now = trio.current_time()
+    # Rounded down, so that a home never counts on more time than there is.
+    objective_ms = math.floor((urgency.objective_at - now) * 1000)
+    deadline_ms = math.floor((urgency.deadline - now) * 1000)
+    return f"{urgency.priority}/{objective_ms}/{deadline_ms}/{int(urgency.in_transaction)}"
+
+
 def _statement_text(statement: InstanceStatement) -> str:
     match statement.statement:
         case Verbatim(text):
@@ -282,8 +358,9 @@
                 failure_code = _CODE_BY_WORD.get(code, FailureCode.FAILED)
                 return Error(Failure(failure_code, text))
             case b"READY":
-                state, _, position = rest.decode().partition(" ")
-                return Ready(_STATE_BY_WORD[state], parse_entry_id(position))
+                state, _, rest_text = rest.decode().partition(" ")
+                position, _, load = rest_text.partition(" ")
+                return Ready(_STATE_BY_WORD[state], parse_entry_id(position), _decode_load(load))
     except (KeyError, ValueError) as error:
         raise BadRequestError("malformed message from an instance") from error
     raise BadRequestError("unknown message from an instance")
--- a/src/tanagerfront/platform/main.py
+++ b/src/tanagerfront/platform/main.py
@@ -9,7 +9,7 @@
 from ..change_history import ChangeHistory
 from ..decision_log import DecisionLog, configure_decision_log
 from ..errors import SettingsError
-from ..front import Front, FrontAdapters, FrontTimes, VmIdentity
+from ..front import Front, FrontAdapters, FrontFeatures, FrontTimes, VmIdentity
 from ..http_client import Address
 from .caller_wire import CallerConnections
 from .changes_wire import ChangesHandler
@@ -72,7 +72,13 @@
         relay_server=RelayConnections,
         changes_handler=lambda: ChangesHandler(history),
     )
-    await Front(identity, _front_times(settings), adapters, log).run()
+    features = FrontFeatures(
+        urgency_order=settings.urgency_order,
+        evacuation_s=settings.evacuation_s,
+        cold_overage=settings.cold_overage,
+        cold_slack=settings.cold_slack,
+    )
+    await Front(identity, _front_times(settings), adapters, log, features).run()
 
 
 def main() -> None:
--- a/src/tanagerfront/platform/relay_wire.py
+++ b/src/tanagerfront/platform/relay_wire.py
@@ -64,12 +64,15 @@
         lines = LineStream(stream)
         session: RelaySession | None = None
         try:
-            session = await self._open(lines)
+            session, version = await self._open(lines)
             while session is not None:
                 message = await self._next_message(lines, session)
                 if not isinstance(message, InstanceStatement):
                     break
-                await lines.send(encode_reply(await _run_until_abandoned(lines, session, message)))
+                reply = await _run_until_abandoned(lines, session, message)
+                if version > 1:
+                    reply = reply._replace(load=session.load)
+                await lines.send(encode_reply(reply))
                 if self._stopping and not session.in_transaction:
                     break
         except ConnectionLostError as error:
@@ -83,18 +86,22 @@
                     await session.close()
                 await lines.close()
 
-    async def _open(self, lines: LineStream) -> RelaySession | None:
+    async def _open(self, lines: LineStream) -> tuple[RelaySession | None, int]:
+        """Open the session that the other VM asks for; return it and its protocol version."""
         message: InstanceConnect | InstanceStatement | Bye = Bye()
         with trio.move_on_after(FIRST_MESSAGE_TIMEOUT_S):
             message = await self._next_message(lines, None)
         if not isinstance(message, InstanceConnect):
-            return None
+            return None, 0
         instance = self._directory.find(message.instance)
         if self._stopping or instance is None or instance.registration.group != message.group:
             await lines.send(encode_failure(Failure(FailureCode.MOVED, message.instance)))
-            return None
+            return None, 0
         await lines.send(encode_ready(Reply()))
-        return RelaySession(instance.pool, message.organisation, lambda: not lines.closed_by_peer)
+        session = RelaySession(
+            instance.pool, message.organisation, lambda: not lines.closed_by_peer
+        )
+        return session, message.relay_version
 
     async def _next_message(
         self, lines: LineStream, session: RelaySession | None
--- a/src/tanagerfront/platform/settings.py
+++ b/src/tanagerfront/platform/settings.py
@@ -16,6 +16,8 @@
 __all__ = ["SETTINGS_VARIABLE", "FrontSettings", "load_settings", "settings_path"]
 
 SETTINGS_VARIABLE = "TANAGERFRONT_BOOT"
+# Callers of such a deployment compete for an instance's slots by priority and deadline.
+URGENCY_CONTRACT = "pressure"
 
 
 class FrontSettings(NamedTuple):
@@ -33,6 +35,10 @@
     grace_s: float
     cores: float
     key_revocation_s: float
+    urgency_order: bool
+    evacuation_s: float | None
+    cold_overage: float
+    cold_slack: float
 
 
 class _Listen(msgspec.Struct):
@@ -50,6 +56,9 @@
     drain_ms: float = 7000.0
     grace_s: float = 6.0
     revoke_ms: float = 5000.0
+    evacuate_ms: float | None = None
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
 
 
 class _Store(msgspec.Struct):
@@ -70,6 +79,8 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
     cloud: _Cloud = msgspec.field(default_factory=_Cloud)
+    # Optional parts of the platform that the deployment uses.
+    contracts: list[str] = []
 
 
 def settings_path(environment: Mapping[str, str] = os.environ) -> Path:
@@ -108,4 +119,8 @@
         grace_s=file.bounds.grace_s,
         cores=file.limits.cpu_share * file.limits.cpu_cores,
         key_revocation_s=file.bounds.revoke_ms / 1000,
+        urgency_order=URGENCY_CONTRACT in file.contracts,
+        evacuation_s=(None if file.bounds.evacuate_ms is None else file.bounds.evacuate_ms / 1000),
+        cold_overage=file.bounds.cold_overage,
+        cold_slack=file.bounds.cold_slack,
     )
--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -31,6 +31,7 @@
     Execute,
     Failure,
     FailureCode,
+    InstanceLoad,
     InstanceRegistration,
     Prepare,
     Reply,
@@ -159,6 +160,11 @@
         """Return whether the session holds a connection for a transaction."""
         return self._transaction_connection is not None
 
+    @property
+    def load(self) -> InstanceLoad | None:
+        """Return the present load of the instance, None if this VM does not measure it."""
+        return self._pool.load
+
     async def run(self, statement: InstanceStatement) -> Reply:
         """Run one statement; raises ConnectionLostError if its outcome is unknown."""
         match statement.statement:
--- a/src/tanagerfront/session_model.py
+++ b/src/tanagerfront/session_model.py
@@ -21,6 +21,7 @@
     "FailureCode",
     "FrontConfiguration",
     "GroupOptions",
+    "InstanceLoad",
     "InstanceRegistration",
     "InstanceRole",
     "NOT_EXECUTED_CODES",
@@ -39,6 +40,7 @@
     "Statement",
     "StepDown",
     "TransactionState",
+    "Urgency",
     "Verbatim",
     "Write",
     "boottime_s",
@@ -101,11 +103,38 @@
     FAILED = "failed"
 
 
+class Urgency(NamedTuple):
+    """How soon a statement has to run; times are in seconds of trio's clock.
+
+    `priority` is that of the route, 0 is the highest. `objective_at` is the end of the latency
+    objective, `deadline` the time after which the caller's statement has timed out.
+    """
+
+    priority: int
+    objective_at: float
+    deadline: float
+    # Whether the statement belongs to a transaction that already holds a connection.
+    in_transaction: bool = False
+
+
+class InstanceLoad(NamedTuple):
+    """Load of an instance, as its home measured it when it sent a reply.
+
+    Readings of one home are numbered by `sequence`, so that a late one never replaces a newer one.
+    """
+
+    sequence: int
+    running: int
+    waiting: int
+    expected_wait_s: float
+
+
 class Reply(NamedTuple):
     """Reply to one statement.
 
     `signature` is the instance's and None in replies that tanagerfront makes itself. `reached`
-    is the position in the instance's log, None if unknown.
+    is the position in the instance's log, None if unknown. `load` is None unless the reply came
+    through a home that reports it.
     """
 
     rows: tuple[bytes, ...] = ()
@@ -113,6 +142,7 @@
     signature: bytes | None = None
     state: TransactionState = TransactionState.IDLE
     reached: EntryId | None = None
+    load: InstanceLoad | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/tanagerfront/slot_admission.py
+++ b/src/tanagerfront/slot_admission.py
@@ -13,6 +13,7 @@
 import trio
 
 from .errors import OverloadedError
+from .session_model import InstanceLoad
 
 __all__ = ["SlotAdmission"]
 
@@ -45,6 +46,7 @@
         self._admitted_at: list[float] = []
         self._waiting: deque[_Waiter] = deque()
         self._service_time_s = INITIAL_SERVICE_TIME_S
+        self._readings = 0
 
     @property
     def expected_wait_s(self) -> float:
@@ -53,6 +55,14 @@
             return 0.0
         return (len(self._waiting) + 1) * self._service_time_s / self._limit
 
+    @property
+    def load(self) -> InstanceLoad:
+        """Return the present load under the next sequence number."""
+        self._readings += 1
+        return InstanceLoad(
+            self._readings, len(self._admitted_at), len(self._waiting), self.expected_wait_s
+        )
+
     async def acquire(self) -> float:
         """Wait for a slot and return the admission time in trio's clock; raises OverloadedError."""
         self._admit_waiting()
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
-from support import TestCase
+from support import TestCase, trio_test
 from tanagerfront.entry_id import EntryId
 from tanagerfront.errors import BadRequestError
 from tanagerfront.instance_pool import InstanceStatement
@@ -13,10 +14,12 @@
     Bye,
     Complete,
     Error,
+    InstanceConnect,
     Ready,
     Row,
     decode_caller_line,
     decode_instance_line,
+    decode_relay_line,
     encode_connect,
     encode_query,
     encode_reply,
@@ -27,6 +30,7 @@
     Execute,
     Failure,
     FailureCode,
+    InstanceLoad,
     Prepare,
     Query,
     Read,
@@ -34,6 +38,7 @@
     SetValue,
     StepDown,
     TransactionState,
+    Urgency,
     Verbatim,
     Write,
 )
@@ -115,3 +120,55 @@
     def test_a_callers_text_reaches_the_instance_unchanged(self, text: str) -> None:
         line = encode_query(InstanceStatement("q1", Verbatim(text)))
         self.assertEqual(f"QUERY q1 {text}\r\n".encode(), line)
+
+
+class RelayLineTest(TestCase):
+    """Messages between a VM and a home, beside those that instances know."""
+
+    @trio_test
+    async def test_a_home_receives_the_urgency_that_was_sent(self) -> None:
+        # A home that took times of another VM's clock would refuse or delay the wrong statements.
+        now = trio.current_time()
+        urgency = Urgency(1, now + 0.2, now + 1.0, in_transaction=True)
+        sent = InstanceStatement("q1", Verbatim("READ 1a4"), EntryId(3, 7), urgency)
+        line = encode_query(sent, to_home=True)
+        received = decode_relay_line(line.removesuffix(b"\r\n"))
+        assert isinstance(received, InstanceStatement) and received.urgency is not None
+        self.assertEqual(sent._replace(urgency=None), received._replace(urgency=None))
+        self.assertEqual((1, True), (received.urgency.priority, received.urgency.in_transaction))
+        # Sent in whole milliseconds, rounded down, and read a little later.
+        self.assertAlmostEqual(urgency.objective_at, received.urgency.objective_at, delta=0.005)
+        self.assertAlmostEqual(urgency.deadline, received.urgency.deadline, delta=0.005)
+
+    @trio_test
+    async def test_an_instance_never_receives_the_urgency(self) -> None:
+        urgency = Urgency(0, 1.0, 2.0)
+        line = encode_query(InstanceStatement("q1", Verbatim("READ 1a4"), urgency=urgency))
+        self.assertEqual(b"QUERY q1 READ 1a4\r\n", line)
+
+    @given(st.text(st.characters(exclude_characters=" \r\n", codec="utf-8"), min_size=1))
+    def test_a_malformed_urgency_leaves_the_statement_as_it_is(self, text: str) -> None:
+        @trio_test
+        async def decode(test: TestCase) -> None:
+            decoded = decode_relay_line(f"QUERY q1 URGENCY {text} READ 1a4".encode())
+            assert isinstance(decoded, InstanceStatement)
+            test.assertEqual(Verbatim("READ 1a4"), decoded.statement)
+
+        decode(self)
+
+    def test_a_home_tells_the_version_of_a_session(self) -> None:
+        self.assertEqual(InstanceConnect("g", "o", "i", 1), decode_relay_line(b"CONNECT g o i"))
+        self.assertEqual(InstanceConnect("g", "o", "i", 2), decode_relay_line(b"CONNECT g o i 2"))
+        self.assertEqual(b"CONNECT g o i 2\r\n", encode_connect("g", "o", "i", 2))
+
+    def test_the_load_of_an_instance_is_read_from_the_reply_of_its_home(self) -> None:
+        load = InstanceLoad(7, 3, 2, 0.045)
+        line = encode_reply(Reply(signature=b"7.1", reached=EntryId(3, 9), load=load))
+        self.assertEqual(b"COMPLETE 7.1\r\nREADY I 3.9 7/3/2/45\r\n", line)
+        ready = Ready(TransactionState.IDLE, EntryId(3, 9), load)
+        self.assertEqual(ready, decode_instance_line(b"READY I 3.9 7/3/2/45"))
+
+    def test_a_malformed_load_is_ignored(self) -> None:
+        ready = Ready(TransactionState.IDLE, EntryId(3, 9))
+        for load in (b"7/3", b"a/b/c/d", b"7/-3/2/45", b"7/3/2/45/6"):
+            self.assertEqual(ready, decode_instance_line(b"READY I 3.9 " + load))
