Do not repeat at once what an instance's home has refused for load

Cause: a home refuses a statement that would wait too long for a slot, and the VM that sent it tried the same home again, five times within milliseconds; BEGIN and reads that only the primary may run multiplied the load of a full queue and of the VMs by five. An instance's own refusal, which carries a position, is still tried again: an instance may shed only a part.

The new test failed before: 5 attempts instead of 1.

--- a/src/tanagerfront/attempts.py
+++ b/src/tanagerfront/attempts.py
@@ -31,6 +31,8 @@
         # objective, brought forward by a lower priority number.
         self.urgency = received_at + route.latency_objective_s * (1 + route.priority) / 2
         self.tried_instances: set[str] = set()
+        # Instances whose homes refused the statement, because it would wait there for too long.
+        self.overloaded_instances: set[str] = set()
         self.sent = False
 
     def read_attempt_deadline(self) -> float:
--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -298,6 +298,8 @@
             return reply
         if reply.failure.code in NOT_EXECUTED_CODES:
             self._recorder.record_not_run(query, instance, reply.failure)
+            if _is_refused_by_home(reply):
+                attempts.overloaded_instances.add(instance.registration.id)
             if writes and reply.failure.code is FailureCode.OVERLOADED:
                 # Only the primary can execute it; retries would add to its load.
                 return reply
@@ -370,6 +372,8 @@
             try:
                 replies = await self._run(instance, connection, statements, attempts.deadline)
                 failure = replies[-1].failure
+                if _is_refused_by_home(replies[-1]):
+                    attempts.overloaded_instances.add(instance.registration.id)
             except ConnectionLostError as error:
                 self._recorder.record_lost_answer(query, instance, error)
                 failure = Failure(FailureCode.ABORTED, str(error))
@@ -463,6 +467,10 @@
             if instance is None:
                 await self._wait_for_change(group, attempts)
                 continue
+            if instance.registration.id in attempts.overloaded_instances:
+                raise RefusedError(
+                    FailureCode.OVERLOADED, "every instance that may execute it is overloaded"
+                )
             try:
                 connection = await instance.pool.acquire(
                     caller.organisation_name, attempts.urgency, attempts.wait_deadline
@@ -590,3 +598,12 @@
     def _record_write(self, group: str, reached: EntryId | None) -> None:
         self._last_write = reached
         self._last_write_group = group
+
+
+def _is_refused_by_home(reply: Reply) -> bool:
+    """Return whether the queue of an instance's home refused a statement, not the instance itself.
+
+    Only the instance knows a position of its log.
+    """
+    failure = reply.failure
+    return failure is not None and failure.code is FailureCode.OVERLOADED and reply.reached is None
--- a/tests/test_caller_session.py
+++ b/tests/test_caller_session.py
@@ -300,6 +300,49 @@
         code = await vm.session(RouteKind.PRIMARY).code("WRITE 1 x")
         self.assertEqual((FailureCode.OVERLOADED, 1), (code, len(vm.primary.caller_statements)))
 
+    @trio_test(mock_clock=True)
+    async def test_what_the_queue_of_a_home_refuses_is_not_sent_to_it_again(self) -> None:
+        # Guards against retries within milliseconds that multiply the load of a full queue by five.
+        # After a failover they kept a fleet from serving its callers for many seconds.
+        for kind, texts in (
+            (RouteKind.PRIMARY, ["READ 1"]),
+            (RouteKind.PRIMARY, ["BEGIN", "WRITE 1 x"]),
+            (RouteKind.BOUNDED, ["READ 1"]),
+        ):
+            vm = await start_vm()
+            refused = 0
+
+            def refuse(_instance: FakeInstance, _statement: object) -> Reply:
+                nonlocal refused
+                refused += 1
+                # A home's own refusal carries no position of the instance's log.
+                return Reply(failure=Failure(FailureCode.OVERLOADED, "queue"))
+
+            vm.primary.answer = refuse
+            caller = vm.session(kind)
+            codes = [await caller.code(text) for text in texts]
+            self.assertEqual((FailureCode.OVERLOADED, 1), (codes[-1], refused), f"{kind} {texts}")
+
+    @trio_test(mock_clock=True)
+    async def test_a_read_that_one_queue_refuses_runs_at_another_instance(self) -> None:
+        # Guards against a refusal although another instance could execute the read.
+        vm = await start_vm()
+        vm.sample()
+        full = Reply(failure=Failure(FailureCode.OVERLOADED, "queue"))
+        vm.replicas[0].answer = vm.replicas[1].answer = lambda _instance, _statement: full
+        self.assertIsNone(await vm.session(RouteKind.BOUNDED).code("READ 1"))
+
+    @trio_test(mock_clock=True)
+    async def test_a_read_that_an_instance_sheds_is_tried_there_again(self) -> None:
+        # Guards against a refusal of reads while a primary sheds only a part of its statements.
+        vm = await start_vm()
+        default_answer = vm.primary.answer
+        shed = [Reply(failure=Failure(FailureCode.OVERLOADED, "p"), reached=vm.primary.position)]
+        vm.primary.answer = lambda instance, statement: (
+            shed.pop() if shed else default_answer(instance, statement)
+        )
+        self.assertIsNone(await vm.session(RouteKind.PRIMARY).code("READ 1"))
+
     @trio_test(mock_clock=True)
     async def test_a_commit_without_a_reply_is_in_doubt_if_the_transaction_wrote(self) -> None:
         for text, expected in (
