Compute an instance's homes once for each state of the fleet

Cause: RoutingOpener ranked all VMs of the fleet for each question (each opening, each division of connections for every instance), with a hash for each VM. Change: homes() scores only the VMs as suitable as the last home; RoutingOpener remembers the homes until the tuple of VMs that FleetSync hands out changes. The order is the same, which a property test compares with the full ranking.

--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -119,6 +119,7 @@
         self._timing = timing or SyncTiming()
         self._vms: dict[str, RegisteredVm] = {}
         # Computed on demand (None until then), because registrations arrive in large numbers.
+        self._vm_list: tuple[RegisteredVm, ...] | None = None
         self._coordinators: tuple[str, ...] | None = None
         self._shares_outdated = False
         self._instance_unregistered_since: dict[str, float] = {}
@@ -146,9 +147,14 @@
         store.on_restored(self._begin_era)
 
     @property
-    def vms(self) -> Sequence[RegisteredVm]:
-        """Return the registered VMs and those whose lease ended within the grace time."""
-        return tuple(self._vms.values())
+    def vms(self) -> tuple[RegisteredVm, ...]:
+        """Return the registered VMs and those whose lease ended within the grace time.
+
+        It is the same tuple until a VM changes.
+        """
+        if self._vm_list is None:
+            self._vm_list = tuple(self._vms.values())
+        return self._vm_list
 
     @property
     def vms_with_lease(self) -> Sequence[RegisteredVm]:
@@ -262,7 +268,7 @@
                 known = self._vms.get(vm.name)
                 self._vms[vm.name] = vm
                 self._vm_unregistered_since.pop(vm.name, None)
-                self._coordinators = None
+                self._coordinators = self._vm_list = None
                 if known is None:
                     self._log.decision("vm_registered", peer=vm.name, vms=len(self._vms))
                     self._shares_outdated = True
@@ -690,7 +696,7 @@
                 continue
             del self._vm_unregistered_since[name]
             del self._vms[name]
-            self._coordinators = None
+            self._coordinators = self._vm_list = None
             self._log.decision("vm_gone", peer=name, vms=len(self._vms))
             self._shares_outdated = True
         if self._shares_outdated:
--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
@@ -60,10 +61,16 @@
     VMs in the instance's failure domain are preferred, then those with the most processor cores.
     """
 
-    def rank(vm: RegisteredVm) -> tuple[bool, float, int]:
-        score = rendezvous_score("home", registration.id, vm.name)
-        return vm.failure_domain != registration.failure_domain, -vm.cores, score
+    def suitability(vm: RegisteredVm) -> tuple[bool, float]:
+        return vm.failure_domain != registration.failure_domain, -vm.cores
 
+    def rank(vm: RegisteredVm) -> tuple[tuple[bool, float], int]:
+        return suitability(vm), rendezvous_score("home", registration.id, vm.name)
+
+    if len(vms) > HOMES_PER_INSTANCE:
+        # Only VMs that are as suitable as the last home need a score.
+        last = heapq.nsmallest(HOMES_PER_INSTANCE, map(suitability, vms))[-1]
+        vms = [vm for vm in vms if suitability(vm) <= last]
     return tuple(sorted(vms, key=rank)[:HOMES_PER_INSTANCE])
 
 
@@ -84,7 +91,7 @@
         own_vm: str,
         direct: Opener,
         relay: RelayOpener,
-        vms: Callable[[], Sequence[RegisteredVm]],
+        vms: Callable[[], tuple[RegisteredVm, ...]],
         log: DecisionLog,
     ) -> None:
         self._log = log
@@ -93,6 +100,9 @@
         self._relay = relay
         self._vms = vms
         self._skipped_until: dict[str, float] = {}
+        # Homes by id and failure domain of the instance, for one state of the registered VMs.
+        self._homes: dict[tuple[str, str], tuple[RegisteredVm, ...]] = {}
+        self._homes_vms: tuple[RegisteredVm, ...] = ()
 
     def uses_relay(self, registration: InstanceRegistration) -> bool:
         """Return whether statements for an instance go through another VM."""
@@ -103,16 +113,26 @@
 
         0 is the home that the other VMs prefer, or a VM that is no home.
         """
-        names = [home.name for home in homes(registration, self._vms())]
+        names = [home.name for home in self._instance_homes(registration)]
         return names.index(self._own_vm) if self._own_vm in names else 0
 
     def _relay_homes(self, registration: InstanceRegistration) -> tuple[RegisteredVm, ...]:
         """Return the homes to relay through, or none if this VM connects directly."""
-        vms = self._vms()
-        if len(vms) < MIN_VMS_FOR_RELAY:
+        if len(self._vms()) < MIN_VMS_FOR_RELAY:
             return ()
-        instance_homes = homes(registration, vms)
-        return () if self._own_vm in {home.name for home in instance_homes} else instance_homes
+        instance_homes = self._instance_homes(registration)
+        is_home = any(home.name == self._own_vm for home in instance_homes)
+        return () if is_home else instance_homes
+
+    def _instance_homes(self, registration: InstanceRegistration) -> tuple[RegisteredVm, ...]:
+        """Return an instance's homes, computed once for each state of the registered VMs."""
+        vms = self._vms()
+        if vms is not self._homes_vms:
+            self._homes_vms, self._homes = vms, {}
+        key = registration.id, registration.failure_domain
+        if key not in self._homes:
+            self._homes[key] = homes(registration, vms)
+        return self._homes[key]
 
     async def __call__(self, registration: InstanceRegistration, organisation: str) -> Connection:
         """Open a connection; raises what the direct opener raises.
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -20,6 +20,7 @@
     PoolLimits,
 )
 from tanagerfront.relay import RelaySession, RoutingOpener, homes
+from tanagerfront.rendezvous import rendezvous_score
 from tanagerfront.session_model import (
     Begin,
     Execute,
@@ -61,6 +62,23 @@
         if removed not in before:
             self.assertEqual(before, after)
 
+    @given(st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from((0.5, 2.0))), max_size=40))
+    def test_the_homes_are_the_first_in_the_order_of_all_vms(
+        self, properties: list[tuple[str, float]]
+    ) -> None:
+        # Guards against VMs that disagree on the homes, because one build ranks fewer of them.
+        vms = [
+            vm(f"vm-{number}", domain)._replace(cores=cores)
+            for number, (domain, cores) in enumerate(properties)
+        ]
+
+        def rank(each: RegisteredVm) -> tuple[bool, float, int]:
+            score = rendezvous_score("home", "i", each.name)
+            return each.failure_domain != "a", -each.cores, score
+
+        expected = tuple(sorted(vms, key=rank)[:HOMES_PER_INSTANCE])
+        self.assertEqual(expected, homes(registration("i", failure_domain="a"), vms))
+
 
 class RecordedOpenings:
     """Opens connections and records how; `down` homes are unreachable, `refusing` ones refuse."""
@@ -93,9 +111,28 @@
     def _opener(
         self, openings: RecordedOpenings, vms: Sequence[RegisteredVm], own: str
     ) -> RoutingOpener:
+        fleet = tuple(vms)
         return RoutingOpener(
-            own, openings.open_direct, openings.open_relay, lambda: vms, RecordingLog()
+            own, openings.open_direct, openings.open_relay, lambda: fleet, RecordingLog()
+        )
+
+    def test_a_changed_fleet_changes_the_homes(self) -> None:
+        # Guards against statements that go to a VM that has left, because its role was remembered.
+        fleet = [tuple(make_fleet(40))]
+        openings = RecordedOpenings()
+        first = homes(registration("i"), fleet[0])[0]
+        opener = RoutingOpener(
+            first.name,
+            openings.open_direct,
+            openings.open_relay,
+            lambda: fleet[0],
+            RecordingLog(),
         )
+        self.assertFalse(opener.uses_relay(registration("i")))
+        fleet[0] = (*fleet[0], first._replace(name="vm-large-1", cores=8.0))
+        self.assertEqual(1, opener.home_rank(registration("i")))
+        fleet[0] = (*fleet[0], first._replace(name="vm-large-2", cores=9.0))
+        self.assertTrue(opener.uses_relay(registration("i")))
 
     @trio_test(mock_clock=True)
     async def test_a_small_fleet_and_the_homes_connect_directly(self) -> None:
