Rank rate holders only for VMs that joined and organisations that lost one

Cause: each registration or departure of a VM ranked all VMs for each organisation. A VM that joins is scored once for each organisation; all VMs are ranked only for organisations that lose a holder. A property test compares series of changes with a ranking from the start.

--- a/src/tanagerfront/fleet_roles.py
+++ b/src/tanagerfront/fleet_roles.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from .fleet_store import RegisteredVm
 from .rendezvous import rendezvous_score
 from .session_model import Organisation
 
-__all__ = ["COORDINATORS", "coordinators", "rate_holders"]
+__all__ = ["COORDINATORS", "RateHolders", "coordinators", "rate_holders"]
 
 # Coordinators read the store for all other VMs. Three tolerate the loss of two VMs at once.
 COORDINATORS = 3
@@ -44,6 +44,48 @@
 
 def rate_holders(organisation: Organisation, vms: Sequence[str]) -> tuple[str, ...]:
     """Return the names of the VMs among which an organisation's token bucket is divided."""
+    return tuple(_ranked(vms, f"rate/{organisation.name}")[: _holder_count(organisation, len(vms))])
+
+
+class RateHolders:
+    """The holders of all organisations, updated by the VMs that joined and left.
+
+    A VM that joins or leaves changes the ranking of others by nothing, so that an update scores
+    only the VMs that joined, and ranks all VMs only for an organisation that lost a holder.
+    """
+
+    def __init__(self) -> None:
+        self._vms: frozenset[str] = frozenset()
+        # The first MAX_HOLDERS VMs of each organisation with their scores, in order.
+        self._ranked: dict[str, list[tuple[int, str]]] = {}
+
+    def update(
+        self, organisations: Collection[Organisation], vms: Collection[str]
+    ) -> dict[str, tuple[str, ...]]:
+        """Return the holders by organisation, the same as `rate_holders` for each of them."""
+        present = frozenset(vms)
+        joined, left = present - self._vms, self._vms - present
+        self._vms = present
+        previous, self._ranked = self._ranked, {}
+        holders: dict[str, tuple[str, ...]] = {}
+        for organisation in organisations:
+            name = organisation.name
+            ranked = previous.get(name)
+            if ranked is None or any(vm in left for _, vm in ranked):
+                ranked = _scored(present, name)
+            elif joined:
+                ranked = sorted([*ranked, *_scored(joined, name)])
+            del ranked[MAX_HOLDERS:]
+            self._ranked[name] = ranked
+            count = _holder_count(organisation, len(present))
+            holders[name] = tuple(vm for _, vm in ranked[:count])
+        return holders
+
+
+def _scored(vms: Iterable[str], organisation: str) -> list[tuple[int, str]]:
+    return sorted((rendezvous_score(f"rate/{organisation}", vm), vm) for vm in vms)
+
+
+def _holder_count(organisation: Organisation, vms: int) -> int:
     tokens = organisation.rate_per_s + organisation.burst
-    count = min(len(vms), MAX_HOLDERS, max(MIN_HOLDERS, int(tokens / TOKENS_PER_HOLDER)))
-    return tuple(_ranked(vms, f"rate/{organisation.name}")[:count])
+    return min(vms, MAX_HOLDERS, max(MIN_HOLDERS, int(tokens / TOKENS_PER_HOLDER)))
--- a/src/tanagerfront/rate_shares.py
+++ b/src/tanagerfront/rate_shares.py
@@ -14,7 +14,7 @@
 
 import trio
 
-from .fleet_roles import rate_holders
+from .fleet_roles import RateHolders
 from .session_model import Organisation
 
 __all__ = ["RateShare", "RateShares", "TokenLoanRequest", "UNKNOWN_LENDER"]
@@ -121,6 +121,7 @@
         self._known_surplus = known_surplus
         self._shares: dict[str, RateShare] = {}
         self._lenders: dict[str, tuple[str, ...]] = {}
+        self._holders = RateHolders()
         self._configured = False
         self._startup_ends_at = trio.current_time() + STARTUP_WAIT_S
 
@@ -135,8 +136,9 @@
         if not self._configured and len(vms) < MIN_STARTUP_VMS and now < self._startup_ends_at:
             # Otherwise the first VM of a starting fleet would assume the whole rate.
             return
+        all_holders = self._holders.update(organisations.values(), vms)
         for name, limits in organisations.items():
-            holders = rate_holders(limits, vms)
+            holders = all_holders[limits.name]
             count = len(holders)
             self._lenders[name] = tuple(holder for holder in holders if holder != self._own_vm)
             share = self._shares.get(name)
--- a/tests/test_fleet_roles.py
+++ b/tests/test_fleet_roles.py
@@ -7,7 +7,13 @@
 
 from front_fakes import vm
 from support import TestCase
-from tanagerfront.fleet_roles import COORDINATORS, MAX_HOLDERS, coordinators, rate_holders
+from tanagerfront.fleet_roles import (
+    COORDINATORS,
+    MAX_HOLDERS,
+    RateHolders,
+    coordinators,
+    rate_holders,
+)
 from tanagerfront.session_model import Organisation
 
 NAMES = st.sets(st.sampled_from([f"vm-{number}" for number in range(40)]), min_size=1)
@@ -49,3 +55,20 @@
         self.assertTrue(set(holders) <= names)
         self.assertLessEqual(len(holders), MAX_HOLDERS)
         self.assertGreaterEqual(len(holders), min(2, len(names)))
+
+    @given(
+        st.lists(
+            st.tuples(NAMES, st.sets(st.sampled_from("abcde")), st.sampled_from((1.0, 40.0))),
+            max_size=8,
+        )
+    )
+    def test_updated_holders_are_those_of_a_fleet_that_is_ranked_anew(
+        self, steps: list[tuple[set[str], set[str], float]]
+    ) -> None:
+        # Guards against VMs that disagree on the holders after a series of changes, so that the
+        # shares of an organisation add up to more or less than its rate.
+        updated = RateHolders()
+        for names, organisation_names, rate in steps:
+            organisations = [Organisation(name, rate, rate) for name in sorted(organisation_names)]
+            expected = {each.name: rate_holders(each, sorted(names)) for each in organisations}
+            self.assertEqual(expected, updated.update(organisations, names))
