Pass primaries' positions on with replies to heartbeats

Cause: every VM queried every group's primary each 0.5 s through the homes, for the positions that bound the staleness of reads: VMs x groups x 2 control statements a second, half of what a home relayed on the large site. Change: coordinators and the promoter query the primaries and pass positions on in the replies to heartbeats that they send anyway. Other VMs query only if none arrives in time for the smallest staleness bound of the group's routes. A sample that was queried after a wait for a connection now counts only if the primary is still confirmed. The smallest bounds are computed once for each configuration instead of looking at all routes.

--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -22,9 +22,11 @@
 from .instance_directory import Instance, InstanceDirectory
 from .instance_pool import Opener
 from .instance_watch import InstanceWatch
+from .position_exchange import positions_to_pass, record_passed_positions
 from .rate_shares import RateShares, TokenLoanRequest
 from .relay import RelayOpener, RoutingOpener
 from .session_failover import FailoverController, InstanceControl, PromotionApi, build_heartbeat
+from .session_model import boottime_s
 from .session_peer_messages import Heartbeat
 from .session_peers import VmPeers
 from .store_era import era_of
@@ -206,6 +208,7 @@
         )
         self._peers.rates = self._rates
         self._peers.on_heartbeat = self._receive_heartbeat
+        self._peers.positions = lambda: positions_to_pass(self._directory, boottime_s())
         self._sync.on_primary_change = self._peers.broadcast_heartbeat
         self._failover = FailoverController(
             adapters.store,
@@ -223,6 +226,7 @@
         self._watch = InstanceWatch(
             self._directory, self._confirmed_state, adapters.can_connect, log
         )
+        self._watch.samples_for_others = lambda: self._sync.replies_to_heartbeats
         services = SessionServices(
             self._confirmed_state, self._directory, self._rates, log, self._metrics
         )
@@ -353,6 +357,7 @@
             self._sync.record_newer_primary(heartbeat.vm, heartbeat.seen_revision)
         elif heartbeat.echo is not None:
             self._sync.record_echo(heartbeat.vm, heartbeat.echo)
+            record_passed_positions(self._directory, heartbeat.echo.sent_at, heartbeat.positions)
 
     def _log_instance(self, change: str, instance: Instance) -> None:
         self._log.decision(f"instance_{change}", **instance.registration._asdict())
--- a/src/tanagerfront/instance_watch.py
+++ b/src/tanagerfront/instance_watch.py
@@ -13,7 +13,7 @@
 from .http_client import Address
 from .instance_directory import Group, Instance, InstanceDirectory
 from .instance_pool import INTERNAL_STATEMENT_ID, NO_ORGANISATION, InstanceStatement
-from .session_model import ResetSession, RouteKind, boottime_s
+from .session_model import FrontConfiguration, ResetSession, RouteKind, boottime_s
 
 __all__ = ["InstanceWatch", "WatchTiming"]
 
@@ -27,6 +27,12 @@
     overdue_s: float = 0.25
     # Reads on replicas need a position of the primary newer than the route's staleness bound.
     sample_s: float = 0.5
+    # A VM that gets positions with the replies to its heartbeats samples only if these fail to
+    # arrive: a position is passed at an age of up to 0.4 s, every 0.3 s.
+    passed_sample_s: float = 1.5
+    # Time before the staleness bound at which such a VM samples anyway: the margin of the bound,
+    # an interval and the timeout of a sample.
+    sample_lead_s: float = 0.5
     # The statement needs no slot, only a round trip; a new connection occupies a slot for 12 ms.
     sample_timeout_s: float = 0.3
 
@@ -48,6 +54,10 @@
         self._log = log
         self._timing = timing or WatchTiming()
         self._active: set[str] = set()
+        self._staleness_of: FrontConfiguration | None = None
+        self._staleness_s: dict[str, float] = {}
+        # Whether the VM passes positions on to others, so that it has to have recent ones.
+        self.samples_for_others: Callable[[], bool] = lambda: True
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -87,16 +97,42 @@
             self._active.discard(instance.registration.id)
 
     def _needs_sample(self, group: Group, instance: Instance) -> bool:
-        if instance is not group.primary or not self._confirmed_state.primaries_confirmed:
+        age_s = boottime_s() - group.samples.latest_at
+        if age_s < self._timing.sample_s or not self._is_usable_primary(group, instance):
             return False
-        if boottime_s() - group.samples.latest_at < self._timing.sample_s:
+        staleness_s = self._smallest_staleness_s(group.name)
+        if staleness_s is None:
             return False
-        configuration = self._confirmed_state.configuration
-        return configuration is not None and any(
-            route.group == group.name and route.kind is not RouteKind.PRIMARY
-            for route in configuration.routes.values()
+        if self.samples_for_others() or group.primary_record is None:
+            return True
+        limit_s = min(self._timing.passed_sample_s, staleness_s - self._timing.sample_lead_s)
+        return age_s >= limit_s
+
+    def _is_usable_primary(self, group: Group, instance: Instance) -> bool:
+        """Return whether a position that the instance reports now bounds the group's commits."""
+        return (
+            instance is group.primary
+            and self._confirmed_state.primaries_confirmed
+            and not group.superseded
         )
 
+    def _smallest_staleness_s(self, group: str) -> float | None:
+        """Return the smallest staleness bound of the group's routes, None if none reads replicas.
+
+        A configuration may have thousands of routes, so this is computed once for each.
+        """
+        configuration = self._confirmed_state.configuration
+        if configuration is None:
+            return None
+        if configuration is not self._staleness_of:
+            self._staleness_of, self._staleness_s = configuration, {}
+            for route in configuration.routes.values():
+                bound_s = route.max_staleness_s
+                if route.kind is not RouteKind.PRIMARY and bound_s is not None:
+                    known_s = self._staleness_s.get(route.group, bound_s)
+                    self._staleness_s[route.group] = min(known_s, bound_s)
+        return self._staleness_s.get(group)
+
     async def _sample(self, group: Group, instance: Instance) -> None:
         """Query the primary's position with a statement that needs no slot."""
         now = trio.current_time()
@@ -110,12 +146,14 @@
                 connection = await pool.acquire(NO_ORGANISATION, now, deadline)
             try:
                 asked_at = boottime_s()
+                # The wait for a connection may have outlasted the confirmation of the primary.
+                usable = self._is_usable_primary(group, instance)
                 with trio.fail_after(self._timing.sample_timeout_s):
                     statement = InstanceStatement(INTERNAL_STATEMENT_ID, ResetSession())
                     [reply] = await connection.run([statement])
                 if instance.record_reply(reply, None):
                     group.notify()
-                if reply.reached is not None and group.primary is instance:
+                if usable and reply.reached is not None and group.primary is instance:
                     group.samples.add(asked_at, reply.reached)
             finally:
                 await pool.release(connection)
--- a/src/tanagerfront/position_samples.py
+++ b/src/tanagerfront/position_samples.py
@@ -28,6 +28,11 @@
         """Return the request time of the newest sample, minus infinity if there is none."""
         return self._samples[-1][0] if self._samples else float("-inf")
 
+    @property
+    def newest(self) -> tuple[float, EntryId] | None:
+        """Return the newest sample's request time and position, None if there is none."""
+        return self._samples[-1] if self._samples else None
+
     def add(self, requested_at: float, position: EntryId) -> None:
         """Add the position that the primary returned for a request sent at `requested_at`."""
         if requested_at - self.latest_at < MIN_SAMPLE_INTERVAL_S:
--- a/src/tanagerfront/session_peer_messages.py
+++ b/src/tanagerfront/session_peer_messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from .position_exchange import PassedPosition
+
 __all__ = [
     "Datagram",
     "Echo",
@@ -44,6 +46,8 @@
     # Rate tokens that the VM offers to lend, by organisation.
     surplus: dict[str, int]
     echo: Echo | None = None
+    # Positions of primaries, only in a reply to a heartbeat.
+    positions: list[PassedPosition] = msgspec.field(default_factory=list)
 
 
 class LoanRequest(msgspec.Struct, tag="r", array_like=True):
--- a/src/tanagerfront/session_peers.py
+++ b/src/tanagerfront/session_peers.py
@@ -11,6 +11,7 @@
 
 from .decision_log import DecisionLog
 from .fleet_store import RegisteredVm
+from .position_exchange import PassedPosition
 from .rate_shares import LOAN_TIMEOUT_S, UNKNOWN_LENDER, RateShares, TokenLoanRequest
 from .session_model import boottime_s
 from .session_peer_messages import (
@@ -76,6 +77,8 @@
         self._announcement = trio.Event()
         self.rates: RateShares | None = None
         self.on_heartbeat: Callable[[Heartbeat], None] = lambda heartbeat: None
+        # Positions of primaries for replies to heartbeats.
+        self.positions: Callable[[], list[PassedPosition]] = list
 
     def recent_heartbeat(self, vm: str) -> Heartbeat | None:
         """Return the newest heartbeat of a peer, None if it has been silent for too long."""
@@ -165,6 +168,7 @@
                 if message.echo is None and self._replies_to_heartbeats():
                     reply = self._heartbeat()
                     reply.echo = self._echo(message.sent_at)
+                    reply.positions = self.positions()
                     await self._send_to(sender, reply)
             case LoanRequest(loan, organisation, count):
                 if self.rates is not None:
--- a/tests/test_instance_watch.py
+++ b/tests/test_instance_watch.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from unittest.mock import patch
 
 import trio
 
 from front_fakes import GROUP, FakeInstance, RecordingLog, configuration, registration
 from support import TestCase, trio_test
+from tanagerfront.caller_session import STALENESS_MARGIN_S
 from tanagerfront.confirmed_state import ConfirmedState, StalenessLimits
+from tanagerfront.entry_id import EntryId
 from tanagerfront.http_client import Address
-from tanagerfront.instance_directory import Instance, InstanceDirectory
+from tanagerfront.instance_directory import Instance, InstanceDirectory, PrimaryRecord
 from tanagerfront.instance_watch import InstanceWatch
 from tanagerfront.session_model import boottime_s
 
@@ -121,3 +124,38 @@
         self.assertIsNone(group.directory.group(GROUP).samples.oldest_since(float("-inf")))
         self.assertGreater(len(group.log.inputs_of("no_sample")), 0)
         self.assertEqual(0, group.instance.pool.busy_connections)
+
+    @trio_test(mock_clock=True)
+    async def test_a_vm_that_is_passed_positions_does_not_query_the_primary(self) -> None:
+        # Guards against control statements that grow with the number of VMs times the groups.
+        group = await self._member()
+        samples = group.directory.group(GROUP).samples
+
+        def pass_position() -> None:
+            samples.add(trio.current_time(), EntryId(1, 5))
+
+        with patch("tanagerfront.instance_watch.boottime_s", trio.current_time):
+            await group.run_with(*[pass_position] * 6, pause_s=0.7)
+        self.assertEqual(0, group.fake.opened)
+
+    @trio_test(mock_clock=True)
+    async def test_a_vm_that_is_passed_none_queries_the_primary_before_its_bound(self) -> None:
+        # Guards against reads that all go to the primary while no coordinator can be heard.
+        group = await self._member()
+        samples = group.directory.group(GROUP).samples
+        ages: list[float] = []
+
+        def observe() -> None:
+            ages.append(trio.current_time() - samples.latest_at)
+
+        with patch("tanagerfront.instance_watch.boottime_s", trio.current_time):
+            await group.run_with(*[observe] * 40, pause_s=0.1)
+        self.assertLess(max(ages[3:]), 1.5 - STALENESS_MARGIN_S)
+        self.assertGreater(max(ages[3:]), 0.8)
+
+    async def _member(self) -> WatchedGroup:
+        """Return a group whose primary record is known to a VM that passes no positions on."""
+        group = WatchedGroup()
+        group.directory.set_primary_record(PrimaryRecord(GROUP, "p", 1, False, revision=1))
+        group.watch.samples_for_others = lambda: False
+        return group
