Evacuate failure domains that operators take out of service

Nothing knew the operators' orders. VMs read them with the configuration, confirm them with the same checks and echoes, send no new statement to instances in the domain, end open transactions within the bound and move primaries to replicas elsewhere that have all entries.

--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -18,6 +18,7 @@
     INTERNAL_STATEMENT_ID,
     InstanceRefusedError,
     InstanceStatement,
+    InstanceWithdrawnError,
     PooledConnection,
 )
 from .placement import choose_candidate
@@ -114,7 +115,11 @@
         """Return the longest allowed pause before the next statement, None without a limit."""
         if self._transaction is None:
             return None
-        return self._transaction.caller.configuration.transaction_idle_s
+        limit_s = self._transaction.caller.configuration.transaction_idle_s
+        instance = self._transaction.instance
+        if instance is None or instance.evacuation is None:
+            return limit_s
+        return min(limit_s, max(0.0, instance.evacuation.transactions_until - boottime_s()))
 
     async def execute(self, query: Query) -> Reply:
         """Run one statement and return its reply; failures and refusals are replies too."""
@@ -346,6 +351,15 @@
             raise RefusedError(
                 FailureCode.ABORTED, "the API key now belongs to another organisation"
             )
+        instance = transaction.instance
+        if (
+            instance is not None
+            and instance.evacuation is not None
+            and instance.evacuation.transactions_ended(boottime_s())
+        ):
+            raise RefusedError(
+                FailureCode.ABORTED, "the transaction's instance was taken out of service"
+            )
         if transaction.read_only:
             return
         group = self._services.directory.group(transaction.caller.route.group)
@@ -413,7 +427,11 @@
         if instance is None or connection is None:
             return
         with trio.CancelScope(shield=True):
-            if connection.reusable_after_rollback:
+            # The instance rolls back by itself when the pool closes the connection.
+            out_of_service = instance.evacuation is not None and (
+                instance.evacuation.primary_ended(boottime_s())
+            )
+            if connection.reusable_after_rollback and not out_of_service:
                 rollback = InstanceStatement(INTERNAL_STATEMENT_ID, Rollback())
                 deadline = trio.current_time() + ROLLBACK_TIMEOUT_S
                 try:
@@ -467,6 +485,8 @@
                 connection = await instance.pool.acquire(
                     caller.organisation_name, attempts.urgency, attempts.wait_deadline
                 )
+            except InstanceWithdrawnError:
+                continue
             except OverloadedError as error:
                 raise RefusedError(FailureCode.OVERLOADED, str(error)) from error
             except TooManyConnectionsError as error:
@@ -482,8 +502,10 @@
                 if not attempts.start_next(instance.registration.id):
                     raise RefusedError(FailureCode.OVERLOADED, str(error)) from error
                 continue
-            if at_primary and self._usable_primary(group) is not instance:
-                # The primary changed while the statement waited for the connection.
+            withdrawn = instance.evacuation is not None or at_primary
+            if withdrawn and self._usable_primary(group) is not instance:
+                # The primary changed, or the instance was taken out of service, while the statement
+                # waited for the connection.
                 await instance.pool.release(connection)
                 continue
             return _Placement(instance, connection, after)
@@ -502,9 +524,10 @@
         eligible = [
             instance
             for instance in group.instances.values()
-            if instance is primary
-            or (
-                not instance.leaving
+            if instance.evacuation is None
+            and (
+                instance is primary
+                or not instance.leaving
                 and instance.unreachable_since is None
                 and instance is not group.primary
             )
--- a/src/tanagerfront/fleet_store.py
+++ b/src/tanagerfront/fleet_store.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import NamedTuple, Protocol
 
 from .http_client import Address
@@ -15,6 +16,8 @@
     "CheckResult",
     "EraSettled",
     "ConfigurationChanged",
+    "DomainEvacuated",
+    "DomainReturned",
     "FleetStore",
     "FleetState",
     "InstanceChanged",
@@ -128,6 +131,23 @@
     era: int
 
 
+@dataclass(frozen=True, slots=True)
+class DomainEvacuated:
+    """Operators ordered a failure domain out of service; the order may be unreadable."""
+
+    failure_domain: str
+    revision: int
+    readable: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class DomainReturned:
+    """Operators removed the order for a failure domain that had at most this revision."""
+
+    failure_domain: str
+    revision: int
+
+
 Change = (
     ConfigurationChanged
     | InstanceChanged
@@ -138,6 +158,8 @@
     | PromoterLockAcquired
     | PromoterLockReleased
     | EraSettled
+    | DomainEvacuated
+    | DomainReturned
 )
 
 
@@ -153,6 +175,8 @@
     # Whether a configuration exists and it and all primary records could be decoded.
     readable: bool
     revision: int
+    # Failure domains for which an order of the operators exists.
+    evacuated_domains: frozenset[str] = frozenset()
 
 
 class KnownRevisions(NamedTuple):
@@ -160,6 +184,8 @@
 
     configuration: int
     primary_records: Mapping[str, int]
+    # Orders for failure domains, by domain.
+    evacuations: Mapping[str, int] = MappingProxyType({})
 
 
 class CheckResult(NamedTuple):
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -10,11 +10,15 @@
 from .confirmed_state import ConfirmedState
 from .decision_log import DecisionLog
 from .errors import HistoryLostError, KeyValueError, StoreRestoredError
+from .evacuation import Evacuation, Evacuations, OrderOutcome
 from .fleet_roles import COORDINATORS, coordinators
 from .fleet_store import (
     Change,
     ConfigurationChanged,
+    DomainEvacuated,
+    DomainReturned,
     EraSettled,
+    FleetState,
     FleetStore,
     InstanceChanged,
     InstanceUnregistered,
@@ -109,6 +113,7 @@
         own: RegisteredVm,
         log: DecisionLog,
         timing: SyncTiming | None = None,
+        evacuation_s: float | None = None,
     ) -> None:
         self._store = store
         self._confirmed_state = confirmed_state
@@ -117,6 +122,9 @@
         self._own = own
         self._log = log
         self._timing = timing or SyncTiming()
+        # None where the deployment evacuates no failure domains.
+        self._evacuations = None if evacuation_s is None else Evacuations(evacuation_s)
+        self._unreported_evacuations: dict[str, Evacuation] = {}
         self._vms: dict[str, RegisteredVm] = {}
         # Computed on demand (None until then), because registrations arrive in large numbers.
         self._coordinators: tuple[str, ...] | None = None
@@ -143,6 +151,7 @@
         self._last_echo_at = float("-inf")
         self._announced_urgent = False
         self.on_primary_change: Callable[[], None] = lambda: None
+        self.on_evacuation_change: Callable[[str, bool], None] = lambda domain, evacuated: None
         store.on_restored(self._begin_era)
 
     @property
@@ -226,7 +235,8 @@
 
     async def apply(self, changes: Sequence[Change]) -> None:
         """Apply changes of the store's keys."""
-        for change in changes:
+        # Whether a failure domain may be evacuated depends on the registered instances.
+        for change in sorted(changes, key=_is_evacuation):
             await self._apply_one(change)
         if self._shares_outdated:
             # Once per batch: a division takes about 6 ms with 81 VMs and 83 organisations.
@@ -280,6 +290,88 @@
                 self._log.decision("promoter_seat", holder=None)
             case EraSettled(era):
                 self._settle(era)
+            case DomainEvacuated() | DomainReturned():
+                self._apply_evacuation(change)
+
+    def _apply_evacuation(self, change: DomainEvacuated | DomainReturned) -> None:
+        domain, revision = change.failure_domain, change.revision
+        if self._evacuations is None:
+            self._log.decision("evacuation_ignored", failure_domain=domain, revision=revision)
+            return
+        match change:
+            case DomainEvacuated(_, _, readable):
+                known_domains = self._directory.failure_domains
+                outcome = self._evacuations.order(
+                    domain,
+                    revision,
+                    readable=readable,
+                    known_domains=known_domains,
+                    # The last confirmation came before the order.
+                    ordered_at=boottime_s() - self._confirmed_state.confirmation_age_s,
+                )
+                self._log.decision(
+                    "evacuation_ordered",
+                    failure_domain=domain,
+                    revision=revision,
+                    outcome=outcome.value,
+                    known=domain in known_domains,
+                )
+            case DomainReturned():
+                outcome = self._evacuations.remove(domain, revision)
+                self._log.decision(
+                    "evacuation_removed",
+                    failure_domain=domain,
+                    revision=revision,
+                    outcome=outcome.value,
+                )
+        if outcome not in (OrderOutcome.EVACUATED, OrderOutcome.RETURNED):
+            return
+        in_force = self._evacuations.in_force
+        self._directory.set_evacuations(in_force)
+        self._unreported_evacuations.pop(domain, None)
+        if domain in in_force:
+            self._unreported_evacuations[domain] = in_force[domain]
+        self.on_evacuation_change(domain, domain in in_force)
+        if self.is_coordinator:
+            # Renews the confirmations of all VMs, which an unknown order interrupts.
+            self.request_check()
+
+    def _report_evacuations(self, now: float) -> None:
+        """Log how long after its order an evacuated domain still answered this VM."""
+        for domain, evacuation in tuple(self._unreported_evacuations.items()):
+            if now - evacuation.ordered_at < evacuation.bound_s:
+                continue
+            del self._unreported_evacuations[domain]
+            answered_at = max(
+                (
+                    instance.answered_at
+                    for instance in self._directory.instances()
+                    if instance.registration.failure_domain == domain
+                ),
+                default=evacuation.ordered_at,
+            )
+            self._log.decision(
+                "evacuation_ended",
+                failure_domain=domain,
+                last_answer_s=round(max(0.0, answered_at - evacuation.ordered_at), 3),
+                primaries=[
+                    group.name
+                    for group in self._directory.groups.values()
+                    if group.primary is not None and group.primary.evacuation is not None
+                ],
+            )
+
+    @property
+    def _evacuated_in_era(self) -> list[str]:
+        """Return the evacuated domains, without those whose orders a restored store has lost."""
+        if self._evacuations is None:
+            return []
+        revisions = self._evacuations.revisions
+        return sorted(
+            domain
+            for domain in self._evacuations.in_force
+            if self._revision_in_era(revisions[domain])
+        )
 
     def _settle(self, era: int) -> None:
         before = self._era.settled
@@ -411,10 +503,14 @@
         self._last_echo_at = boottime_s()
         configuration = self._confirmed_state.configuration
         newer = configuration is not None and (echo.configuration_revision > configuration.revision)
+        # A VM that is not asked to evacuate domains goes without this comparison.
+        same_domains = self._evacuations is None or echo.evacuated == self._evacuated_in_era
+        newer = newer or not same_domains
         self._announced_urgent = self._announced_urgent or newer
         self._record_announcement(vm, echo.store_revision)
         if (
             configuration
+            and same_domains
             and echo.configuration_revision == configuration.revision
             and echo.configuration_version in (configuration.version, 0)
         ):
@@ -458,6 +554,7 @@
             configuration_revision=configuration.revision if configuration else 0,
             store_revision=self._revision,
             configuration_version=configuration.version if configuration else 0,
+            evacuated=self._evacuated_in_era,
         )
 
     async def _load(self) -> None:
@@ -474,6 +571,7 @@
         removals += [VmUnregistered(name) for name in self._vms.keys() - state.vms]
         if not state.has_promoter and self._promoter_lock is not None:
             removals.append(PromoterLockReleased())
+        removals += self._removed_orders(state)
         changes = [change for change in state.changes if not self._is_outdated(change)]
         await self.apply([*changes, *removals])
         if self._store.era != self._era.era:
@@ -486,6 +584,24 @@
         elif state.readable:
             self._confirm(requested_at)
 
+    def _removed_orders(self, state: FleetState) -> list[Change]:
+        """Return the removals of orders that the store does not hold any more.
+
+        Those that a restored store has lost stay in force until operators repeat and remove them.
+        """
+        revisions = {} if self._evacuations is None else self._evacuations.revisions
+        missing = {
+            domain: revision
+            for domain, revision in revisions.items()
+            if domain not in state.evacuated_domains
+        }
+        lost = [
+            domain for domain, revision in missing.items() if not self._revision_in_era(revision)
+        ]
+        if lost:
+            self._log.failure("evacuation_lost", failure_domains=lost, era=self._era.era)
+        return [DomainReturned(domain, state.revision) for domain in missing if domain not in lost]
+
     def _is_outdated(self, change: Change) -> bool:
         """Return whether a restored store holds an older registration than this VM knows.
 
@@ -588,7 +704,20 @@
         for name in configuration.groups:
             record = self._directory.group(name).primary_record
             primary_revisions[name] = self._revision_in_era(record.revision) if record else 0
-        return KnownRevisions(self._revision_in_era(configuration.revision), primary_revisions)
+        return KnownRevisions(
+            self._revision_in_era(configuration.revision),
+            primary_revisions,
+            self._known_orders(),
+        )
+
+    def _known_orders(self) -> dict[str, int]:
+        """Return the revisions of the orders for all failure domains with instances."""
+        if self._evacuations is None:
+            return {}
+        orders = dict.fromkeys(self._directory.failure_domains, 0)
+        for domain, revision in self._evacuations.revisions.items():
+            orders[domain] = self._revision_in_era(revision)
+        return orders
 
     def _revision_in_era(self, revision: int) -> int:
         """Return a revision, 0 if the entry was not read again since the store was restored."""
@@ -678,6 +807,7 @@
                 if now - since >= self._timing.instance_grace_s:
                     del self._instance_unregistered_since[instance_id]
                     await self._directory.mark_unregistered(instance_id)
+            self._report_evacuations(now)
             await self._apply_outdated(now)
             await self._remove_unregistered_vms(now)
             await self._directory.remove_unregistered(INSTANCE_RETENTION_S)
@@ -731,3 +861,7 @@
             self._log.failure("store_lost", call=call, error=str(error))
         else:
             self._log.failure("store_call_failed", call=call, error=str(error))
+
+
+def _is_evacuation(change: Change) -> bool:
+    return isinstance(change, DomainEvacuated | DomainReturned)
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -193,8 +193,15 @@
         self._confirmed_state.on_primaries_confirmed = self._directory.notify_all
         self._rates = RateShares(own.name, self._borrow, self._surplus_of)
         self._sync = FleetSync(
-            adapters.store, self._confirmed_state, self._directory, self._rates, own, log
+            adapters.store,
+            self._confirmed_state,
+            self._directory,
+            self._rates,
+            own,
+            log,
+            evacuation_s=self._features.evacuation_s,
         )
+        self._sync.on_evacuation_change = self._record_evacuation
         self._peers = VmPeers(
             own,
             vms=lambda: self._sync.vms,
@@ -354,6 +361,9 @@
         elif heartbeat.echo is not None:
             self._sync.record_echo(heartbeat.vm, heartbeat.echo)
 
+    def _record_evacuation(self, failure_domain: str, evacuated: bool) -> None:
+        self._metrics.gauge("evacuated", float(evacuated), failure_domain=failure_domain)
+
     def _log_instance(self, change: str, instance: Instance) -> None:
         self._log.decision(f"instance_{change}", **instance.registration._asdict())
 
--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -8,6 +8,7 @@
 import trio
 
 from .entry_id import EntryId
+from .evacuation import Evacuation
 from .instance_pool import InstancePool, Opener, PoolLimits
 from .placement import Candidate
 from .position_samples import PositionSamples
@@ -79,6 +80,8 @@
         self.unregistered_since: float | None = None
         self.draining_since: float | None = None
         self.answered_at = boottime_s()
+        # The order by which the instance's failure domain is out of service, None without one.
+        self.evacuation: Evacuation | None = None
 
     @property
     def leaving(self) -> bool:
@@ -156,6 +159,27 @@
         ]
         return max(claimants, key=lambda instance: instance.registration.revision, default=None)
 
+    def successors(self, primary: Instance | None) -> Sequence[Instance]:
+        """Return the instances that may become primary in place of the given one."""
+        return [
+            instance
+            for instance in self.instances.values()
+            if instance is not primary and not instance.leaving and instance.evacuation is None
+        ]
+
+    def refuses_work(self, instance: Instance, now: float) -> bool:
+        """Return whether the instance gets no new statements because of an evacuation.
+
+        A primary serves until another one has been promoted or the time for that has passed.
+        """
+        if instance.evacuation is None:
+            return False
+        if self.primary_record is not None:
+            is_primary = self.primary_record.instance == instance.registration.id
+        else:
+            is_primary = self.primary is instance
+        return not is_primary or instance.evacuation.primary_ended(now)
+
     @property
     def superseded(self) -> bool:
         """Return whether another primary has followed the recorded one, unknown to the store.
@@ -177,6 +201,7 @@
         self._failure_domain = failure_domain
         self._groups: dict[str, Group] = {}
         self._unrecorded: dict[str, float] = {}
+        self._evacuations: Mapping[str, Evacuation] = {}
         self._vms = 1
         self._connections: Mapping[str, int] = {}
         self.on_change: Callable[[str, Instance], None] = lambda change, instance: None
@@ -237,6 +262,7 @@
                 await instance.pool.close()
             pool = InstancePool(registration, self._opener, self._limits(registration))
             instance = group.instances[registration.id] = Instance(registration, pool)
+            instance.evacuation = self._evacuations.get(registration.failure_domain)
             self.on_change("registered", instance)
         if instance.registration.role is not registration.role:
             self.on_change("role", instance)
@@ -250,6 +276,22 @@
             instance.draining_since = None
         group.notify()
 
+    @property
+    def failure_domains(self) -> frozenset[str]:
+        """Return the failure domains of the known instances."""
+        return frozenset(instance.registration.failure_domain for instance in self.instances())
+
+    def set_evacuations(self, evacuations: Mapping[str, Evacuation]) -> None:
+        """Set the failure domains that are out of service; wake the statements concerned."""
+        self._evacuations = evacuations
+        for group in self._groups.values():
+            for instance in group.instances.values():
+                before = instance.evacuation
+                instance.evacuation = evacuations.get(instance.registration.failure_domain)
+                if before is None and group.refuses_work(instance, boottime_s()):
+                    instance.pool.dismiss_waiting()
+            group.notify()
+
     async def mark_unregistered(self, instance_id: str) -> None:
         """Record that an instance is not registered any more."""
         instance = self.find(instance_id)
--- a/src/tanagerfront/instance_pool.py
+++ b/src/tanagerfront/instance_pool.py
@@ -38,6 +38,7 @@
     "InstancePool",
     "InstanceRefusedError",
     "InstanceStatement",
+    "InstanceWithdrawnError",
     "NO_ORGANISATION",
     "Opener",
     "PoolLimits",
@@ -72,6 +73,16 @@
         return self._failure
 
 
+class InstanceWithdrawnError(DatabaseError):
+    """The instance takes no more statements; the waiting one was not sent."""
+
+    problem_type = "instance-withdrawn"
+    status = 503
+
+    def __init__(self) -> None:
+        super().__init__("the instance was taken out of service", executed="no")
+
+
 StatementBody = (
     Verbatim
     | Execute
@@ -279,12 +290,13 @@
 class _Waiter:
     """A request that waits for a connection; the lowest `urgency` is served first."""
 
-    __slots__ = ("event", "granted", "organisation", "reservation", "urgency")
+    __slots__ = ("dismissed", "event", "granted", "organisation", "reservation", "urgency")
 
     def __init__(self, organisation: str, urgency: float) -> None:
         self.organisation = organisation
         self.urgency = urgency
         self.event = trio.Event()
+        self.dismissed = False
         self.granted: PooledConnection | None = None
         self.reservation: _Reservation | None = None
 
@@ -396,6 +408,8 @@
             return waiter.granted
         if waiter.reservation is not None:
             return await self._connect_admitted(organisation, waiter.reservation)
+        if waiter.dismissed:
+            raise InstanceWithdrawnError
         raise OverloadedError("no connection to the instance became free before the deadline")
 
     async def _reuse_or_open_admitted(
@@ -481,6 +495,13 @@
         self._idle.append(connection)
         self._grant_idle()
 
+    def dismiss_waiting(self) -> None:
+        """Wake all requests that wait for a connection; they raise InstanceWithdrawnError."""
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            waiter.dismissed = True
+            waiter.event.set()
+
     async def close(self) -> None:
         """Close the idle connections now and busy ones on release."""
         await self.set_limits(PoolLimits(0, 0))
--- a/src/tanagerfront/instance_watch.py
+++ b/src/tanagerfront/instance_watch.py
@@ -89,6 +89,8 @@
     def _needs_sample(self, group: Group, instance: Instance) -> bool:
         if instance is not group.primary or not self._confirmed_state.primaries_confirmed:
             return False
+        if group.refuses_work(instance, boottime_s()):
+            return False
         if boottime_s() - group.samples.latest_at < self._timing.sample_s:
             return False
         configuration = self._confirmed_state.configuration
--- a/src/tanagerfront/platform/documents.py
+++ b/src/tanagerfront/platform/documents.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "EVACUATION_PREFIX",
     "INSTANCE_ROLES",
     "INSTANCE_PREFIX",
     "PRIMARY_PREFIX",
@@ -32,6 +33,7 @@
     "SettledEraRecord",
     "VmRecord",
     "decode_configuration",
+    "decode_evacuation",
     "decode_instance",
     "decode_primary_record",
     "decode_promoter",
@@ -43,6 +45,7 @@
 
 # Keys outside OWN_PREFIX are written by the platform and its operators.
 CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
 INSTANCE_PREFIX = "servers/"
 OWN_PREFIX = "tanagerfront/"
 VM_PREFIX = OWN_PREFIX + "vms/"
@@ -223,6 +226,14 @@
         ) from error
 
 
+def decode_evacuation(failure_domain: str, value: bytes) -> bool:
+    """Return whether an order to evacuate a failure domain is readable: an object for a name."""
+    try:
+        return bool(failure_domain) and isinstance(msgspec.json.decode(value), dict)
+    except msgspec.MsgspecError:
+        return False
+
+
 def decode_vm(value: bytes) -> VmRecord:
     """Return a VM's registration; raises ConfigurationError."""
     return _decode(_vm_decoder, value)
--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -11,6 +11,8 @@
     Change,
     CheckResult,
     ConfigurationChanged,
+    DomainEvacuated,
+    DomainReturned,
     EraSettled,
     FleetState,
     InstanceChanged,
@@ -30,6 +32,7 @@
 from .changes_wire import PeerWatchClients
 from .documents import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     INSTANCE_PREFIX,
     OWN_PREFIX,
     PRIMARY_PREFIX,
@@ -40,6 +43,7 @@
     SettledEraRecord,
     VmRecord,
     decode_configuration,
+    decode_evacuation,
     decode_instance,
     decode_primary_record,
     decode_promoter,
@@ -117,7 +121,8 @@
             revisions={
                 found.key: found.revision
                 for found in page.values
-                if found.key == CONFIGURATION_KEY or found.key.startswith(OWN_PREFIX)
+                if found.key == CONFIGURATION_KEY
+                or found.key.startswith((OWN_PREFIX, EVACUATION_PREFIX))
             },
         )
         return FleetState(
@@ -128,6 +133,7 @@
             groups=groups,
             has_promoter=PROMOTER_KEY in keys,
             revision=page.revision,
+            evacuated_domains=frozenset(_suffixes(keys, EVACUATION_PREFIX)),
         )
 
     async def watch(self, after: int, wait_s: float) -> tuple[Sequence[Change], int]:
@@ -154,6 +160,9 @@
         expected |= {
             PRIMARY_PREFIX + group: revision for group, revision in known.primary_records.items()
         }
+        expected |= {
+            EVACUATION_PREFIX + domain: revision for domain, revision in known.evacuations.items()
+        }
         keys = list(expected)
         differing: dict[str, tuple[int, int]] = {}
         changes: list[Change] = []
@@ -168,6 +177,12 @@
                     key: (batch[key], stored[key]) for key in batch if stored[key] != batch[key]
                 }
                 changes += self._changes(found[key] for key in differing if key in found)
+                # A newer order may have followed the removed one meanwhile.
+                changes += (
+                    DomainReturned(key.removeprefix(EVACUATION_PREFIX), batch[key])
+                    for key in batch
+                    if key in differing and key.startswith(EVACUATION_PREFIX) and key not in found
+                )
         return CheckResult(differing, changes)
 
     async def register(self, vm: RegisteredVm, ttl_s: float) -> int:
@@ -320,6 +335,11 @@
             return PromoterLockReleased()
         holder = decode_promoter(value)
         return PromoterLockAcquired(PromoterLock(holder.vm, holder.incarnation, revision))
+    if key.startswith(EVACUATION_PREFIX):
+        domain = key.removeprefix(EVACUATION_PREFIX)
+        if value is None:
+            return DomainReturned(domain, revision)
+        return DomainEvacuated(domain, revision, decode_evacuation(domain, value))
     if value is None:
         return None
     if key == CONFIGURATION_KEY:
--- a/src/tanagerfront/platform/relay_wire.py
+++ b/src/tanagerfront/platform/relay_wire.py
@@ -10,7 +10,7 @@
 from ..instance_directory import InstanceDirectory
 from ..instance_pool import InstanceStatement
 from ..relay import RelaySession
-from ..session_model import Failure, FailureCode, Reply
+from ..session_model import Failure, FailureCode, Reply, boottime_s
 from .instance_wire import USER_TIMEOUT_MS
 from .line_stream import LineStream
 from .lines import (
@@ -98,8 +98,12 @@
             await lines.send(encode_failure(Failure(FailureCode.MOVED, message.instance)))
             return None, 0
         await lines.send(encode_ready(Reply()))
+        group = self._directory.group(message.group)
         session = RelaySession(
-            instance.pool, message.organisation, lambda: not lines.closed_by_peer
+            instance.pool,
+            message.organisation,
+            lambda: not lines.closed_by_peer,
+            lambda: group.refuses_work(instance, boottime_s()),
         )
         return session, message.relay_version
 
--- a/src/tanagerfront/primary_use.py
+++ b/src/tanagerfront/primary_use.py
@@ -26,6 +26,7 @@
     NOT_CONFIRMED = "not-confirmed"
     LEAVING = "leaving"
     UNREACHABLE = "unreachable"
+    EVACUATED = "evacuated"
 
 
 def primary_obstacle(
@@ -46,6 +47,8 @@
     leaving_since = primary.leaving_since
     if leaving_since is not None and now - leaving_since > confirmed_state.limits.leaving_s:
         return PrimaryObstacle.LEAVING
+    if primary.evacuation is not None and primary.evacuation.primary_ended(now):
+        return PrimaryObstacle.EVACUATED
     if primary.unreachable_since is not None:
         return PrimaryObstacle.UNREACHABLE
     return None
@@ -54,9 +57,14 @@
 def expected_wait_s(group: Group, limits: StalenessLimits, now: float) -> float:
     """Return the expected time in seconds until a moving primary may be used, 0 if not known.
 
+    It is infinite while an evacuation leaves no instance that could become primary.
+
     A failover that has not ended promptly waits for a VM that does not answer, until that VM can't
     be using the old primary any more; it ends earlier only if the VM returns or loses its lease.
     """
+    evacuated = any(instance.evacuation is not None for instance in group.instances.values())
+    if evacuated and not group.successors(None):
+        return float("inf")
     if group.moving_since is None or now - group.moving_since < PROMPT_FAILOVER_S:
         return 0.0
     return max(0.0, group.moving_since + limits.primary_s + CONFIRMATION_MARGIN_S - now)
--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -22,6 +22,7 @@
     InstancePool,
     InstanceRefusedError,
     InstanceStatement,
+    InstanceWithdrawnError,
     Opener,
     PooledConnection,
 )
@@ -146,10 +147,16 @@
     """
 
     def __init__(
-        self, pool: InstancePool, organisation: str, peer_waiting: Callable[[], bool] = lambda: True
+        self,
+        pool: InstancePool,
+        organisation: str,
+        peer_waiting: Callable[[], bool] = lambda: True,
+        refuses_work: Callable[[], bool] = lambda: False,
     ) -> None:
         self._pool = pool
         self._peer_waiting = peer_waiting
+        # Whether the instance is out of service for new statements.
+        self._refuses_work = refuses_work
         self._organisation = organisation
         self._values: dict[str, str] = {}
         self._prepared: dict[str, tuple[bool, str]] = {}
@@ -178,6 +185,8 @@
                 self._values = {}
                 self._prepared = {}
         try:
+            if self._transaction_connection is None and self._refuses_work():
+                raise InstanceWithdrawnError
             connection = await self._acquire_connection()
         except ConnectionLostError as error:
             return self._local_reply(Failure(FailureCode.MOVED, str(error)))
@@ -208,7 +217,11 @@
         if self._transaction_connection is not None:
             return self._transaction_connection
         now = trio.current_time()
-        return await self._pool.acquire(self._organisation, now, now + MAX_CONNECTION_WAIT_S)
+        connection = await self._pool.acquire(self._organisation, now, now + MAX_CONNECTION_WAIT_S)
+        if self._refuses_work():
+            await self._pool.release(connection)
+            raise InstanceWithdrawnError
+        return connection
 
     async def _run_on(self, connection: PooledConnection, statement: InstanceStatement) -> Reply:
         begins = isinstance(statement.statement, Begin)
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -18,6 +18,7 @@
 from .decision_log import DecisionLog
 from .entry_id import EntryId
 from .errors import TanagerfrontError
+from .evacuation import concurrent_moves
 from .fleet_store import FleetStore, RegisteredVm
 from .fleet_sync import FleetSync
 from .instance_directory import Group, Instance, InstanceDirectory, PrimaryRecord
@@ -60,6 +61,8 @@
 CATCH_UP_TIMEOUT_S = 1.0
 # Several times the duration of a promotion; after it, the next failover attempt checks the result.
 PROMOTION_TIMEOUT_S = 4.0
+# Interval at which the promoter tests whether a replica has caught up with an evacuated primary.
+STEP_CHECK_INTERVAL_S = 0.25
 # Delay between polls of instances and between failover attempts.
 RETRY_DELAY_S = 0.05
 # Each further coordinator waits this much longer before it claims the free promoter lock.
@@ -77,6 +80,11 @@
     LEADERLESS = "leaderless"
     UNFINISHED = "unfinished"
     SUPERSEDED = "superseded"
+    EVACUATED = "evacuated"
+
+
+# The old primary still serves when such a failover begins.
+PLANNED_REASONS = frozenset({FailoverReason.LEAVING, FailoverReason.EVACUATED})
 
 
 class PromotionOutcome(enum.Enum):
@@ -133,25 +141,32 @@
     if group.superseded:
         return FailoverReason.SUPERSEDED
     if primary is None:
-        has_replicas = any(not instance.leaving for instance in group.instances.values())
+        has_replicas = bool(group.successors(None))
         return (
             FailoverReason.LEADERLESS if has_replicas and known_for_s > NO_PRIMARY_GRACE_S else None
         )
-    if not any(
-        instance is not primary and not instance.leaving for instance in group.instances.values()
-    ):
+    successors = group.successors(primary)
+    if not successors:
         return None
     if primary.draining_since is not None:
         return FailoverReason.LEAVING
     if primary.unregistered_since is not None:
         return FailoverReason.GONE
+    if _is_unreachable(primary, votes, now):
+        return FailoverReason.UNREACHABLE
+    if primary.evacuation is not None and any(
+        instance.unreachable_since is None for instance in successors
+    ):
+        return FailoverReason.EVACUATED
+    return None
+
+
+def _is_unreachable(primary: Instance, votes: ReachabilityVotes, now: float) -> bool:
     since = primary.unreachable_since
     if since is None or now - since < UNREACHABLE_THRESHOLD_S:
-        return None
+        return False
     # This VM itself may be cut off, so that a majority of the voters has to agree.
-    if votes.voters > 1 and votes.unreachable * 2 <= votes.voters:
-        return None
-    return FailoverReason.UNREACHABLE
+    return votes.voters <= 1 or votes.unreachable * 2 > votes.voters
 
 
 class RecordPropagation(NamedTuple):
@@ -186,17 +201,13 @@
     )
 
 
-def is_postponed(reason: FailoverReason, draining_for_s: float, silent_vms: Sequence[str]) -> bool:
+def is_postponed(reason: FailoverReason, due_for_s: float, silent_vms: Sequence[str]) -> bool:
     """Return whether a planned failover waits for silent VMs to return or to lose their leases.
 
     The leaving primary still serves, while a failover would leave the group without a primary until
     the silent VMs can't be using the old one any more.
     """
-    return (
-        reason is FailoverReason.LEAVING
-        and bool(silent_vms)
-        and draining_for_s < MAX_POSTPONEMENT_S
-    )
+    return reason in PLANNED_REASONS and bool(silent_vms) and due_for_s < MAX_POSTPONEMENT_S
 
 
 def most_advanced(reports: Mapping[str, InstanceReport]) -> str | None:
@@ -231,6 +242,8 @@
         self._in_progress: set[str] = set()
         self._first_seen: dict[str, float] = {}
         self._due_since: dict[str, float] = {}
+        # Groups whose primaries are being moved out of an evacuated failure domain.
+        self._evacuating: set[str] = set()
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -268,6 +281,8 @@
             return
         if not self._may_promote(group.name) or self._is_postponed(group, reason, now):
             return
+        if reason is FailoverReason.EVACUATED and not self._evacuation_has_room():
+            return
         self._in_progress.add(group.name)
         nursery.start_soon(self._run_failover, group, reason)
 
@@ -278,10 +293,12 @@
         return max(0.0, limit_s - self._sync.era.for_s(boottime_s()))
 
     def _is_postponed(self, group: Group, reason: FailoverReason, now: float) -> bool:
-        draining_since = group.primary.draining_since if group.primary else None
-        if draining_since is None:
+        if group.primary is None or reason not in PLANNED_REASONS:
             return False
-        if reason is FailoverReason.LEAVING and self._unknown_vms_for_s > 0.0:
+        evacuation = group.primary.evacuation
+        times = [group.primary.draining_since, evacuation.ordered_at if evacuation else None]
+        due_since = min(since for since in times if since is not None)
+        if self._unknown_vms_for_s > 0.0:
             # The leaving primary serves until the failover can go through without a wait.
             return True
         heard = self._peers.recent_heartbeats()
@@ -290,7 +307,7 @@
             for vm in self._sync.vms_with_lease
             if vm.name != self._own.name and vm.name not in heard
         ]
-        return is_postponed(reason, now - draining_since, silent)
+        return is_postponed(reason, now - due_since, silent)
 
     def _reachability_votes(self, group: Group) -> ReachabilityVotes:
         primary = group.primary
@@ -319,13 +336,53 @@
     async def _run_failover(self, group: Group, reason: FailoverReason) -> None:
         self._log.decision("primary_move_begins", group=group.name, reason=reason.value)
         try:
-            await self._run_failover_steps(group, reason)
+            if reason is not FailoverReason.EVACUATED:
+                await self._run_failover_steps(group, reason)
+            elif await self._may_evacuate(group):
+                self._evacuating.add(group.name)
+                await self._run_failover_steps(group, reason)
         except Exception as error:  # a defect must not end the failovers of the other groups
             text = str(error) if isinstance(error, TanagerfrontError) else repr(error)
             self._log.failure("primary_move_failed", group=group.name, error=text)
             await trio.sleep(RETRY_DELAY_S)
         finally:
             self._in_progress.discard(group.name)
+            self._evacuating.discard(group.name)
+
+    async def _may_evacuate(self, group: Group) -> bool:
+        """Return whether the group's primary may be moved now; wait a moment if not.
+
+        The old primary serves until a replica elsewhere has all its entries.
+        """
+        primary = group.primary
+        if primary is None or primary.evacuation is None:
+            return False
+        if not await self._has_successor_in_step(group, primary):
+            self._log.decision("no_replica_in_step", group=group.name)
+            await trio.sleep(STEP_CHECK_INTERVAL_S)
+            return False
+        # Other groups may have begun meanwhile.
+        return self._evacuation_has_room()
+
+    def _evacuation_has_room(self) -> bool:
+        primaries = (group.primary for group in self._directory.groups.values())
+        pending = [
+            primary.evacuation
+            for primary in primaries
+            if primary is not None and primary.evacuation is not None
+        ]
+        return len(self._evacuating) < concurrent_moves(pending, boottime_s())
+
+    async def _has_successor_in_step(self, group: Group, primary: Instance) -> bool:
+        """Return whether a replica elsewhere has an entry that the primary had just before."""
+        newest = primary.reached
+        if primary.evacuation is None or not primary.evacuation.primary_ended(boottime_s()):
+            report = await self._request_report(primary)
+            newest = report.received if report is not None else newest
+            await trio.sleep(STEP_DOWN_DELAY_S)
+        reports = await self._collect_reports(group.successors(primary), None)
+        best = most_advanced(reports)
+        return best is not None and (newest is None or reports[best].received >= newest)
 
     async def _run_failover_steps(self, group: Group, reason: FailoverReason) -> None:
         lease = self._sync.lease
@@ -345,7 +402,11 @@
         # An old primary that stepped down refuses writes, but answers reads as a replica.
         await self._wait_until_old_primary_unused(record, written_at)
         options = self._options(group.name)
-        chosen = await self._choose_replica(group, old_primary, record, last_entry, options)
+        chosen = None
+        if reason is FailoverReason.UNFINISHED:
+            chosen = await self._promoted_in_evacuated_domain(group, old_primary)
+        if chosen is None:
+            chosen = await self._choose_replica(group, old_primary, record, last_entry, options)
         if chosen is None:
             self._log.failure("no_candidate", group=group.name)
             await trio.sleep(RETRY_DELAY_S)
@@ -434,7 +495,7 @@
         """Demote the old primary; return its last entry, None if it did not answer."""
         if old_primary is None:
             return None
-        if reason is FailoverReason.LEAVING:
+        if reason in PLANNED_REASONS:
             await trio.sleep(STEP_DOWN_DELAY_S)
         try:
             with trio.fail_after(CONTROL_TIMEOUT_S):
@@ -479,11 +540,7 @@
         options: GroupOptions,
     ) -> Instance | None:
         """Return the replica to promote, None if none is safe to promote now."""
-        replicas = [
-            instance
-            for instance in group.instances.values()
-            if instance is not old_primary and not instance.leaving
-        ]
+        replicas = group.successors(old_primary)
         deadline = trio.current_time() + (CATCH_UP_TIMEOUT_S if last_entry is not None else 0.0)
         # An entry may have been acknowledged after only one replica received it. Without the old
         # primary's last entry, only the set of all replicas is certain to contain every such entry.
@@ -509,6 +566,24 @@
             return None
         return group.instances.get(best)
 
+    async def _promoted_in_evacuated_domain(
+        self, group: Group, old_primary: Instance | None
+    ) -> Instance | None:
+        """Return an instance that an earlier promoter promoted before its domain was evacuated.
+
+        A second promotion in the same failover would give the group two primaries.
+        """
+        evacuated = [
+            instance
+            for instance in group.instances.values()
+            if instance is not old_primary and instance.evacuation is not None
+        ]
+        reports = await self._collect_reports(evacuated, None)
+        for name, report in reports.items():
+            if report.role is InstanceRole.PRIMARY:
+                return group.instances.get(name)
+        return None
+
     async def _collect_reports(
         self, replicas: Sequence[Instance], pause_term: int | None
     ) -> dict[str, InstanceReport]:
--- a/src/tanagerfront/session_peer_messages.py
+++ b/src/tanagerfront/session_peer_messages.py
@@ -29,6 +29,8 @@
     store_revision: int
     # After its return from a copy the store may hold an older version than VMs know.
     configuration_version: int = 0
+    # Failure domains that are evacuated in the replying VM's view.
+    evacuated: list[str] = []
 
 
 class Heartbeat(msgspec.Struct, tag="h", array_like=True):
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -21,6 +21,8 @@
     Change,
     CheckResult,
     ConfigurationChanged,
+    DomainEvacuated,
+    DomainReturned,
     FleetState,
     InstanceChanged,
     KnownRevisions,
@@ -241,6 +243,7 @@
         self.primary_records: dict[str, PrimaryRecord] = {}
         self.registrations: dict[str, InstanceRegistration] = {}
         self.vms: dict[str, RegisteredVm] = {}
+        self.evacuations: dict[str, DomainEvacuated] = {}
         self.promoter_lock: PromoterLock | None = None
         self.down = False
         self.lose_answers = 0
@@ -272,6 +275,12 @@
                 change = PromoterLockAcquired(self.promoter_lock)
             case PromoterLockReleased():
                 self.promoter_lock = None
+            case DomainEvacuated(domain, _, readable):
+                change = DomainEvacuated(domain, self.revision, readable)
+                self.evacuations[domain] = change
+            case DomainReturned(domain, _):
+                change = DomainReturned(domain, self.revision)
+                self.evacuations.pop(domain, None)
         self._changes.append((self.revision, change))
         changed, self._changed = self._changed, trio.Event()
         changed.set()
@@ -311,7 +320,8 @@
 
     async def load(self) -> FleetState:
         self._call("load")
-        changes: list[Change] = [VmChanged(registered) for registered in self.vms.values()]
+        changes: list[Change] = list(self.evacuations.values())
+        changes += [VmChanged(registered) for registered in self.vms.values()]
         changes += [InstanceChanged(registration) for registration in self.registrations.values()]
         changes += [PrimaryRecordChanged(record) for record in self.primary_records.values()]
         if self.promoter_lock:
@@ -326,6 +336,7 @@
             self.promoter_lock is not None,
             self.configuration is not None,
             self.revision,
+            frozenset(self.evacuations),
         )
 
     async def watch(self, after: int, wait_s: float) -> tuple[Sequence[Change], int]:
@@ -356,6 +367,12 @@
             if record is not None and record.revision != revision:
                 changes.append(PrimaryRecordChanged(record))
                 differing[group] = (revision, record.revision)
+        for domain, revision in known.evacuations.items():
+            order = self.evacuations.get(domain)
+            stored = 0 if order is None else order.revision
+            if stored != revision:
+                changes.append(DomainReturned(domain, revision) if order is None else order)
+                differing[f"evacuation/{domain}"] = (revision, stored)
         return CheckResult(differing, changes)
 
     async def register(self, vm: RegisteredVm, ttl_s: float) -> int:
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -13,10 +13,14 @@
 from tanagerfront.confirmed_state import ConfirmedState, StalenessLimits
 from tanagerfront.entry_id import EntryId
 from tanagerfront.errors import ConnectionLostError
+from tanagerfront.evacuation import Evacuation
 from tanagerfront.fleet_store import (
     Change,
     ConfigurationChanged,
+    DomainEvacuated,
+    DomainReturned,
     InstanceChanged,
+    PrimaryRecordChanged,
     PromoterLock,
     PromoterLockAcquired,
     VmChanged,
@@ -126,6 +130,30 @@
             )
         self.assertEqual(best is None, not logs)
 
+    def test_an_evacuated_primary_moves_only_to_another_failure_domain(self) -> None:
+        # Guards against a promotion in the domain that the operators take out of service.
+        test_group = group()
+        evacuation = Evacuation(NOW, 5.0)
+        test_group.instances["p"].evacuation = evacuation
+        test_group.instances["r0"].evacuation = evacuation
+        self.assertEqual(FailoverReason.EVACUATED, self._decide(test_group))
+        self.assertEqual(
+            [test_group.instances["r1"]], test_group.successors(test_group.instances["p"])
+        )
+        test_group.instances["r1"].unreachable_since = NOW
+        self.assertIsNone(self._decide(test_group))
+        test_group.instances["r1"].evacuation = evacuation
+        self.assertIsNone(self._decide(test_group))
+
+    def test_a_failed_primary_in_an_evacuated_domain_is_not_a_planned_move(self) -> None:
+        # Guards against waiting for silent VMs, and for the reply of a primary that has failed.
+        test_group = group()
+        test_group.instances["p"].evacuation = Evacuation(NOW, 5.0)
+        test_group.instances["p"].unreachable_since = NOW - 1
+        self.assertEqual(
+            FailoverReason.UNREACHABLE, self._decide(test_group, unreachable=2, voters=3)
+        )
+
 
 class RestoredStoreTest(TestCase):
     def test_nothing_is_ordered_while_vms_that_the_store_forgot_may_use_the_primary(self) -> None:
@@ -198,7 +226,13 @@
         self.directory = InstanceDirectory(_refuse_connection, "suame")  # type: ignore[arg-type]
         rates = RateShares("a", self._borrow, lambda _vm, _organisation: 0)
         self.sync = FleetSync(
-            self.store, self.confirmed_state, self.directory, rates, vm("a"), self.log
+            self.store,
+            self.confirmed_state,
+            self.directory,
+            rates,
+            vm("a"),
+            self.log,
+            evacuation_s=5.0,
         )
         self.controller = FailoverController(
             self.store,
@@ -307,7 +341,7 @@
     def test_only_planned_moves_are_postponed_and_only_for_a_while(self) -> None:
         # Guards against a move that is postponed until the leaving primary ends.
         for reason in FailoverReason:
-            planned = reason is FailoverReason.LEAVING
+            planned = reason in (FailoverReason.LEAVING, FailoverReason.EVACUATED)
             self.assertEqual(planned, is_postponed(reason, 0.1, ["b"]))
             self.assertFalse(is_postponed(reason, 0.1, []))
             self.assertFalse(is_postponed(reason, MAX_POSTPONEMENT_S + 0.1, ["b"]))
@@ -468,3 +502,108 @@
         second = await store.acquire_promoter_lock(vm("b"), 2)
         assert first is not None and second is not None
         self.assertGreater(second.token, first.token)
+
+
+class EvacuationTest(TestCase):
+    def _promoter(self) -> PromoterVm:
+        """Return a promoter whose group has its primary and one replica in suame."""
+        promoter = PromoterVm()
+        promoter.store.record(InstanceChanged(registration("r1", failure_domain="adum")))
+        return promoter
+
+    def _evacuate(self, promoter: PromoterVm) -> Callable[[], None]:
+        return lambda: void(promoter.store.record(DomainEvacuated("suame", 0)))
+
+    @trio_test(mock_clock=True)
+    async def test_the_primary_moves_once_a_replica_elsewhere_has_all_its_entries(self) -> None:
+        # Guards against losing acknowledged commits in a planned move to the only replica outside
+        # the domain, which lags, and against a promotion of the complete one inside.
+        promoter = self._promoter()
+        await promoter.run_with(self._evacuate(promoter), 1.5)
+        self.assertEqual(([], None), (promoter.orders, promoter.control.stepped_down_at))
+        self.assertIn("no_replica_in_step", [event for event, _ in promoter.log.events])
+        promoter.control.received["r1"] = promoter.control.received["p"]
+        await promoter.run_with(lambda: None, 1.5)
+        self.assertEqual("r1", promoter.primary)
+        self.assertIsNotNone(promoter.control.stepped_down_at)
+
+    @trio_test(mock_clock=True)
+    async def test_a_domain_that_is_taken_back_in_time_keeps_its_primary(self) -> None:
+        # Guards against a move after its reason has gone.
+        promoter = self._promoter()
+        await promoter.run_with(self._evacuate(promoter), 0.1)
+        promoter.store.record(DomainReturned("suame", 0))
+        promoter.control.received["r1"] = promoter.control.received["p"]
+        await promoter.run_with(lambda: None, 2)
+        self.assertEqual(([], {}), (promoter.orders, promoter.store.primary_records))
+
+    @trio_test(mock_clock=True)
+    async def test_a_domain_that_is_taken_back_during_the_move_gets_one_primary(self) -> None:
+        # Guards against a group that stays without a primary, or gets two, because the reason of
+        # its failover has gone halfway.
+        promoter = self._promoter()
+        promoter.control.received["r1"] = promoter.control.received["p"]
+
+        def evacuate_and_return_at_step_down() -> None:
+            promoter.store.record(DomainEvacuated("suame", 0))
+            step_down = promoter.control.step_down
+
+            async def return_first(entry: InstanceRegistration, term: int) -> InstanceReport:
+                promoter.store.record(DomainReturned("suame", 0))
+                return await step_down(entry, term)
+
+            promoter.control.step_down = return_first  # type: ignore[method-assign]
+
+        await promoter.run_with(evacuate_and_return_at_step_down, 3)
+        self.assertEqual(1, len(promoter.orders))
+        self.assertEqual(promoter.orders[0][1], promoter.primary)
+
+    @trio_test(mock_clock=True)
+    async def test_a_move_left_by_its_promoter_ends_outside_the_domain(self) -> None:
+        # Guards against a group without a primary after the promoter was lost between the record
+        # and the promotion; the next one does not know why the failover began.
+        promoter = self._promoter()
+        promoter.control.primary_name = ""
+        promoter.control.received["r1"] = EntryId(1, 9)
+        promoter.store.record(DomainEvacuated("suame", 0))
+        promoter.store.record(PrimaryRecordChanged(PrimaryRecord(GROUP, "p", 2, True, 0)))
+        await promoter.run_with(lambda: None, 5)
+        self.assertEqual("r1", promoter.primary)
+
+    @trio_test(mock_clock=True)
+    async def test_a_promotion_ordered_before_the_evacuation_is_not_repeated(self) -> None:
+        # Guards against two primaries: the former promoter ordered a replica whose domain was
+        # evacuated before the record was written.
+        promoter = self._promoter()
+        promoter.control.primary_name = "r0"
+        promoter.control.received["r1"] = EntryId(1, 1)
+        promoter.store.record(DomainEvacuated("suame", 0))
+        promoter.store.record(PrimaryRecordChanged(PrimaryRecord(GROUP, "p", 2, True, 0)))
+        await promoter.run_with(lambda: None, 1.0)
+        self.assertEqual({"r0"}, {instance for _, instance, _ in promoter.orders})
+
+    @trio_test(mock_clock=True)
+    async def test_a_leaving_primary_does_not_move_into_the_evacuated_domain(self) -> None:
+        # Guards against a planned failover that was due at the time of the evacuation and chooses
+        # the complete replica in the evacuated domain.
+        promoter = PromoterVm()
+        promoter.store.record(InstanceChanged(registration("r1", failure_domain="adum")))
+        promoter.store.record(
+            InstanceChanged(registration("p", primary=True, failure_domain="ahinsan"))
+        )
+
+        def drain_and_evacuate() -> None:
+            promoter.store.record(DomainEvacuated("suame", 0))
+            promoter.store.record(
+                InstanceChanged(
+                    registration("p", primary=True, draining=True, failure_domain="ahinsan")
+                )
+            )
+            promoter.control.received["r1"] = EntryId(1, 9)
+
+        await promoter.run_with(drain_and_evacuate, 2)
+        self.assertEqual("r1", promoter.primary)
+
+
+def void(_value: object) -> None:
+    """Discard a result."""
