--- a/tests/test_caller_session.py
+++ b/tests/test_caller_session.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import trio
+import trio.testing
 
 from front_fakes import (
     GROUP,
@@ -20,8 +21,10 @@
 from tanagerfront.confirmed_state import ConfirmedState, StalenessLimits
 from tanagerfront.entry_id import EntryId
 from tanagerfront.errors import ConnectionLostError
+from tanagerfront.evacuation import Evacuation
 from tanagerfront.front_metrics import FrontMetrics
 from tanagerfront.instance_directory import InstanceDirectory, PrimaryRecord
+from tanagerfront.instance_pool import PoolLimits
 from tanagerfront.platform.lines import decode_caller_line
 from tanagerfront.rate_shares import UNKNOWN_LENDER, RateShares, TokenLoanRequest
 from tanagerfront.session_model import (
@@ -642,3 +645,100 @@
             await vm.directory.apply(registration(replica.id, draining=True))
         await vm.session(RouteKind.BOUNDED).send("READ 1")
         self.assertEqual(["READ 1"], vm.primary.caller_statements)
+
+
+class EvacuationTest(TestCase):
+    async def _evacuate(self, vm: Vm, names: set[str], elapsed_s: float = 0.0) -> None:
+        """Evacuate the failure domain of some instances; the order was given a while ago."""
+        for name in names:
+            primary = name == vm.primary.id
+            await vm.directory.apply(registration(name, primary=primary, failure_domain="adum"))
+        vm.directory.set_evacuations({"adum": Evacuation(boottime_s() - elapsed_s, 5.0)})
+
+    @trio_test(mock_clock=True)
+    async def test_no_new_statement_runs_at_a_replica_in_an_evacuated_domain(self) -> None:
+        vm = await start_vm()
+        await self._evacuate(vm, {"r1"})
+        session = vm.session(RouteKind.BOUNDED)
+        for _ in range(20):
+            vm.sample()
+            await session.send("READ 1")
+        self.assertEqual([], vm.replicas[0].received)
+        self.assertEqual(20, len(vm.replicas[1].caller_statements))
+
+    @trio_test(mock_clock=True)
+    async def test_a_waiting_statement_moves_to_another_instance(self) -> None:
+        # Guards against a refusal, or a statement at the domain, for those that waited for a
+        # connection when the order came.
+        vm = await start_vm()
+        vm.sample()
+        await self._evacuate(vm, set())
+        [busy, other] = (vm.group.instances[name].pool for name in ("r1", "r2"))
+        await other.set_limits(PoolLimits(0, 0))
+        await busy.set_limits(PoolLimits(1, 1))
+        held = await busy.acquire("foremen", 0.0, 1e9)
+        replies: list[Reply] = []
+
+        async def read() -> None:
+            replies.append(await vm.session(RouteKind.BOUNDED).send("READ 1"))
+
+        vm.group.instances["p"].response_s = 9.0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(1, busy.waiting_requests)
+            await other.set_limits(PoolLimits(4, 4))
+            await self._evacuate(vm, {"r1"})
+        self.assertEqual([(b"row",)], [reply.rows for reply in replies])
+        self.assertEqual(["READ 1"], vm.replicas[1].caller_statements)
+        await busy.release(held)
+
+    @trio_test(mock_clock=True)
+    async def test_an_open_transaction_gets_part_of_the_bound_and_a_true_answer(self) -> None:
+        # Guards against statements to the domain after the bound, and against an answer that
+        # leaves the caller in doubt although nothing was committed.
+        vm = await start_vm()
+        vm.sample()
+        session = vm.session(RouteKind.PRIMARY)
+        await session.send("BEGIN")
+        await session.send("WRITE 1")
+        await self._evacuate(vm, {"p"})
+        self.assertIsNone(await session.code("WRITE 2"))
+        assert session.session.idle_limit_s is not None
+        self.assertTrue(2.5 < session.session.idle_limit_s <= 3.0)
+        await self._evacuate(vm, set(), elapsed_s=3.1)
+        self.assertIs(FailureCode.ABORTED, await session.code("WRITE 3"))
+        self.assertEqual(["WRITE 1", "WRITE 2"], vm.primary.caller_statements)
+
+    @trio_test(mock_clock=True)
+    async def test_an_overdue_transaction_sends_no_rollback_to_the_domain(self) -> None:
+        vm = await start_vm()
+        vm.sample()
+        session = vm.session(RouteKind.PRIMARY)
+        await session.send("BEGIN")
+        await session.send("WRITE 1")
+        sent = len(vm.primary.received)
+        await self._evacuate(vm, {"p"}, elapsed_s=6.0)
+        self.assertIs(FailureCode.ABORTED, await session.code("COMMIT"))
+        self.assertEqual(sent, len(vm.primary.received))
+
+    @trio_test(mock_clock=True)
+    async def test_only_what_the_primary_alone_can_run_is_refused_and_at_once(self) -> None:
+        # Guards against writes that wait for a promotion that no instance elsewhere can follow.
+        vm = await start_vm()
+        vm.sample()
+        await self._evacuate(vm, {"p"})
+        self.assertIsNone(await vm.session(RouteKind.PRIMARY).code("WRITE 1"))
+        for name in ("r1", "r2"):
+            vm.group.instances[name].draining_since = boottime_s()
+        await self._evacuate(vm, set(), elapsed_s=4.1)
+        started = trio.current_time()
+        code = await vm.session(RouteKind.PRIMARY).code("WRITE 2")
+        self.assertEqual((FailureCode.OVERLOADED, started), (code, trio.current_time()))
+        for name in ("r1", "r2"):
+            vm.group.instances[name].draining_since = None
+        for replica in vm.replicas:
+            replica.position = vm.primary.position
+        vm.sample()
+        self.assertIsNone(await vm.session(RouteKind.BOUNDED).code("READ 1"))
+        self.assertEqual(["WRITE 1"], vm.primary.caller_statements)
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -12,8 +12,11 @@
 from tanagerfront.confirmed_state import ConfirmedState, StalenessLimits
 from tanagerfront.errors import ConnectionLostError
 from tanagerfront.fleet_store import (
+    Change,
     CheckResult,
     ConfigurationChanged,
+    DomainEvacuated,
+    DomainReturned,
     InstanceChanged,
     InstanceUnregistered,
     KnownRevisions,
@@ -51,7 +54,13 @@
         self.log = RecordingLog()
         self.rates = RateShares("a", _no_loan, lambda _vm, _organisation: 0)
         self.sync = FleetSync(
-            self.store, self.confirmed_state, self.directory, self.rates, vm("a"), self.log
+            self.store,
+            self.confirmed_state,
+            self.directory,
+            self.rates,
+            vm("a"),
+            self.log,
+            evacuation_s=5.0,
         )
         self.store.record(ConfigurationChanged(configuration()))
         self.store.record(InstanceChanged(registration("p", primary=True)))
@@ -352,3 +361,149 @@
             nursery.cancel_scope.cancel()
         self.assertEqual(1, len(synced_vm.log.inputs_of("store_lost")))
         self.assertEqual(2, len(synced_vm.log.inputs_of("store_regained")))
+
+
+class EvacuationTest(TestCase):
+    def _vm(self) -> SyncedVm:
+        synced_vm = SyncedVm()
+        synced_vm.store.record(InstanceChanged(registration("r", failure_domain="adum")))
+        return synced_vm
+
+    def _evacuated(self, synced_vm: SyncedVm) -> set[str]:
+        return {
+            instance.registration.id
+            for instance in synced_vm.directory.instances()
+            if instance.evacuation is not None
+        }
+
+    @trio_test(mock_clock=True)
+    async def test_a_vm_that_starts_knows_the_order_before_it_serves(self) -> None:
+        # Guards against statements to the domain from a VM that was not there for the change; the
+        # store returns the order before the instances.
+        synced_vm = self._vm()
+        synced_vm.store.record(DomainEvacuated("adum", 0))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await synced_vm.confirmed_state.first_confirmation.wait()
+            self.assertEqual({"r"}, self._evacuated(synced_vm))
+            nursery.cancel_scope.cancel()
+
+    @trio_test(mock_clock=True)
+    async def test_a_missed_change_is_found_by_the_next_check(self) -> None:
+        # Guards against a coordinator whose watch has gone silent and that confirms its state to
+        # the fleet without the order, or with one that has been removed.
+        synced_vm = self._vm()
+        synced_vm.store.watch = _silent_watch  # type: ignore[method-assign]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await trio.sleep(2)
+            synced_vm.store.record(DomainEvacuated("adum", 0))
+            synced_vm.sync.request_check()
+            await trio.sleep(0.5)
+            self.assertEqual({"r"}, self._evacuated(synced_vm))
+            self.assertEqual(["adum"], synced_vm.sync.echo(0.0).evacuated)
+            synced_vm.store.record(DomainReturned("adum", 0))
+            synced_vm.sync.request_check()
+            await trio.sleep(0.5)
+            self.assertEqual(set(), self._evacuated(synced_vm))
+            nursery.cancel_scope.cancel()
+
+    @trio_test(mock_clock=True)
+    async def test_a_removal_that_was_missed_is_found_when_everything_is_read_again(self) -> None:
+        synced_vm = self._vm()
+        synced_vm.store.record(DomainEvacuated("adum", 0))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await trio.sleep(2)
+            synced_vm.store.evacuations.clear()
+            synced_vm.store.revision += 1
+            synced_vm.sync._reload()
+            await trio.sleep(2)
+            self.assertEqual(set(), self._evacuated(synced_vm))
+            nursery.cancel_scope.cancel()
+
+    @trio_test(mock_clock=True)
+    async def test_a_reply_of_a_vm_that_knows_other_orders_confirms_nothing(self) -> None:
+        # Guards against a VM that uses the domain because coordinators confirm its configuration.
+        synced_vm = self._vm()
+        assert synced_vm.store.configuration is not None
+        synced_vm.confirmed_state.apply(synced_vm.store.configuration)
+        revision = synced_vm.store.configuration.revision
+        synced_vm.sync.record_echo("b", Echo(boottime_s(), 0.0, revision, 1, 0, ["adum"]))
+        self.assertFalse(synced_vm.confirmed_state.keys_confirmed)
+        await synced_vm.sync.apply([DomainEvacuated("adum", 5)])
+        synced_vm.sync.record_echo("b", Echo(boottime_s(), 0.0, revision, 1, 0, ["adum"]))
+        self.assertTrue(synced_vm.confirmed_state.keys_confirmed)
+
+    @trio_test(mock_clock=True)
+    async def test_an_order_is_fetched_from_the_announcer_at_once(self) -> None:
+        # Guards against waiting for further changes, which takes a part of the bound.
+        synced_vm = self._vm()
+        for number in range(40):
+            synced_vm.store.record(VmChanged(vm(f"vm-{number}")))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await trio.sleep(5)
+            revision = synced_vm.store.record(DomainEvacuated("adum", 0))
+            configured = synced_vm.confirmed_state.configuration
+            assert configured is not None
+            echo = Echo(boottime_s(), 0.0, configured.revision, revision, 0, ["adum"])
+            synced_vm.sync.record_echo(synced_vm.sync.coordinators[0], echo)
+            await trio.sleep(0.05)
+            self.assertEqual({"r"}, self._evacuated(synced_vm))
+            nursery.cancel_scope.cancel()
+
+    @trio_test(mock_clock=True)
+    async def test_orders_that_cannot_be_followed_leave_one_log_line_and_the_confirmation(
+        self,
+    ) -> None:
+        # Guards against a fleet that stops serving because of one unreadable or mistaken order.
+        synced_vm = self._vm()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await trio.sleep(2)
+            synced_vm.store.record(DomainEvacuated("adum", 0, readable=False))
+            synced_vm.store.record(DomainEvacuated("nowhere", 0))
+            await trio.sleep(5)
+            self.assertEqual(set(), self._evacuated(synced_vm))
+            self.assertTrue(synced_vm.confirmed_state.keys_confirmed)
+            nursery.cancel_scope.cancel()
+        outcomes = [
+            (inputs["failure_domain"], inputs["outcome"], inputs["known"])
+            for inputs in synced_vm.log.inputs_of("evacuation_ordered")
+        ]
+        self.assertEqual([("adum", "unreadable", True), ("nowhere", "evacuated", False)], outcomes)
+
+    @trio_test(mock_clock=True)
+    async def test_the_last_domain_stays_in_service(self) -> None:
+        synced_vm = self._vm()
+        synced_vm.store.record(DomainEvacuated("suame", 0))
+        synced_vm.store.record(DomainEvacuated("adum", 0))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await trio.sleep(5)
+            self.assertEqual({"p"}, self._evacuated(synced_vm))
+            self.assertTrue(synced_vm.confirmed_state.keys_confirmed)
+            nursery.cancel_scope.cancel()
+
+    @trio_test(mock_clock=True)
+    async def test_an_order_that_a_restored_store_has_lost_stays_in_force(self) -> None:
+        # Guards against statements to a domain whose operators were told that it is out of service.
+        synced_vm = self._vm()
+        synced_vm.store.record(DomainEvacuated("adum", 0))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await trio.sleep(2)
+            synced_vm.store.evacuations.clear()
+            synced_vm.sync._era.begin(2, boottime_s())
+            synced_vm.sync._reload()
+            await trio.sleep(0.3)
+            self.assertEqual({"r"}, self._evacuated(synced_vm))
+            self.assertEqual([], synced_vm.sync.echo(0.0).evacuated)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(["adum"], synced_vm.log.inputs_of("evacuation_lost")[0]["failure_domains"])
+
+
+async def _silent_watch(after: int, _wait_s: float) -> tuple[Sequence[Change], int]:
+    await trio.sleep_forever()
+    raise AssertionError("unreachable")
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -18,6 +18,8 @@
 )
 from tanagerfront.fleet_store import (
     ConfigurationChanged,
+    DomainEvacuated,
+    DomainReturned,
     InstanceChanged,
     KnownRevisions,
     RegisteredVm,
@@ -250,3 +252,39 @@
             self.assertEqual(
                 PromotionOutcome.UNKNOWN, await unreachable.promote("g", "runs", "a", 7)
             )
+
+
+class EvacuationTest(TestCase):
+    @trio_test
+    async def test_orders_are_read_watched_and_checked(self) -> None:
+        # Guards against an order, or its removal, that one of the ways to the store leaves out.
+        async with running_store() as (standin, _client, address):
+            clients = [StoreClient(address, 0.3) for _ in range(3)]
+            fleet = PlatformFleetStore(*clients, RecordingLog(), ChangeHistory())
+            standin.put("op/config", {"version": 3})
+            standin.put("op/evacuate/adum", {})
+            standin.put("op/evacuate/suame", [])
+            state = await fleet.load()
+            orders = {
+                change.failure_domain: change
+                for change in state.changes
+                if isinstance(change, DomainEvacuated)
+            }
+            self.assertEqual(frozenset({"adum", "suame"}), state.evacuated_domains)
+            self.assertTrue(orders["adum"].readable)
+            self.assertFalse(orders["suame"].readable)
+            revisions = {domain: change.revision for domain, change in orders.items()}
+            [configured] = [
+                change for change in state.changes if isinstance(change, ConfigurationChanged)
+            ]
+            revision = configured.configuration.revision
+            known = KnownRevisions(revision, {}, {**revisions, "ahinsan": 0})
+            self.assertTrue((await fleet.check(known)).current)
+            missed = await fleet.check(known._replace(evacuations={"adum": 0}))
+            self.assertEqual([orders["adum"]], list(missed.changes))
+            standin.delete("op/evacuate/adum")
+            removed = DomainReturned("adum", revisions["adum"])
+            self.assertEqual([removed], list((await fleet.check(known)).changes))
+            [change], _ = await fleet.watch(state.revision, 0.1)
+            assert isinstance(change, DomainReturned)
+            self.assertGreater(change.revision, revisions["adum"])
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -237,3 +237,24 @@
         assert reply.failure is not None
         self.assertEqual(FailureCode.OVERLOADED, reply.failure.code)
         self.assertLess(trio.current_time() - started, 0.5)
+
+
+class EvacuationTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_a_home_begins_nothing_at_an_instance_that_is_out_of_service(self) -> None:
+        # Guards against statements of a VM that does not know of the evacuation yet.
+        instance = FakeInstance()
+        pool = InstancePool(registration("i"), instance.open, PoolLimits(4, 4))
+        out_of_service = False
+        session = RelaySession(pool, "foremen", refuses_work=lambda: out_of_service)
+        await session.run(InstanceStatement("q1", Begin(False)))
+        out_of_service = True
+        # A transaction that is open gets its part of the bound from the VM of its caller.
+        reply = await session.run(InstanceStatement("q2", Verbatim("READ 1")))
+        self.assertIsNone(reply.failure)
+        await session.run(InstanceStatement("q3", Rollback()))
+        sent = len(instance.received)
+        reply = await session.run(InstanceStatement("q4", Verbatim("READ 1")))
+        assert reply.failure is not None
+        self.assertIs(FailureCode.OVERLOADED, reply.failure.code)
+        self.assertEqual(sent, len(instance.received))
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -576,6 +576,7 @@
         # evacuated before the record was written.
         promoter = self._promoter()
         promoter.control.primary_name = "r0"
+        promoter.control.unresponsive.add("p")
         promoter.control.received["r1"] = EntryId(1, 1)
         promoter.store.record(DomainEvacuated("suame", 0))
         promoter.store.record(PrimaryRecordChanged(PrimaryRecord(GROUP, "p", 2, True, 0)))
