Pass large configurations from VM to VM, compressed

A configuration of 1,895 routes took 78 of 84 VMs out of service: each read it from the store, did not get it within 0.62 s over a link of 10 Mbit/s, and repeated that. Checks got it with a 412 and timed out too; a VM that had lost the store asked the announcer for the uncompressed value and timed out after 0.3 s. The records of moved primaries were in the same responses.

Now the coordinators read it, and the other VMs fetch it compressed from the VM above them in a tree for each failure domain. Small changes don't wait for it. Timeouts follow the size of a reply that keeps arriving, no check repeats the transfer, and a configuration that only changes routes does not divide the rates again. Builds without compression are asked as before.

--- a/src/tanagerfront/fleet_store.py
+++ b/src/tanagerfront/fleet_store.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from enum import Enum
 from typing import NamedTuple, Protocol
 
 from .http_client import Address
@@ -20,6 +21,9 @@
     "InstanceChanged",
     "InstanceUnregistered",
     "KnownRevisions",
+    "LargeValues",
+    "PeerChanges",
+    "PeerRead",
     "PrimaryRecordChanged",
     "PromoterLockAcquired",
     "PromoterLockReleased",
@@ -155,6 +159,37 @@
     revision: int
 
 
+class LargeValues(Enum):
+    """What a peer VM does with large values among the changes that it is asked for."""
+
+    # Leaves them out if the response would be large.
+    WITHHELD = "withheld"
+    DEFLATED = "deflated"
+    # Sends them uncompressed, which builds without compression understand.
+    PLAIN = "plain"
+
+
+class PeerRead(NamedTuple):
+    """A request for a peer VM's changes after a revision."""
+
+    after: int
+    large: LargeValues
+    # The peer waits for up to `wait_s` seconds until it knows all changes up to this revision.
+    until: int = 0
+    wait_s: float = 0.0
+
+
+class PeerChanges(NamedTuple):
+    """Changes from a peer VM, and the revision to continue from."""
+
+    changes: Sequence[Change]
+    revision: int
+    # Whether changes with large values were left out; then those after `revision` aren't enough.
+    withheld: bool = False
+    # Size of the response in bytes.
+    size: int = 0
+
+
 class KnownRevisions(NamedTuple):
     """Revisions that must be current before a VM relies on them; 0 for a key that doesn't exist."""
 
@@ -205,12 +240,10 @@
         Waits up to `wait_s` for a change; raises HistoryLostError if the store dropped changes.
         """
 
-    async def fetch_from_peer(
-        self, vm: RegisteredVm, after: int, *, large: bool
-    ) -> tuple[Sequence[Change], int]:
-        """Return changes that another VM has applied, as `watch` does but without waiting.
+    async def fetch_from_peer(self, vm: RegisteredVm, read: PeerRead) -> PeerChanges:
+        """Return changes that another VM has applied; raises HistoryLostError if it lacks them.
 
-        Without `large` the other VM refuses large values, which are to be read from the store.
+        VMs of builds that don't compress also raise it if the changes are large.
         """
 
     async def check(self, known: KnownRevisions) -> CheckResult:
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from .configuration_spread import spread_sources
 from .confirmed_state import ConfirmedState
 from .decision_log import DecisionLog
 from .errors import HistoryLostError, KeyValueError, StoreRestoredError
@@ -19,6 +20,8 @@
     InstanceChanged,
     InstanceUnregistered,
     KnownRevisions,
+    LargeValues,
+    PeerRead,
     PrimaryRecordChanged,
     PromoterLock,
     PromoterLockAcquired,
@@ -89,6 +92,12 @@
     # Changes within this time are read with one call; the VMs of a starting fleet register within
     # 0.3 s.
     batch_window_s: float = 0.4
+    # A VM above in the tree has the value two heartbeats later at most; after this wait the next
+    # source is asked.
+    spread_wait_s: float = 0.6
+    # While large values are on their way, a VM that is not a coordinator does not check, because
+    # the reply would contain the whole configuration. Longer than the wait for all sources.
+    spread_patience_s: float = 2.8
     # Instances whose registrations expired during an outage of the store register again within 2 s
     # of its return.
     instance_grace_s: float = 2.2
@@ -138,6 +147,13 @@
         self._revision = 0
         self._announced_revision = 0
         self._announcer = ""
+        # Up to this revision all changes but those with large values have been applied.
+        self._followed_revision = 0
+        # Revision whose changes with large values are to be fetched from peer VMs, and since when.
+        self._spread_revision = 0
+        self._spread_since = float("-inf")
+        self._spread_requested = trio.Event()
+        self._spread_failed = False
         self._watch_scope = trio.CancelScope()
         self._announced_event = trio.Event()
         self._last_echo_at = float("-inf")
@@ -217,6 +233,7 @@
         async with trio.open_nursery() as nursery:
             for task in (
                 self._run_watch,
+                self._run_spread,
                 self._run_checks,
                 self._run_lease,
                 self._run_restoration,
@@ -354,8 +371,9 @@
             wait_s = self._timing.catch_up_watch_wait_s
         if not self._loaded:
             return
-        if await self._fetch_from_announcer():
+        if not self._spread_failed and await self._fetch_from_announcer():
             return
+        self._spread_failed = False
         changes: Sequence[Change] = ()
         revision = self._revision
         with trio.CancelScope() as self._watch_scope:
@@ -367,34 +385,108 @@
         self._record_applied(revision)
 
     async def _fetch_from_announcer(self) -> bool:
-        """Apply changes from the VM that announced them; return whether all were received."""
+        """Apply changes from the VM that announced them; return whether all are received.
+
+        Large values follow from another VM, so that primary records don't wait for them.
+        """
         announcer = self._vms.get(self._announcer)
         if announcer is None or self._revision >= self._announced_revision:
             return False
+        revision = self._announced_revision
+        read = PeerRead(self._revision, LargeValues.WITHHELD)
         try:
-            # A configuration may have 260 kB. Such values come from a peer only while the store
-            # refuses this VM, which then has no other source.
-            changes, revision = await self._store.fetch_from_peer(
-                announcer, self._revision, large=not self._connected
-            )
+            found = await self._store.fetch_from_peer(announcer, read)
+        except HistoryLostError as error:
+            self._log.decision("not_followed", peer=announcer.name, error=str(error))
+            # VMs of builds that don't withhold large values refuse them.
+            return self._request_spread(revision)
         except KeyValueError as error:
             self._log.decision("not_followed", peer=announcer.name, error=str(error))
-            return False
+            return self._spread_pending and self._request_spread(revision)
         if not self._loaded:
             return False
-        await self.apply(changes)
-        self._record_applied(revision)
-        return revision >= self._announced_revision
+        await self.apply(found.changes)
+        if found.withheld:
+            self._confirmed_state.record_applied(min(found.revision, self.seen_revision))
+            return self._request_spread(max(revision, found.revision))
+        self._record_applied(found.revision)
+        return self._revision >= self._announced_revision
+
+    @property
+    def _spread_pending(self) -> bool:
+        return self._loaded and self._revision < self._spread_revision
+
+    def _request_spread(self, revision: int) -> bool:
+        """Let large values be fetched from peer VMs; return whether this VM does that."""
+        if self.is_coordinator and self._connected:
+            # Reads them from the store, for the VMs of its failure domain.
+            return False
+        if not self._spread_pending:
+            self._spread_since = boottime_s()
+        self._spread_revision = max(self._spread_revision, revision)
+        self._followed_revision = max(self._followed_revision, revision)
+        self._spread_requested.set()
+        return True
+
+    async def _run_spread(self) -> None:
+        while True:
+            if not self._spread_pending:
+                self._spread_requested = trio.Event()
+                await self._spread_requested.wait()
+            elif not await self._fetch_large_values():
+                # The watch reads them from the store, and asks the peers again if that fails.
+                self._log.failure("spread_failed", revision=self._spread_revision)
+                self._spread_revision = self._followed_revision = 0
+                self._spread_failed = self._announced_urgent = True
+                self._wake_watch()
+
+    async def _fetch_large_values(self) -> bool:
+        """Apply changes with large values from a peer VM; return whether one had them."""
+        names = spread_sources(self._own, self.vms, self.coordinators, self._announcer)
+        sources = [(name, LargeValues.DEFLATED) for name in names]
+        if not self._connected:
+            # The store does not answer this VM either, so that no other source is left.
+            sources.append((self._announcer, LargeValues.PLAIN))
+        for name, large in sources:
+            if not self._spread_pending:
+                return True
+            peer = self._vms.get(name)
+            if peer is not None and await self._fetch_large_values_from(peer, large):
+                return True
+        return not self._spread_pending
+
+    async def _fetch_large_values_from(self, peer: RegisteredVm, large: LargeValues) -> bool:
+        revision, started_at = self._spread_revision, boottime_s()
+        read = PeerRead(self._revision, large, revision, self._timing.spread_wait_s)
+        try:
+            found = await self._store.fetch_from_peer(peer, read)
+        except KeyValueError as error:
+            self._log.decision("not_followed", peer=peer.name, error=str(error))
+            return False
+        if not self._loaded:
+            return True
+        await self.apply(found.changes)
+        self._record_applied(found.revision)
+        self._log.decision(
+            "large_values_received",
+            peer=peer.name,
+            failure_domain=peer.failure_domain,
+            revision=found.revision,
+            bytes=found.size,
+            duration_ms=round((boottime_s() - started_at) * 1000, 1),
+        )
+        return found.revision >= revision
 
     def _record_applied(self, revision: int) -> None:
         """Record that all changes up to a revision of the store have been applied."""
-        self._revision = revision
+        # Two sources may be read at once.
+        self._revision = max(self._revision, revision)
         # A newer record that could not be decoded was not applied.
         self._confirmed_state.record_applied(min(revision, self.seen_revision))
 
     async def _wait_for_announcement(self) -> None:
         """Wait until newer changes are announced or no coordinator has replied for a while."""
-        while self._loaded and self._revision >= self._announced_revision:
+        while self._loaded and not self._spread_failed and self._follows_announcements:
             with trio.move_on_after(self._timing.announcement_timeout_s):
                 await self._announced_event.wait()
             if boottime_s() - self._last_echo_at > self._timing.announcement_timeout_s:
@@ -406,6 +498,10 @@
                 await self._announced_event.wait()
         self._announced_urgent = False
 
+    @property
+    def _follows_announcements(self) -> bool:
+        return max(self._revision, self._followed_revision) >= self._announced_revision
+
     def record_echo(self, vm: str, echo: Echo) -> None:
         """Use a coordinator's reply to a heartbeat as a confirmation and an announcement."""
         self._last_echo_at = boottime_s()
@@ -480,6 +576,7 @@
             return
         self._directory.keep_lost_records(state.groups)
         self._loaded = True
+        self._spread_revision = self._followed_revision = 0
         self._record_applied(state.revision)
         if not self._era.settled:
             self._confirmed_state.expect_confirmation(requested_at + EXPECTED_SETTLING_S)
@@ -552,6 +649,10 @@
             # The first coordinator checks for all; each further one checks later, if none did.
             rank = names.index(self._own.name) if len(names) == COORDINATORS else 0
             limit_s = self._timing.check_interval_s + rank * self._timing.coordinator_stagger_s
+        if not requested and self._spread_pending and not self.is_coordinator:
+            patience_s = self._timing.spread_patience_s
+            if boottime_s() - self._spread_since < patience_s:
+                return False
         return requested or self._confirmed_state.confirmation_age_s >= limit_s
 
     def _reload(self) -> None:
--- a/src/tanagerfront/http_client.py
+++ b/src/tanagerfront/http_client.py
@@ -26,6 +26,8 @@
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 3
 USER_TIMEOUT_MS = 10_000
+# A body that is still arriving may pause for this time, as long as a shared link is full.
+BODY_PAUSE_S = 0.6
 
 
 class Address(NamedTuple):
@@ -102,6 +104,12 @@
     def status(self) -> int:
         return int(self._parser.get_status_code())
 
+    @property
+    def content_length(self) -> int:
+        """Return the announced length of the body in bytes, 0 if none was announced."""
+        text = self.headers.get("content-length", "")
+        return int(text) if self.head_complete and text.isdecimal() else 0
+
     def feed(self, data: bytes | bytearray) -> None:
         self._parser.feed_data(data)
 
@@ -157,7 +165,14 @@
         lines += [f"{name}: {value}" for name, value in headers]
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
-    async def _exchange(self, data: bytes, parser: _ReplyParser) -> None:
+    async def _exchange(
+        self,
+        data: bytes,
+        parser: _ReplyParser,
+        scope: trio.CancelScope,
+        min_body_bytes_per_s: float | None,
+    ) -> None:
+        deadline = scope.deadline
         try:
             await self._stream.send_all(data)
             while not parser.done:
@@ -165,6 +180,9 @@
                 if not received:
                     raise ConnectionLostError(f"{self._address} closed the connection")
                 parser.feed(received)
+                if min_body_bytes_per_s is not None:
+                    latest = deadline + parser.content_length / min_body_bytes_per_s
+                    scope.deadline = max(deadline, min(latest, trio.current_time() + BODY_PAUSE_S))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionLostError(f"connection to {self._address} was lost") from error
         except httptools.HttpParserError as error:
@@ -178,10 +196,12 @@
         *,
         headers: Sequence[tuple[str, str]] = (),
         timeout_s: float,
+        min_body_bytes_per_s: float | None = None,
     ) -> HttpReply:
         """Send a request and return the whole reply, within `timeout_s` seconds.
 
-        Raises ConnectionLostError.
+        With `min_body_bytes_per_s` a body that keeps arriving may take longer, up to the time that
+        its announced length takes at this rate. Raises ConnectionLostError.
         """
         if not self.usable:
             raise ConnectionLostError(f"connection to {self._address} is closed", executed="no")
@@ -189,8 +209,10 @@
         self._busy = True
         reusable = False
         try:
-            with trio.fail_after(timeout_s):
-                await self._exchange(self._encode(method, path, body, headers), parser)
+            with trio.fail_after(timeout_s) as scope:
+                await self._exchange(
+                    self._encode(method, path, body, headers), parser, scope, min_body_bytes_per_s
+                )
             reusable = parser.keep_alive
         except trio.TooSlowError as error:
             message = f"{self._address} did not answer within {timeout_s:.3f} s"
--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -16,6 +16,8 @@
     InstanceChanged,
     InstanceUnregistered,
     KnownRevisions,
+    PeerChanges,
+    PeerRead,
     PrimaryRecordChanged,
     PromoterLock,
     PromoterLockAcquired,
@@ -27,6 +29,7 @@
 from ..http_client import parse_address
 from ..instance_directory import PrimaryRecord
 from ..kv import KeyValue, WatchEvent
+from ..session_model import FrontConfiguration
 from .changes_wire import PeerWatchClients
 from .documents import (
     CONFIGURATION_KEY,
@@ -76,6 +79,8 @@
         self._leases = leases
         self._log = log
         self._era = era or StoreEra()
+        # The last configuration that was decoded: several calls may return the same one.
+        self._configuration: FrontConfiguration | None = None
 
     @property
     def era(self) -> int:
@@ -136,11 +141,18 @@
             after, await self._watches.watch(ALL_KEYS_PREFIX, after, wait_s)
         )
 
-    async def fetch_from_peer(
-        self, vm: RegisteredVm, after: int, *, large: bool
-    ) -> tuple[Sequence[Change], int]:
+    async def fetch_from_peer(self, vm: RegisteredVm, read: PeerRead) -> PeerChanges:
         """Return the changes after a revision from a peer VM's history."""
-        return self._record_changes(after, await self._peer_clients.watch(vm, after, large=large))
+        page, size = await self._peer_clients.watch(vm, read)
+        if page.withheld:
+            # The history has to stay complete up to its revision.
+            changes = tuple(self._changes(page.events))
+            return PeerChanges(changes, page.revision, withheld=True, size=size)
+        new, revision = self._record_changes(read.after, Page((), page.events, page.revision))
+        revisions = {event.key: event.revision for event in page.events}
+        for key, value in page.deflated.items():
+            self._history.keep_compressed(key, revisions[key], value)
+        return PeerChanges(new, revision, size=size)
 
     def _record_changes(self, after: int, page: Page) -> tuple[Sequence[Change], int]:
         revision = max(after, page.revision)
@@ -281,12 +293,18 @@
 
     def _change(self, key: str, value: bytes | None, revision: int) -> Change | None:
         """Return the decoded change, None if it is ignored or malformed."""
+        last = self._configuration
+        if key == CONFIGURATION_KEY and last is not None and last.revision == revision:
+            return ConfigurationChanged(last)
         try:
-            return _decode(key, value, revision)
+            change = _decode(key, value, revision)
         except (ConfigurationError, ValueError) as error:
             # The last state that could be decoded stays in force.
             self._log.failure("unreadable_entry", key=key, revision=revision, error=str(error))
             return None
+        if isinstance(change, ConfigurationChanged):
+            self._configuration = change.configuration
+        return change
 
 
 def _suffixes(keys: Iterable[str], prefix: str) -> Iterator[str]:
--- a/src/tanagerfront/platform/store.py
+++ b/src/tanagerfront/platform/store.py
@@ -21,6 +21,7 @@
 from ..http_client import Address, HttpConnection, HttpReply
 from ..kv import KeyValue, WatchEvent
 from ..store_era import FIRST_ERA, era_of, global_revision, stored_revision
+from .packed_changes import CONTENT_TYPE, PackedPage, decode_packed
 
 __all__ = [
     "GONE",
@@ -41,6 +42,9 @@
 WATCH_PATH = "/v1/kv-watch"
 # Rises by one each time the store returns from an older copy; sent with every reply.
 ERA_HEADER = "store-era"
+# A configuration with thousands of routes has 0.5 MB, which takes longer than a call's timeout on a
+# small link shared with statements. This is a tenth of a link of 5 Mbit/s.
+MIN_BODY_BYTES_PER_S = 62_500.0
 
 
 class SwapConflictError(KeyValueUnavailableError):
@@ -185,6 +189,29 @@
         query = {"prefix": prefix, "after": self._stored(after), "wait_ms": int(wait_s * 1000)}
         query |= {"large": 1} if large else {}
         response = await self._call("GET", f"{WATCH_PATH}?{urlencode(query)}", wait_s=wait_s)
+        return self._watched(response)
+
+    async def watch_packed(
+        self, after: int, until: int, wait_s: float, *, withhold: bool
+    ) -> tuple[PackedPage, int]:
+        """Return a peer VM's changes after a revision, and the size of the response in bytes.
+
+        The peer waits up to `wait_s` seconds until it knows all changes up to `until`; raises
+        HistoryLostError if it doesn't. With `withhold` it leaves out large values.
+        """
+        query = {"prefix": "", "after": after, "until": until, "wait_ms": int(wait_s * 1000)}
+        query |= {"packed": 1} | ({"withhold": 1} if withhold else {})
+        reply = await self._reply("GET", f"{WATCH_PATH}?{urlencode(query)}", wait_s=wait_s)
+        if reply.status == OK and reply.headers.get("content-type") == CONTENT_TYPE:
+            try:
+                return decode_packed(reply.body), len(reply.body)
+            except ValueError as error:
+                raise KeyValueTimeoutError(str(error)) from error
+        # A VM of an older build.
+        page = self._watched(self._decoded(reply))
+        return PackedPage(page.events, page.revision, withheld=False, deflated={}), len(reply.body)
+
+    def _watched(self, response: _Response) -> Page:
         events = tuple(
             WatchEvent(
                 item.key,
@@ -238,6 +265,11 @@
     async def _call(
         self, method: str, path: str, body: bytes = b"", *, wait_s: float = 0.0
     ) -> _Response:
+        return self._decoded(await self._reply(method, path, body, wait_s=wait_s))
+
+    async def _reply(
+        self, method: str, path: str, body: bytes = b"", *, wait_s: float = 0.0
+    ) -> HttpReply:
         # The call's revisions are of this era, also if it waits for the connection.
         asked_in = self._era.asked_in if self._era else None
         async with self._lock:
@@ -251,6 +283,9 @@
             raise HistoryLostError("changes after this revision are no longer available")
         if reply.status == NOT_FOUND:
             raise LeaseEndedError("lease has expired or was revoked")
+        return reply
+
+    def _decoded(self, reply: HttpReply) -> _Response:
         try:
             response = _response_decoder.decode(reply.body or b"{}")
             current = [self._key_value(item) for item in response.items if item.revision]
@@ -284,7 +319,13 @@
                 self._connection = await HttpConnection.open(
                     self._address, timeout_s=self._timeout_s
                 )
-            return await self._connection.request(method, path, body, timeout_s=timeout_s)
+            return await self._connection.request(
+                method,
+                path,
+                body,
+                timeout_s=timeout_s,
+                min_body_bytes_per_s=MIN_BODY_BYTES_PER_S,
+            )
         except ConnectionLostError as error:
             if error.executed == "no":
                 raise KeyValueUnavailableError(str(error)) from error
--- a/src/tanagerfront/rate_shares.py
+++ b/src/tanagerfront/rate_shares.py
@@ -122,6 +122,7 @@
         self._shares: dict[str, RateShare] = {}
         self._lenders: dict[str, tuple[str, ...]] = {}
         self._configured = False
+        self._divided: tuple[Mapping[str, Organisation], tuple[str, ...]] | None = None
         self._startup_ends_at = trio.current_time() + STARTUP_WAIT_S
 
     @property
@@ -135,6 +136,12 @@
         if not self._configured and len(vms) < MIN_STARTUP_VMS and now < self._startup_ends_at:
             # Otherwise the first VM of a starting fleet would assume the whole rate.
             return
+        divided = (organisations, tuple(vms))
+        if divided == self._divided:
+            # A configuration that only changes routes; ranking all VMs for each organisation would
+            # delay statements.
+            return
+        self._divided = divided
         for name, limits in organisations.items():
             holders = rate_holders(limits, vms)
             count = len(holders)
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -12,6 +12,7 @@
 from tanagerfront.entry_id import EntryId
 from tanagerfront.errors import (
     ConnectionLostError,
+    HistoryLostError,
     KeyValueTimeoutError,
     KeyValueUnavailableError,
     TanagerfrontError,
@@ -24,6 +25,9 @@
     FleetState,
     InstanceChanged,
     KnownRevisions,
+    LargeValues,
+    PeerChanges,
+    PeerRead,
     PrimaryRecordChanged,
     PromoterLock,
     PromoterLockAcquired,
@@ -245,6 +249,12 @@
         self.down = False
         self.lose_answers = 0
         self.forwarding_down = False
+        self.configurations_are_large = False
+        self.large_values_delay_s = 0.0
+        self.peers_without_large_values: set[str] = set()
+        # VMs of builds that refuse large changes unless asked for them uncompressed.
+        self.old_builds: set[str] = set()
+        self.peer_reads: list[tuple[str, LargeValues]] = []
         self.call_names: list[str] = []
         self._leases = itertools.count(100)
         self._changes: list[tuple[int, Change]] = []
@@ -336,13 +346,22 @@
         self._call("watch")
         return [change for at, change in self._changes if at > after], self.revision
 
-    async def fetch_from_peer(
-        self, vm: RegisteredVm, after: int, *, large: bool
-    ) -> tuple[Sequence[Change], int]:
-        self.call_names.append("fetch_from_peer large" if large else "fetch_from_peer")
+    async def fetch_from_peer(self, vm: RegisteredVm, read: PeerRead) -> PeerChanges:
+        self.call_names.append("fetch_from_peer")
+        self.peer_reads.append((vm.name, read.large))
         if self.forwarding_down:
             raise KeyValueUnavailableError("no answer")
-        return [change for at, change in self._changes if at > after], self.revision
+        if vm.name in self.old_builds and read.large is not LargeValues.PLAIN:
+            raise HistoryLostError("large changes")
+        if read.large is not LargeValues.WITHHELD:
+            await trio.sleep(self.large_values_delay_s)
+            if vm.name in self.peers_without_large_values:
+                raise HistoryLostError("not received yet")
+        changes = [change for at, change in self._changes if at > read.after]
+        small = [change for change in changes if not isinstance(change, ConfigurationChanged)]
+        if read.large is LargeValues.WITHHELD and self.configurations_are_large:
+            return PeerChanges(small, self.revision, withheld=len(small) < len(changes))
+        return PeerChanges(changes, self.revision)
 
     async def check(self, known: KnownRevisions) -> CheckResult:
         self._call("check")
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -17,6 +17,7 @@
     InstanceChanged,
     InstanceUnregistered,
     KnownRevisions,
+    LargeValues,
     PrimaryRecordChanged,
     VmChanged,
     VmUnregistered,
@@ -251,6 +252,146 @@
         return synced_vm.store.call_names.count("watch") // 2
 
 
+class LargeConfigurationTest(TestCase):
+    """A configuration of thousands of routes reaches one of many VMs with small links."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.synced_vm: SyncedVm
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        self.synced_vm = synced_vm = SyncedVm()
+        synced_vm.store.configurations_are_large = True
+        for number in range(40):
+            synced_vm.store.record(VmChanged(vm(f"vm-{number}")))
+        nursery.start_soon(synced_vm.sync.run)
+        await trio.sleep(5)
+        self.assertFalse(synced_vm.sync.is_coordinator)
+        synced_vm.store.call_names.clear()
+
+    def _announce(self) -> None:
+        """Write a large configuration, and announce it in a coordinator's reply."""
+        store = self.synced_vm.store
+        store.record(ConfigurationChanged(configuration(8)))
+        store.record(PrimaryRecordChanged(PrimaryRecord(GROUP, "r", 2, False, 0)))
+        assert store.configuration is not None
+        self.synced_vm.sync.record_echo(
+            self.synced_vm.sync.coordinators[0],
+            Echo(boottime_s(), 0.0, store.configuration.revision, store.revision),
+        )
+
+    @property
+    def _version(self) -> int:
+        assert self.synced_vm.confirmed_state.configuration is not None
+        return self.synced_vm.confirmed_state.configuration.version
+
+    @property
+    def _store_reads(self) -> int:
+        calls = self.synced_vm.store.call_names
+        return calls.count("watch") // 2 + calls.count("check") + calls.count("load")
+
+    @trio_test(mock_clock=True)
+    async def test_a_large_configuration_is_fetched_compressed_and_not_from_the_store(self) -> None:
+        # Guards against 84 reads of 0.5 MB from the store over links of 10 Mbit/s: they exceeded
+        # the timeout and were repeated, until no VM could confirm its keys.
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            self._announce()
+            await trio.sleep(1)
+            nursery.cancel_scope.cancel()
+        self.assertEqual((8, 0), (self._version, self._store_reads))
+        kinds = [large for _name, large in self.synced_vm.store.peer_reads]
+        self.assertEqual([LargeValues.WITHHELD, LargeValues.DEFLATED], kinds)
+
+    @trio_test(mock_clock=True)
+    async def test_primary_records_do_not_wait_for_a_large_configuration(self) -> None:
+        # Guards against writes that are refused while the configuration is on its way: the records
+        # of five moved primaries followed it in the same response.
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            self.synced_vm.store.large_values_delay_s = 0.5
+            self._announce()
+            await trio.sleep(0.1)
+            record = self.synced_vm.directory.group(GROUP).primary_record
+            assert record is not None
+            self.assertEqual(("r", 1), (record.instance, self._version))
+            await trio.sleep(1)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(8, self._version)
+
+    @trio_test(mock_clock=True)
+    async def test_a_source_without_the_configuration_is_passed_over(self) -> None:
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            store = self.synced_vm.store
+            self._announce()
+            await trio.sleep(1)
+            first = store.peer_reads[-1][0]
+            store.peers_without_large_values.add(first)
+            self._announce()
+            await trio.sleep(1)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(0, self._store_reads)
+        self.assertNotEqual(first, store.peer_reads[-1][0])
+        assert store.configuration is not None
+        assert self.synced_vm.confirmed_state.configuration is not None
+        self.assertEqual(
+            store.configuration.revision, self.synced_vm.confirmed_state.configuration.revision
+        )
+
+    @trio_test(mock_clock=True)
+    async def test_the_store_is_read_if_no_peer_has_the_configuration(self) -> None:
+        # Also guards a VM whose peers all run a build that does not compress.
+        for old_builds in (True, False):
+            async with trio.open_nursery() as nursery:
+                await self._start(nursery)
+                store = self.synced_vm.store
+                names = {f"vm-{number}" for number in range(40)}
+                if old_builds:
+                    store.old_builds |= names
+                else:
+                    store.peers_without_large_values |= names
+                self._announce()
+                await trio.sleep(1)
+                nursery.cancel_scope.cancel()
+            self.assertEqual((8, 1), (self._version, self._store_reads))
+
+    @trio_test(mock_clock=True)
+    async def test_without_the_store_it_is_fetched_from_a_build_that_does_not_compress(
+        self,
+    ) -> None:
+        # Guards against a VM that refuses its callers because the store rejects its calls, although
+        # a VM of an older build has the configuration.
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            store = self.synced_vm.store
+            store.old_builds |= {f"vm-{number}" for number in range(40)}
+            store.down = True
+            await trio.sleep(3)
+            self._announce()
+            await trio.sleep(3)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(8, self._version)
+        self.assertIn(LargeValues.PLAIN, {large for _name, large in store.peer_reads})
+
+    @trio_test(mock_clock=True)
+    async def test_no_check_repeats_the_transfer_while_the_configuration_is_on_its_way(
+        self,
+    ) -> None:
+        # Guards against checks that a VM makes because no reply to its heartbeats confirms the old
+        # configuration: each contained the new one and delayed it on a link that was full already.
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            self.synced_vm.store.large_values_delay_s = 2.0
+            self.synced_vm.confirmed_state._confirmed_at = boottime_s() - 1.0
+            self._announce()
+            await trio.sleep(1.9)
+            self.assertEqual(0, self._store_reads)
+            await trio.sleep(0.3)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(8, self._version)
+
+
 class InstanceTest(TestCase):
     @trio_test(mock_clock=True)
     async def test_an_instance_that_registers_again_soon_stays_registered(self) -> None:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from functools import partial
 
 import msgspec
 import trio
@@ -20,10 +21,12 @@
     ConfigurationChanged,
     InstanceChanged,
     KnownRevisions,
+    LargeValues,
+    PeerRead,
     RegisteredVm,
 )
 from tanagerfront.http_client import Address
-from tanagerfront.http_server import serve_http
+from tanagerfront.http_server import Request, Response, serve_http
 from tanagerfront.instance_directory import PrimaryRecord
 from tanagerfront.kv import WatchEvent
 from tanagerfront.platform.changes_wire import ChangesHandler
@@ -33,6 +36,7 @@
     LeaseEndedError,
     StoreClient,
     SwapConflictError,
+    encode_watch_response,
 )
 from tanagerfront.session_failover import PromotionOutcome
 from tanagerfront_standin.platform_store import PlatformStore, StoreFaults
@@ -197,10 +201,11 @@
             await coordinator.watch(state.revision, 0.2)
             follower = PlatformFleetStore(*clients, RecordingLog(), ChangeHistory())
             calls = dict(follower.calls)
-            changes, revision = await follower.fetch_from_peer(peer, state.revision, large=False)
-            kinds = [type(change) for change in changes]
+            read = PeerRead(state.revision, LargeValues.WITHHELD)
+            found = await follower.fetch_from_peer(peer, read)
+            kinds = [type(change) for change in found.changes]
             self.assertEqual([InstanceChanged, ConfigurationChanged], kinds)
-            self.assertEqual(history.revision, revision)
+            self.assertEqual((history.revision, False), (found.revision, found.withheld))
             self.assertEqual(calls, follower.calls)
             nursery.cancel_scope.cancel()
 
@@ -216,12 +221,132 @@
             peer = await self._serve_peer(nursery, history)
             clients = [StoreClient(address, 0.3)] * 3
             follower = PlatformFleetStore(*clients, RecordingLog(), ChangeHistory())
+            old_build = StoreClient(peer.changes_address, 0.3)
             with self.assertRaises(HistoryLostError):
-                await follower.fetch_from_peer(peer, 1, large=False)
-            [change], _ = await follower.fetch_from_peer(peer, 1, large=True)
+                await old_build.watch("", 1, 0.0)
+            self.assertEqual(1, len((await old_build.watch("", 1, 0.0, large=True)).events))
+            found = await follower.fetch_from_peer(peer, PeerRead(1, LargeValues.WITHHELD))
+            self.assertEqual(((), True), (tuple(found.changes), found.withheld))
+            found = await follower.fetch_from_peer(peer, PeerRead(1, LargeValues.DEFLATED))
+            [change] = found.changes
             self.assertIsInstance(change, ConfigurationChanged)
+            self.assertLess(found.size, MAX_RESPONSE_BYTES / 10)
             nursery.cancel_scope.cancel()
 
+    @trio_test
+    async def test_small_changes_do_not_wait_for_large_ones(self) -> None:
+        async with running_store() as (_standin, _client, address), trio.open_nursery() as nursery:
+            history = ChangeHistory()
+            history.reset(1)
+            value = msgspec.json.encode({"version": 3, "padding": "x" * (MAX_RESPONSE_BYTES + 1)})
+            instance = msgspec.json.encode(REGISTRATION)
+            events = [WatchEvent("op/config", value, 2), WatchEvent("servers/new", instance, 3)]
+            history.add(1, events, 3)
+            peer = await self._serve_peer(nursery, history)
+            own = ChangeHistory()
+            follower = PlatformFleetStore(*[StoreClient(address, 0.3)] * 3, RecordingLog(), own)
+            found = await follower.fetch_from_peer(peer, PeerRead(1, LargeValues.WITHHELD))
+            self.assertEqual([InstanceChanged], [type(change) for change in found.changes])
+            # The VM must not pass on a history in which the configuration is missing.
+            self.assertIsNone(own.since(1, large=True))
+            await follower.fetch_from_peer(peer, PeerRead(1, LargeValues.DEFLATED))
+            passed_on = own.since(1, large=True)
+            assert passed_on is not None
+            self.assertEqual(events, list(passed_on.events))
+            nursery.cancel_scope.cancel()
+
+    @trio_test
+    async def test_a_peer_vm_replies_as_soon_as_it_has_the_awaited_change(self) -> None:
+        # Guards against VMs that ask the VM above them too early and then read the store.
+        async with running_store() as (_standin, _client, address), trio.open_nursery() as nursery:
+            history = ChangeHistory()
+            history.reset(1)
+            peer = await self._serve_peer(nursery, history)
+            follower = PlatformFleetStore(
+                *[StoreClient(address, 0.3)] * 3, RecordingLog(), ChangeHistory()
+            )
+            with self.assertRaises(HistoryLostError):
+                await follower.fetch_from_peer(peer, PeerRead(1, LargeValues.DEFLATED, 2, 0.05))
+
+            async def receive() -> None:
+                await trio.sleep(0.05)
+                value = msgspec.json.encode({"version": 3, "padding": "x" * 9000})
+                history.add(1, [WatchEvent("op/config", value, 2)], 2)
+
+            nursery.start_soon(receive)
+            with trio.fail_after(1.0):
+                read = PeerRead(1, LargeValues.DEFLATED, 2, 1.5)
+                found = await follower.fetch_from_peer(peer, read)
+            self.assertEqual((2, 1), (found.revision, len(found.changes)))
+            nursery.cancel_scope.cancel()
+
+    @trio_test
+    async def test_a_peer_vm_of_a_build_without_compression_serves_small_changes(self) -> None:
+        class OldHandler(ChangesHandler):
+            async def handle(self, request: Request) -> Response:
+                for name in ("packed", "withhold", "until"):
+                    assert isinstance(request.query, dict)
+                    request.query.pop(name, None)
+                return await super().handle(request)
+
+        async with running_store() as (_standin, _client, address), trio.open_nursery() as nursery:
+            history = ChangeHistory()
+            history.reset(1)
+            history.add(1, [WatchEvent("op/config", b'{"version": 3}', 2)], 2)
+            [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(serve_http, [listener], lambda stream: OldHandler(history))
+            peer = vm("other")._replace(port=listener.socket.getsockname()[1] - 1)
+            follower = PlatformFleetStore(
+                *[StoreClient(address, 0.3)] * 3, RecordingLog(), ChangeHistory()
+            )
+            found = await follower.fetch_from_peer(peer, PeerRead(1, LargeValues.WITHHELD))
+            self.assertEqual((1, 2, False), (len(found.changes), found.revision, found.withheld))
+            large = msgspec.json.encode({"version": 4, "padding": "x" * MAX_RESPONSE_BYTES})
+            history.add(2, [WatchEvent("op/config", large, 3)], 3)
+            for kind in (LargeValues.WITHHELD, LargeValues.DEFLATED):
+                with self.assertRaises(HistoryLostError):
+                    await follower.fetch_from_peer(peer, PeerRead(2, kind))
+            found = await follower.fetch_from_peer(peer, PeerRead(2, LargeValues.PLAIN))
+            self.assertEqual(1, len(found.changes))
+            nursery.cancel_scope.cancel()
+
+    @trio_test
+    async def test_the_timeout_of_a_call_follows_the_size_of_its_reply(self) -> None:
+        # Guards against reads of a large configuration that never end: 0.5 MB exceeded the timeout
+        # on links of 10 Mbit/s, and each repetition kept the link full.
+        body = encode_watch_response([WatchEvent("op/config", b"x" * 150_000, 2)], 2)
+        head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n".encode()
+
+        async def serve(stream: trio.SocketStream, pieces: int, pause_s: float) -> None:
+            async with stream:
+                await stream.receive_some(4096)
+                await stream.send_all(head)
+                size = -(-len(body) // pieces)
+                for start in range(0, len(body), size):
+                    await trio.sleep(pause_s)
+                    try:
+                        await stream.send_all(body[start : start + size])
+                    except trio.BrokenResourceError:
+                        return
+
+        for pieces, pause_s, expected in ((10, 0.05, True), (2, 30.0, False)):
+            async with trio.open_nursery() as nursery:
+                [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                nursery.start_soon(
+                    trio.serve_listeners,
+                    partial(serve, pieces=pieces, pause_s=pause_s),
+                    [listener],
+                )
+                client = StoreClient(Address("127.0.0.1", listener.socket.getsockname()[1]), 0.2)
+                with trio.fail_after(3.0):
+                    if expected:
+                        page = await client.watch("", 1, 0.0)
+                        self.assertEqual(150_000, len(page.events[0].value or b""))
+                    else:
+                        with self.assertRaises(KeyValueTimeoutError):
+                            await client.watch("", 1, 0.0)
+                nursery.cancel_scope.cancel()
+
     @trio_test
     async def test_changes_that_a_peer_vm_lacks_are_unavailable(self) -> None:
         async with running_store() as (_standin, _client, address), trio.open_nursery() as nursery:
@@ -230,9 +355,9 @@
                 *[StoreClient(address, 0.3)] * 3, RecordingLog(), ChangeHistory()
             )
             with self.assertRaises(HistoryLostError):
-                await follower.fetch_from_peer(peer, 5, large=True)
+                await follower.fetch_from_peer(peer, PeerRead(5, LargeValues.DEFLATED))
             with self.assertRaises(KeyValueUnavailableError):
-                await follower.fetch_from_peer(vm("nobody"), 5, large=True)
+                await follower.fetch_from_peer(vm("nobody"), PeerRead(5, LargeValues.DEFLATED))
             nursery.cancel_scope.cancel()
 
 
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+from unittest import mock
+
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
@@ -28,6 +31,34 @@
         self.assertEqual(announced, share.lend(now, 100))
 
 
+class DivisionTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_rates_are_divided_again_only_if_organisations_or_vms_change(self) -> None:
+        # Guards against a ranking of 84 VMs for each of 84 organisations when a configuration only
+        # adds routes: statements wait for it on a VM with half a core.
+        shares = RateShares("a", _no_loan, lambda _vm, _organisation: 0)
+        ranked: list[int] = []
+
+        def counted(organisation: Organisation, vms: Sequence[str]) -> tuple[str, ...]:
+            ranked.append(len(vms))
+            return rate_holders(organisation, vms)
+
+        with mock.patch("tanagerfront.rate_shares.rate_holders", counted):
+            limits = Organisation("x", 50.0, 10.0)
+            for rate_per_s, vms in (
+                (50.0, ["a", "b", "c"]),
+                (50.0, ["a", "b", "c"]),
+                (60.0, ["a", "b", "c"]),
+                (60.0, ["a", "b", "c", "d"]),
+            ):
+                shares.configure({"x": limits._replace(rate_per_s=rate_per_s)}, vms)
+        self.assertEqual([3, 3, 4], ranked)
+
+
+async def _no_loan(_request: TokenLoanRequest, _lender: str) -> int:
+    return UNKNOWN_LENDER
+
+
 class Fleet:
     """VMs that share one organisation's rate and lend tokens to each other."""
 
