Check only the connection that is used, and replace those never reused first

Cause: each statement polled every idle connection of the pool (two system calls each, 42 to 165 at a home), and each choice of an instance scanned the idle list. At the limit the least recently used connection made room, so that each statement of a rare organisation closed the connection of a frequent one. Only the connection about to be used is checked; if the instance has closed it, all are. Trimming no longer polls.

--- a/src/tanagerfront/instance_pool.py
+++ b/src/tanagerfront/instance_pool.py
@@ -6,12 +6,14 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
+from functools import partial
 from typing import NamedTuple, Protocol
 
 import trio
 
 from .entry_id import EntryId
 from .errors import DatabaseError, OverloadedError, TooManyConnectionsError
+from .idle_connections import IdleConnections
 from .session_model import (
     Begin,
     Execute,
@@ -151,6 +153,7 @@
         self._held_slot: _HeldSlot | None = None
         self.organisation = organisation
         self.last_used_at = opened_at
+        self.reused = False
         self.in_transaction = False
 
     @property
@@ -298,8 +301,8 @@
 class InstancePool:
     """Connections to one instance within limits.
 
-    A connection is bound to an organisation. At the limit, the least recently used idle
-    connection of another organisation is closed to make room.
+    A connection is bound to an organisation. At the limit, an idle connection of another
+    organisation is closed to make room; see `idle_connections` for the choice.
     """
 
     def __init__(
@@ -308,7 +311,7 @@
         self._registration = registration
         self._opener = opener
         self._limits = limits
-        self._idle: list[PooledConnection] = []
+        self._idle: IdleConnections[PooledConnection] = IdleConnections()
         self._open = 0
         self._closed: list[PooledConnection] = []
         self._waiters: list[_Waiter] = []
@@ -354,8 +357,8 @@
             self._slot_admission = (
                 SlotAdmission(self._registration.slots) if limits.admission_control else None
             )
-        while self._idle and self._open > self._limits.max_open:
-            await self._close_connection(self._idle.pop(0))
+        while self._open > self._limits.max_open and (connection := self._idle.take_oldest()):
+            await self._close_connection(connection)
         self._grant_reservations()
 
     async def trim(self) -> None:
@@ -364,20 +367,20 @@
             await self._closed.pop().close()
         limit = trio.current_time() - EXCESS_IDLE_TIMEOUT_S
         while (
-            self._idle
-            and self._open > self._limits.kept_open
-            and self._idle[0].last_used_at < limit
+            self._open > self._limits.kept_open
+            and (connection := self._idle.oldest) is not None
+            and connection.last_used_at < limit
         ):
-            await self._close_connection(self._idle.pop(0))
+            self._idle.remove(connection)
+            await self._close_connection(connection)
 
     def has_idle(self, organisation: str) -> bool:
         """Return whether a connection of the organisation is idle."""
-        return any(connection.organisation == organisation for connection in self._idle)
+        return self._idle.has(organisation)
 
     def pop_any_idle(self) -> PooledConnection | None:
         """Remove and return the most recently used idle connection of any organisation."""
-        self._discard_closed_idle()
-        return self._idle.pop() if self._idle else None
+        return self._take_alive(self._idle.take_newest)
 
     async def acquire(self, organisation: str, urgency: float, deadline: float) -> PooledConnection:
         """Return a connection of the organisation.
@@ -420,7 +423,6 @@
 
     async def _reuse_or_open(self, organisation: str) -> PooledConnection | None:
         """Return an idle or a new connection, or None if the request has to wait for one."""
-        self._discard_closed_idle()
         if not self._waiters or self.has_idle(organisation):
             connection = self._pop_idle(organisation)
             if connection is not None:
@@ -478,30 +480,37 @@
             await self._close_connection(connection)
             return
         connection.last_used_at = trio.current_time()
-        self._idle.append(connection)
+        self._idle.add(connection)
         self._grant_idle()
 
     async def close(self) -> None:
         """Close the idle connections now and busy ones on release."""
         await self.set_limits(PoolLimits(0, 0))
 
-    def _discard_closed_idle(self) -> None:
-        """Remove idle connections that the instance closed.
+    def _take_alive(self, take: Callable[[], PooledConnection | None]) -> PooledConnection | None:
+        """Return an idle connection that the instance has not closed, None if there is none.
 
-        The outcome of a write sent over one would be reported as unknown although it can't have
-        run.
+        The outcome of a write sent over a closed one would be reported as unknown although it
+        can't have run. Only the connection about to be used is checked, with two system calls; if
+        the instance has closed it, it may have closed all of them.
         """
-        closed = [connection for connection in self._idle if not connection.alive]
-        for connection in closed:
-            self._idle.remove(connection)
-            self._open -= 1
-            self._closed.append(connection)
+        connection = take()
+        if connection is None or connection.alive:
+            return connection
+        self._discard(connection)
+        for other in self._idle.connections:
+            if not other.alive:
+                self._idle.remove(other)
+                self._discard(other)
+        self._grant_reservations()
+        return take()
+
+    def _discard(self, connection: PooledConnection) -> None:
+        self._open -= 1
+        self._closed.append(connection)
 
     def _pop_idle(self, organisation: str) -> PooledConnection | None:
-        for index in range(len(self._idle) - 1, -1, -1):
-            if self._idle[index].organisation == organisation:
-                return self._idle.pop(index)
-        return None
+        return self._take_alive(partial(self._idle.take, organisation))
 
     def _reserve(self) -> _Reservation | None:
         """Reserve room for a new connection, if necessary by replacing an idle one."""
@@ -509,9 +518,10 @@
         if self._open < self._limits.max_open and not full:
             self._open += 1
             return _Reservation()
-        if not self._idle or not self._limits.max_open:
+        if not self._limits.max_open:
             return None
-        return _Reservation(self._idle.pop(0))
+        replaced = self._idle.take_least_valuable(trio.current_time())
+        return None if replaced is None else _Reservation(replaced)
 
     async def _connect(self, organisation: str, reservation: _Reservation) -> PooledConnection:
         """Open a connection under a reservation."""
@@ -563,8 +573,7 @@
 
     def _grant_idle(self) -> None:
         """Grant idle connections to waiters, for replacement if the organisations differ."""
-        while self._waiters and self._idle:
-            connection = self._idle.pop()
+        while self._waiters and (connection := self._idle.take_newest()) is not None:
 
             def rank(waiter: _Waiter, owner: str = connection.organisation) -> float:
                 bonus = SAME_ORGANISATION_BONUS_S if waiter.organisation == owner else 0.0
@@ -573,6 +582,7 @@
             waiter = min(self._waiters, key=rank)
             self._waiters.remove(waiter)
             if waiter.organisation == connection.organisation:
+                connection.reused = True
                 waiter.granted = connection
             else:
                 waiter.reservation = _Reservation(connection)
--- a/tests/test_instance_pool.py
+++ b/tests/test_instance_pool.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from unittest.mock import PropertyMock, patch
 
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
-from front_fakes import FakeInstance, registration
+from front_fakes import FakeConnection, FakeInstance, registration
 from support import TestCase, trio_test
 from tanagerfront.errors import ConnectionLostError, OverloadedError, TooManyConnectionsError
 from tanagerfront.instance_pool import InstancePool, InstanceStatement, PoolLimits
@@ -291,6 +292,31 @@
         await pool.trim()
         self.assertEqual((2, 1, 1), (instance.opened, instance.open_now, pool.open_connections))
 
+    @trio_test(mock_clock=True)
+    async def test_an_acquisition_checks_only_the_connection_that_it_returns(self) -> None:
+        # Guards against system calls for all idle connections of a home with each statement.
+        pool = make_pool(FakeInstance(), open_limit=20, kept_open=20)
+        acquired = [await pool.acquire(f"o{number}", 0.0, 10.0) for number in range(20)]
+        for connection in acquired:
+            await pool.release(connection)
+        with patch.object(FakeConnection, "alive", PropertyMock(return_value=True)) as alive:
+            await pool.acquire("o7", 0.0, 10.0)
+        self.assertEqual(1, alive.call_count)
+
+    @trio_test(mock_clock=True)
+    async def test_all_connections_that_a_restarted_instance_closed_make_room(self) -> None:
+        # Guards against requests that wait for connections which no longer exist.
+        instance = FakeInstance()
+        pool = make_pool(instance, open_limit=3, kept_open=3)
+        for connection in [await pool.acquire(name, 0.0, 10.0) for name in "abb"]:
+            await pool.release(connection)
+        for each in instance.connections:
+            each.closed_by_instance = True
+        held = [await pool.acquire("b", 0.0, 10.0) for _ in range(3)]
+        await pool.trim()
+        self.assertEqual((6, 3), (instance.opened, instance.open_now))
+        self.assertEqual({"b"}, {connection.organisation for connection in held})
+
     @trio_test(mock_clock=True)
     async def test_a_connection_in_a_transaction_or_after_a_lost_reply_is_closed(self) -> None:
         # Guards against a statement that runs in another caller's transaction.
