Admit statements to an instance's slots in the order of their urgency

A home served all statements in the order of arrival and refused each after the same 0.12 s: reads with an objective of a second stood ahead of short urgent writes, and were refused though they could have waited. With the setting for urgency, the order is: open transactions, priority, latency objective, fairly between organisations; each waits as long as its own objective or deadline allows, and the least urgent gives way.

test_slot_admission, test_instance_pool, test_relay, test_replay, test_caller_session, test_platform_relay, test_platform_lines, test_instance_directory, test_logs: 114 tests, passed.

--- a/src/tanagerfront/attempts.py
+++ b/src/tanagerfront/attempts.py
@@ -4,9 +4,9 @@
 
 import trio
 
-from .session_model import Route, boottime_s
+from .session_model import Route, Urgency, boottime_s
 
-__all__ = ["Attempts"]
+__all__ = ["Attempts", "urgency_of"]
 
 # Fraction of the statement timeout for which a statement may wait for a connection or a primary.
 # A refusal after that leaves the caller time to retry through another VM.
@@ -18,11 +18,20 @@
 READ_TIMEOUT_FRACTION = 0.45
 
 
+def urgency_of(route: Route, received_at: float, *, in_transaction: bool = False) -> Urgency:
+    """Return the urgency of a statement that was received at a time of trio's clock."""
+    deadline = received_at + route.statement_timeout_s
+    objective_at = min(deadline, received_at + route.latency_objective_s)
+    return Urgency(route.priority, objective_at, deadline, in_transaction)
+
+
 class Attempts:
     """Count the attempts of one statement and hold its deadlines, in seconds of trio's clock."""
 
     def __init__(self, route: Route, received_at: float) -> None:
+        self._route = route
         self._timeout_s = route.statement_timeout_s
+        self._received_at = received_at
         self._attempt_count = 1
         self.received_boottime_s = boottime_s() - (trio.current_time() - received_at)
         self.deadline = received_at + route.statement_timeout_s
@@ -33,6 +42,11 @@
         self.tried_instances: set[str] = set()
         self.sent = False
 
+    def statement_urgency(self, *, writes: bool) -> Urgency:
+        """Return the urgency of the current attempt; a read may be tried at another instance."""
+        deadline = self.deadline if writes else self.read_attempt_deadline()
+        return urgency_of(self._route, self._received_at)._replace(deadline=deadline)
+
     def read_attempt_deadline(self) -> float:
         """Return the time until which the current attempt of a read may wait for an answer."""
         if self._attempt_count > 1:
--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from .attempts import Attempts
+from .attempts import Attempts, urgency_of
 from .confirmed_state import ConfirmedState
 from .decision_log import DecisionLog
 from .entry_id import EntryId
@@ -19,6 +19,7 @@
     InstanceRefusedError,
     InstanceStatement,
     PooledConnection,
+    slot_request,
 )
 from .placement import choose_candidate
 from .primary_use import expected_wait_s, primary_obstacle
@@ -39,6 +40,7 @@
     RouteKind,
     SetValue,
     TransactionState,
+    Urgency,
     Verbatim,
     Write,
     boottime_s,
@@ -254,7 +256,10 @@
         attempts = Attempts(caller.route, query.received_at)
         while True:
             try:
-                placement = await self._acquire_connection(caller, writes, attempts)
+                statement = self._instance_statement(
+                    query, attempts.statement_urgency(writes=writes)
+                )
+                placement = await self._acquire_connection(caller, writes, attempts, statement)
             except RefusedError:
                 if caller.organisation is not None and not attempts.sent:
                     self._services.rates.refund(caller.organisation.name)
@@ -276,7 +281,10 @@
         attempts.sent = True
         try:
             deadline = attempts.deadline if writes else attempts.read_attempt_deadline()
-            reply = await self._send(query, connection, instance, after, deadline)
+            statement = self._instance_statement(query, attempts.statement_urgency(writes=writes))
+            reply = await self._send(
+                statement._replace(after=after), connection, instance, deadline
+            )
         except OverloadedError as error:
             if not writes and attempts.start_next(instance.registration.id):
                 return None
@@ -329,9 +337,12 @@
         instance, connection = transaction.instance, transaction.connection
         assert instance is not None and connection is not None
         self._check_transaction(transaction)
-        deadline = query.received_at + transaction.caller.route.statement_timeout_s
+        urgency = urgency_of(transaction.caller.route, query.received_at, in_transaction=True)
+        deadline = urgency.deadline
         try:
-            reply = await self._send(query, connection, instance, None, deadline)
+            reply = await self._send(
+                self._instance_statement(query, urgency), connection, instance, deadline
+            )
         except OverloadedError as error:
             raise RefusedError(FailureCode.ABORTED, str(error)) from error
         except ConnectionLostError as error:
@@ -361,10 +372,17 @@
         caller = transaction.caller
         attempts = Attempts(caller.route, query.received_at)
         while True:
-            placement = await self._acquire_connection(caller, not transaction.read_only, attempts)
+            begin = InstanceStatement(
+                INTERNAL_STATEMENT_ID,
+                Begin(transaction.read_only),
+                urgency=attempts.statement_urgency(writes=not transaction.read_only),
+            )
+            placement = await self._acquire_connection(
+                caller, not transaction.read_only, attempts, begin
+            )
             instance, connection, after = placement
             connection.in_transaction = True
-            begin = InstanceStatement(INTERNAL_STATEMENT_ID, Begin(transaction.read_only), after)
+            begin = begin._replace(after=after)
             statements = [*connection.value_statements(self._values), begin]
             failure: Failure | None
             try:
@@ -453,9 +471,13 @@
         return group.primary if obstacle is None else None
 
     async def _acquire_connection(
-        self, caller: AuthorisedCaller, at_primary: bool, attempts: Attempts
+        self,
+        caller: AuthorisedCaller,
+        at_primary: bool,
+        attempts: Attempts,
+        statement: InstanceStatement,
     ) -> _Placement:
-        """Choose an instance and acquire a connection to it; raises RefusedError."""
+        """Choose an instance and acquire a connection for a statement; raises RefusedError."""
         directory = self._services.directory
         while True:
             group = directory.group(caller.route.group)
@@ -465,7 +487,10 @@
                 continue
             try:
                 connection = await instance.pool.acquire(
-                    caller.organisation_name, attempts.urgency, attempts.wait_deadline
+                    caller.organisation_name,
+                    attempts.urgency,
+                    attempts.wait_deadline,
+                    slot_request(caller.organisation_name, statement),
                 )
             except OverloadedError as error:
                 raise RefusedError(FailureCode.OVERLOADED, str(error)) from error
@@ -542,20 +567,21 @@
 
     # Execution
 
+    @staticmethod
+    def _instance_statement(query: Query, urgency: Urgency) -> InstanceStatement:
+        match query.statement:
+            case Execute() as execute:
+                return InstanceStatement(query.id, execute, urgency=urgency)
+        return InstanceStatement(query.id, Verbatim(query.text), urgency=urgency)
+
     async def _send(
         self,
-        query: Query,
+        statement: InstanceStatement,
         connection: PooledConnection,
         instance: Instance,
-        after: EntryId | None,
         deadline: float,
     ) -> Reply:
         """Run a caller's statement after those that set up the session; see `_run` for errors."""
-        match query.statement:
-            case Execute() as execute:
-                statement = InstanceStatement(query.id, execute, after)
-            case _:
-                statement = InstanceStatement(query.id, Verbatim(query.text), after)
         statements = connection.session_statements(self._values, self._prepared, statement)
         replies = await self._run(instance, connection, statements, deadline)
         return replies[-1]
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -27,6 +27,8 @@
 from .session_failover import FailoverController, InstanceControl, PromotionApi, build_heartbeat
 from .session_peer_messages import Heartbeat
 from .session_peers import VmPeers
+from .slot_admission import ArrivalOrder, UrgencyOrder
+from .slot_report import report_slot_queue
 from .store_era import era_of
 from .supervision import run_restarting
 
@@ -186,7 +188,11 @@
         opener = RoutingOpener(
             own.name, adapters.opener, adapters.relay, lambda: self._sync.vms, log
         )
-        self._directory = InstanceDirectory(opener, identity.failure_domain)
+        self._directory = InstanceDirectory(
+            opener,
+            identity.failure_domain,
+            UrgencyOrder() if self._features.urgency_order else ArrivalOrder(),
+        )
         self._directory.uses_relay = opener.uses_relay
         self._directory.home_rank = opener.home_rank
         self._directory.on_change = self._log_instance
@@ -293,6 +299,8 @@
                 **self._connection_counts(),
                 store_calls=self._store.calls,
             )
+            for instance in self._directory.instances():
+                report_slot_queue(instance, self._log, self._metrics)
 
     def _connection_counts(self) -> dict[str, int]:
         """Count open and ever opened connections to instances, direct and relayed ones."""
--- a/src/tanagerfront/front_metrics.py
+++ b/src/tanagerfront/front_metrics.py
@@ -32,19 +32,25 @@
 
     def count(self, name: str, **labels: str) -> None:
         """Add one to a counter."""
+        self.add(name, 1, **labels)
+
+    def add(self, name: str, value: float, **labels: str) -> None:
+        """Add a value to a counter."""
         counter = self._counters.get(name)
         if counter is None:
             counter = Counter(f"tanagerfront_{name}_total", name, registry=self._registry)
             self._counters[name] = counter
-        counter.inc({key: self._labels.bounded_value(value) for key, value in labels.items()})
+        counter.add(
+            {key: self._labels.bounded_value(label) for key, label in labels.items()}, value
+        )
 
-    def gauge(self, name: str, value: float) -> None:
+    def gauge(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge."""
         gauge = self._gauges.get(name)
         if gauge is None:
             gauge = Gauge(f"tanagerfront_{name}", name, registry=self._registry)
             self._gauges[name] = gauge
-        gauge.set({}, value)
+        gauge.set(labels, value)
 
     def render(self) -> bytes:
         """Return all metrics in the text format."""
--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -12,6 +12,7 @@
 from .placement import Candidate
 from .position_samples import PositionSamples
 from .session_model import InstanceRegistration, InstanceRole, Reply, boottime_s
+from .slot_admission import ArrivalOrder, SlotOrder, UrgencyOrder
 
 __all__ = [
     "HOMES_PER_INSTANCE",
@@ -28,6 +29,9 @@
 SPARE_CONNECTIONS = 2
 # Relayed sessions of one VM at an instance's home; they need no connection of their own.
 RELAY_POOL_LIMITS = PoolLimits(8, 8)
+# With an order by urgency, statements that can wait do so at the home. The sessions that they hold
+# meanwhile must leave some to urgent statements.
+RELAYED_WAITING = 24
 # Response time that is assumed before the first measurement.
 INITIAL_RESPONSE_S = 0.02
 # Smaller fleets share the connections without a relay, which saves a hop; see `relay`.
@@ -172,7 +176,10 @@
 class InstanceDirectory:
     """Registered groups and instances; the state of instances is kept across re-registrations."""
 
-    def __init__(self, opener: Opener, failure_domain: str) -> None:
+    def __init__(
+        self, opener: Opener, failure_domain: str, slot_order: SlotOrder | None = None
+    ) -> None:
+        self._slot_order = slot_order or ArrivalOrder()
         self._opener = opener
         self._failure_domain = failure_domain
         self._groups: dict[str, Group] = {}
@@ -326,10 +333,17 @@
         )
 
     def _limits(self, registration: InstanceRegistration) -> PoolLimits:
+        limits = self._connection_limits(registration)
+        return limits._replace(slot_order=self._slot_order)
+
+    def _connection_limits(self, registration: InstanceRegistration) -> PoolLimits:
         connections = self._connections.get(registration.group, self._vms)
         if self._vms < MIN_VMS_FOR_RELAY:
             return connection_budget(connections, self._vms)
         if self.uses_relay(registration):
+            match self._slot_order:
+                case UrgencyOrder():
+                    return RELAY_POOL_LIMITS._replace(max_open=RELAYED_WAITING)
             return RELAY_POOL_LIMITS
         limit = int(
             (connections - SPARE_CONNECTIONS) * HOME_CONNECTION_SHARES[self.home_rank(registration)]
--- a/src/tanagerfront/instance_pool.py
+++ b/src/tanagerfront/instance_pool.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
+from functools import partial
 from typing import NamedTuple, Protocol
 
 import trio
@@ -30,7 +31,8 @@
     Urgency,
     Verbatim,
 )
-from .slot_admission import SlotAdmission
+from .slot_admission import ArrivalOrder, QueueCounts, SlotAdmission, SlotOrder
+from .slot_queue import SlotRequest, kind_of
 
 __all__ = [
     "Connection",
@@ -42,6 +44,7 @@
     "Opener",
     "PoolLimits",
     "PooledConnection",
+    "slot_request",
 ]
 
 # Id of statements that the proxy sends on its own behalf.
@@ -96,6 +99,8 @@
     # Whether this VM applies admission control, because it holds most of the instance's
     # connections.
     admission_control: bool = False
+    # Order in which requests get slots and connections.
+    slot_order: SlotOrder = ArrivalOrder()
 
 
 class InstanceStatement(NamedTuple):
@@ -227,23 +232,24 @@
         needs_slot = any(_needs_slot(statement) for statement in statements)
         if self._slot_admission is not None and needs_slot and self._held_slot is None:
             try:
-                self._held_slot = await _HeldSlot.acquire(self._slot_admission)
+                request = slot_request(self.organisation, statements[-1])
+                self._held_slot = await _HeldSlot.acquire(self._slot_admission, request)
             except BaseException:
                 self._session_state_known = False
                 raise
         try:
             return await self._connection.run(statements)
         finally:
-            self.release_slot()
+            self.release_slot(used=needs_slot)
 
     def attach_slot(self, held_slot: _HeldSlot) -> None:
         """Run the next statements in a slot that was acquired already."""
         self._held_slot = held_slot
 
-    def release_slot(self) -> None:
-        """Release the instance slot, if one is held."""
+    def release_slot(self, *, used: bool = False) -> None:
+        """Release the instance slot, if one is held; `used` if a statement ran in it."""
         if self._held_slot is not None:
-            self._held_slot.release()
+            self._held_slot.release(used=used)
             self._held_slot = None
 
     async def close(self) -> None:
@@ -258,15 +264,22 @@
 
     admission: SlotAdmission
     admitted_at: float
+    request: SlotRequest | None
 
     @classmethod
-    async def acquire(cls, admission: SlotAdmission) -> _HeldSlot:
+    async def acquire(cls, admission: SlotAdmission, request: SlotRequest | None) -> _HeldSlot:
         """Wait for a slot; raises OverloadedError."""
-        return cls(admission, await admission.acquire())
+        return cls(admission, await admission.acquire(request), request)
 
-    def release(self) -> None:
-        """Release the slot."""
-        self.admission.release(self.admitted_at)
+    def release(self, *, used: bool = False) -> None:
+        """Release the slot; `used` if a statement ran in it."""
+        self.admission.release(self.admitted_at, self.request if used else None)
+
+
+def slot_request(organisation: str, statement: InstanceStatement) -> SlotRequest:
+    """Return what a statement of an organisation needs a slot for."""
+    kind = kind_of(statement.statement)
+    return SlotRequest.of(organisation, statement.urgency, kind, trio.current_time())
 
 
 def _needs_slot(statement: InstanceStatement) -> bool:
@@ -277,17 +290,26 @@
 
 
 class _Waiter:
-    """A request that waits for a connection; the lowest `urgency` is served first."""
+    """A request that waits for a connection; the lowest `urgency` is served first.
 
-    __slots__ = ("event", "granted", "organisation", "reservation", "urgency")
+    With a `request`, its priority precedes and its latency objective replaces `urgency`.
+    """
 
-    def __init__(self, organisation: str, urgency: float) -> None:
+    __slots__ = ("event", "granted", "organisation", "priority", "reservation", "urgency")
+
+    def __init__(self, organisation: str, urgency: float, request: SlotRequest | None) -> None:
         self.organisation = organisation
-        self.urgency = urgency
+        self.urgency = urgency if request is None else request.urgency.objective_at
+        self.priority = 0 if request is None else request.priority
         self.event = trio.Event()
         self.granted: PooledConnection | None = None
         self.reservation: _Reservation | None = None
 
+    def order(self, owner: str | None = None) -> tuple[int, float]:
+        """Return the order for a connection that was opened for `owner`, the lowest first."""
+        bonus = SAME_ORGANISATION_BONUS_S if self.organisation == owner else 0.0
+        return self.priority, self.urgency - bonus
+
 
 class _Reservation(NamedTuple):
     """Permission to open a connection, after closing `replaced` if there is one."""
@@ -313,9 +335,7 @@
         self._closed: list[PooledConnection] = []
         self._waiters: list[_Waiter] = []
         self._instance_full_until = float("-inf")
-        self._slot_admission = (
-            SlotAdmission(registration.slots) if limits.admission_control else None
-        )
+        self._slot_admission = self._new_slot_admission()
         self.opened_total = 0
 
     @property
@@ -343,6 +363,15 @@
         """Return the instance's load, None if this VM doesn't admit statements to its slots."""
         return None if self._slot_admission is None else self._slot_admission.load
 
+    @property
+    def slot_order(self) -> SlotOrder:
+        """Return the order in which requests get slots and connections."""
+        return self._limits.slot_order
+
+    def take_slot_counts(self) -> QueueCounts | None:
+        """Return the counts of the slots' queue since the last call, None without a queue."""
+        return None if self._slot_admission is None else self._slot_admission.take_counts()
+
     def set_registration(self, registration: InstanceRegistration) -> None:
         """Set a newer registration of the same instance."""
         self._registration = registration
@@ -351,13 +380,16 @@
         """Change the limits; busy connections above them are closed on release."""
         self._limits = limits
         if limits.admission_control != (self._slot_admission is not None):
-            self._slot_admission = (
-                SlotAdmission(self._registration.slots) if limits.admission_control else None
-            )
+            self._slot_admission = self._new_slot_admission()
         while self._idle and self._open > self._limits.max_open:
             await self._close_connection(self._idle.pop(0))
         self._grant_reservations()
 
+    def _new_slot_admission(self) -> SlotAdmission | None:
+        if not self._limits.admission_control:
+            return None
+        return SlotAdmission(self._registration.slots, self._limits.slot_order)
+
     async def trim(self) -> None:
         """Close connections that have been idle too long while more than `kept_open` are open."""
         while self._closed:
@@ -379,27 +411,40 @@
         self._discard_closed_idle()
         return self._idle.pop() if self._idle else None
 
-    async def acquire(self, organisation: str, urgency: float, deadline: float) -> PooledConnection:
+    async def acquire(
+        self,
+        organisation: str,
+        urgency: float,
+        deadline: float,
+        request: SlotRequest | None = None,
+    ) -> PooledConnection:
         """Return a connection of the organisation.
 
-        `deadline` is in trio's clock. Raises OverloadedError if no slot of the instance becomes
-        free in time or no connection is free by the deadline, and what the opener raises.
+        `deadline` is in trio's clock. `request` is the statement that it is for; it counts only
+        where requests are served in the order of their urgency. Raises OverloadedError if no slot
+        of the instance becomes free in time or no connection is free by the deadline, and what
+        the opener raises.
         """
+        match self._limits.slot_order:
+            case ArrivalOrder():
+                request = None
         if self._slot_admission is None:
             connection = await self._reuse_or_open(organisation)
         else:
-            connection = await self._reuse_or_open_admitted(self._slot_admission, organisation)
+            connection = await self._reuse_or_open_admitted(
+                self._slot_admission, organisation, request
+            )
         if connection is not None:
             return connection
-        waiter = await self._wait_for_grant(organisation, urgency, deadline)
+        waiter = await self._wait_for_grant(_Waiter(organisation, urgency, request), deadline)
         if waiter.granted is not None:
             return waiter.granted
         if waiter.reservation is not None:
-            return await self._connect_admitted(organisation, waiter.reservation)
+            return await self._connect_admitted(organisation, waiter.reservation, request)
         raise OverloadedError("no connection to the instance became free before the deadline")
 
     async def _reuse_or_open_admitted(
-        self, admission: SlotAdmission, organisation: str
+        self, admission: SlotAdmission, organisation: str, request: SlotRequest | None
     ) -> PooledConnection | None:
         """Wait for a slot of the instance, then reuse or open a connection.
 
@@ -407,7 +452,7 @@
         requests of the organisation. They would open new connections and close those of other
         organisations for them.
         """
-        held_slot = await _HeldSlot.acquire(admission)
+        held_slot = await _HeldSlot.acquire(admission, request)
         connection = None
         try:
             connection = await self._reuse_or_open(organisation)
@@ -429,13 +474,13 @@
         return await self._connect(organisation, reservation) if reservation is not None else None
 
     async def _connect_admitted(
-        self, organisation: str, reservation: _Reservation
+        self, organisation: str, reservation: _Reservation, request: SlotRequest | None
     ) -> PooledConnection:
         """Open a connection under a granted reservation, once a slot is free."""
         if self._slot_admission is None:
             return await self._connect(organisation, reservation)
         try:
-            held_slot = await _HeldSlot.acquire(self._slot_admission)
+            held_slot = await _HeldSlot.acquire(self._slot_admission, request)
         except BaseException:
             await self._cancel_reservation(reservation)
             raise
@@ -447,9 +492,8 @@
         connection.attach_slot(held_slot)
         return connection
 
-    async def _wait_for_grant(self, organisation: str, urgency: float, deadline: float) -> _Waiter:
+    async def _wait_for_grant(self, waiter: _Waiter, deadline: float) -> _Waiter:
         """Wait until a connection or a reservation is granted, or until the deadline."""
-        waiter = _Waiter(organisation, urgency)
         self._waiters.append(waiter)
         try:
             while not waiter.event.is_set() and trio.current_time() < deadline:
@@ -555,7 +599,7 @@
         if trio.current_time() < self._instance_full_until:
             return
         while self._waiters and self._open < self._limits.max_open:
-            waiter = min(self._waiters, key=lambda waiter: waiter.urgency)
+            waiter = min(self._waiters, key=_Waiter.order)
             self._waiters.remove(waiter)
             self._open += 1
             waiter.reservation = _Reservation()
@@ -565,12 +609,8 @@
         """Grant idle connections to waiters, for replacement if the organisations differ."""
         while self._waiters and self._idle:
             connection = self._idle.pop()
-
-            def rank(waiter: _Waiter, owner: str = connection.organisation) -> float:
-                bonus = SAME_ORGANISATION_BONUS_S if waiter.organisation == owner else 0.0
-                return waiter.urgency - bonus
-
-            waiter = min(self._waiters, key=rank)
+            order = partial(_Waiter.order, owner=connection.organisation)
+            waiter = min(self._waiters, key=order)
             self._waiters.remove(waiter)
             if waiter.organisation == connection.organisation:
                 waiter.granted = connection
--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -24,6 +24,7 @@
     InstanceStatement,
     Opener,
     PooledConnection,
+    slot_request,
 )
 from .rendezvous import rendezvous_score
 from .session_model import (
@@ -41,6 +42,8 @@
     TransactionState,
     Verbatim,
 )
+from .slot_admission import UrgencyOrder
+from .slot_queue import waiting_limit
 
 __all__ = ["RelayOpener", "RelaySession", "RoutingOpener", "homes"]
 
@@ -178,7 +181,7 @@
                 self._values = {}
                 self._prepared = {}
         try:
-            connection = await self._acquire_connection()
+            connection = await self._acquire_connection(statement)
         except ConnectionLostError as error:
             return self._local_reply(Failure(FailureCode.MOVED, str(error)))
         except TanagerfrontError as error:
@@ -204,11 +207,16 @@
         )
         return Reply(failure=failure, state=state)
 
-    async def _acquire_connection(self) -> PooledConnection:
+    async def _acquire_connection(self, statement: InstanceStatement) -> PooledConnection:
         if self._transaction_connection is not None:
             return self._transaction_connection
         now = trio.current_time()
-        return await self._pool.acquire(self._organisation, now, now + MAX_CONNECTION_WAIT_S)
+        deadline = now + MAX_CONNECTION_WAIT_S
+        match self._pool.slot_order:
+            case UrgencyOrder() if statement.urgency is not None:
+                deadline = waiting_limit(statement.urgency, now)
+        request = slot_request(self._organisation, statement)
+        return await self._pool.acquire(self._organisation, now, deadline, request)
 
     async def _run_on(self, connection: PooledConnection, statement: InstanceStatement) -> Reply:
         begins = isinstance(statement.statement, Begin)
