Estimate waits by what more urgent arrivals leave, and replay mixed load on slots

A read of low priority was accepted by the work that waited on its arrival, and then refused after its objective, because urgent statements kept arriving. The estimate now divides the work ahead by the slots that recent arrivals of more urgent classes leave, at least by the share of a class that has aged.

test_slot_queue, test_slot_admission, test_urgency_replay: 32 tests, passed.

--- a/src/tanagerfront/slot_admission.py
+++ b/src/tanagerfront/slot_admission.py
@@ -160,6 +160,7 @@
         request = request or SlotRequest.of(NO_ORGANISATION, None, StatementKind.READ, now)
         if not self._queue and self._has_free_slot():
             self._counts.admitted_at_once += 1
+            self._queue.record_admitted(request, now)
             return self._admit()
         offer = self._queue.offer(request, now)
         self._refuse(offer.displaced, Refusal.DISPLACED)
--- a/src/tanagerfront/slot_queue.py
+++ b/src/tanagerfront/slot_queue.py
@@ -9,6 +9,7 @@
 
 import bisect
 import enum
+import math
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -41,6 +42,8 @@
 # Part of the slots' time that a class gets whose statements have waited for half of their
 # objective, so that a steady load of more urgent statements doesn't starve it.
 AGED_SHARE = 0.1
+# Long against single statements, and short against bursts of a few seconds.
+RATE_WINDOW_S = 1.0
 INITIAL_SERVICE_TIME_S = 0.015
 SERVICE_TIME_SMOOTHING = 0.1
 
@@ -182,9 +185,8 @@
 
     @property
     def aged_at(self) -> float:
-        """Return when half of the time that the statement was given has passed."""
-        late = self.class_key.stage is _Stage.LATE
-        return (self.enqueued_at + (self.limit_at if late else self.objective_at)) / 2
+        """Return when half of the time until the end of the latency objective has passed."""
+        return (self.enqueued_at + self.objective_at) / 2
 
 
 def _stage(request: SlotRequest) -> _Stage:
@@ -193,6 +195,25 @@
     return _Stage.COMMIT if request.kind is StatementKind.COMMIT else _Stage.TRANSACTION
 
 
+class _Rate:
+    """Amount per second, averaged over about the last `RATE_WINDOW_S`."""
+
+    __slots__ = ("_updated_at", "_value")
+
+    def __init__(self) -> None:
+        self._value = 0.0
+        self._updated_at = 0.0
+
+    def value(self, now: float) -> float:
+        """Return the rate at a time."""
+        return self._value * math.exp(-max(0.0, now - self._updated_at) / RATE_WINDOW_S)
+
+    def add(self, amount: float, now: float) -> None:
+        """Count an amount at a time."""
+        self._value = self.value(now) + amount / RATE_WINDOW_S
+        self._updated_at = now
+
+
 class Offer(NamedTuple):
     """Outcome of an arrival: its ticket or refusal, and the tickets that it displaced."""
 
@@ -287,6 +308,8 @@
         self._classes: dict[_ClassKey, _Class] = {}
         self._length = 0
         self._numbered = 0
+        # Service time per second of the statements that were accepted, by class.
+        self._arrival_rates: dict[_ClassKey, _Rate] = {}
         self.service_times = ServiceTimes()
 
     def __len__(self) -> int:
@@ -300,7 +323,7 @@
             for key, waiting in self._classes.items()
             if key.stage is not _Stage.LATE and key.priority <= DEFAULT_PRIORITY
         )
-        return self._wait_s(in_time_s)
+        return self._wait_s(in_time_s, self._limit)
 
     def offer(self, request: SlotRequest, now: float) -> Offer:
         """Queue a statement that arrives while all slots are taken, or refuse it.
@@ -315,10 +338,11 @@
             return Offer(None, Refusal.TOO_LATE)
         if ticket.class_key.stage is _Stage.IN_TIME:
             in_time_by = request.urgency.objective_at - REPLY_DELIVERY_S
-            if now + self._expected_s(ticket) > in_time_by:
+            if now + self._expected_s(ticket, now) > in_time_by:
                 ticket.class_key = _ClassKey(_Stage.LATE, request.priority)
-        if now + self._expected_s(ticket) > limit_at:
+        if now + self._expected_s(ticket, now) > limit_at:
             return Offer(None, Refusal.QUEUE_TOO_LONG)
+        self._count_arrival(ticket.class_key, service_s, now)
         self._push(ticket)
         return Offer(ticket, None, tuple(self._displace(now)))
 
@@ -341,6 +365,17 @@
             return ticket, tuple(expired)
         return None, tuple(expired)
 
+    def record_admitted(self, request: SlotRequest, now: float) -> None:
+        """Count a statement that needed no place in the queue."""
+        key = _ClassKey(_stage(request), request.priority)
+        self._count_arrival(key, self.service_times.expected_s(request), now)
+
+    def _count_arrival(self, key: _ClassKey, service_s: float, now: float) -> None:
+        rate = self._arrival_rates.get(key)
+        if rate is None:
+            rate = self._arrival_rates[key] = _Rate()
+        rate.add(service_s, now)
+
     def remove(self, ticket: Ticket) -> None:
         """Remove a ticket that was neither popped nor displaced."""
         self._remove(ticket)
@@ -350,22 +385,38 @@
         """Return the service time of one statement in each slot."""
         return self._limit * self.service_times.mean_s
 
-    def _wait_s(self, work_ahead_s: float) -> float:
+    def _wait_s(self, work_ahead_s: float, slots: float) -> float:
         # One statement more: the slots are taken, and the first to become free is awaited.
-        return (work_ahead_s + self.service_times.mean_s) / self._limit
+        return (work_ahead_s + self.service_times.mean_s) / slots
 
-    def _expected_s(self, ticket: Ticket) -> float:
+    def _slots_left(self, key: _ClassKey, now: float) -> float:
+        """Return the number of slots that arrivals of more urgent classes leave to a class."""
+        more_urgent = sum(
+            rate.value(now) for other, rate in self._arrival_rates.items() if other < key
+        )
+        return max(AGED_SHARE * self._limit, self._limit - more_urgent)
+
+    def _expected_wait_s(
+        self, ticket: Ticket, more_urgent_s: float, own_ahead_s: float, now: float
+    ) -> float:
+        """Return the expected wait behind waiting work of more urgent classes and of its own."""
+        slots = self._slots_left(ticket.class_key, now)
+        wait_s = self._wait_s(more_urgent_s + own_ahead_s, slots)
+        if ticket.class_key.stage is not _Stage.IN_TIME:
+            return wait_s
+        # The class has at least the share of those that have aged.
+        share = AGED_SHARE * self._limit
+        aged_s = max(ticket.aged_at - now, own_ahead_s / share) + ticket.service_s / share
+        return min(wait_s, aged_s)
+
+    def _expected_s(self, ticket: Ticket, now: float) -> float:
         """Return the expected time until the end of a statement that arrives now."""
-        ahead_s = sum(
-            (
-                waiting.work_s
-                if key < ticket.class_key
-                else waiting.work_ahead_s(ticket.request, ticket.service_s)
-            )
-            for key, waiting in self._classes.items()
-            if key <= ticket.class_key
+        more_urgent_s = sum(
+            waiting.work_s for key, waiting in self._classes.items() if key < ticket.class_key
         )
-        return self._wait_s(ahead_s) + ticket.service_s
+        own = self._classes.get(ticket.class_key)
+        own_s = own.work_ahead_s(ticket.request, ticket.service_s) if own is not None else 0.0
+        return self._expected_wait_s(ticket, more_urgent_s, own_s, now) + ticket.service_s
 
     def _next(self, now: float) -> Ticket:
         """Return the head of the most urgent class, or of one that has aged and has credit."""
@@ -382,8 +433,9 @@
         for key, waiting in sorted(self._classes.items()):
             while key.stage >= _Stage.IN_TIME and waiting.queues:
                 tail = waiting.tail()
-                before_s = ahead_s + waiting.work_s - tail.service_s
-                if now + self._wait_s(before_s) <= tail.latest_start:
+                own_s = waiting.work_s - tail.service_s
+                wait_s = self._expected_wait_s(tail, ahead_s, own_s, now)
+                if now + wait_s <= tail.latest_start:
                     break
                 self._remove(tail)
                 yield tail
@@ -407,7 +459,7 @@
         own = self._classes[served.class_key]
         own.credit_s = max(0.0, own.credit_s - served.service_s)
         for key, waiting in self._classes.items():
-            if key > served.class_key:
+            if key > served.class_key and key.stage is _Stage.IN_TIME:
                 credit_s = waiting.credit_s + AGED_SHARE * served.service_s
                 # Credit that is not used while a class is young must not add up to a burst.
                 waiting.credit_s = min(credit_s, max(self._round_s, waiting.longest_s))
