--- a/tests/test_caller_session.py
+++ b/tests/test_caller_session.py
@@ -38,6 +38,7 @@
     RouteKind,
     SetValue,
     TransactionState,
+    Urgency,
     boottime_s,
 )
 from tanagerfront.session_record import RefusedError
@@ -642,3 +643,37 @@
             await vm.directory.apply(registration(replica.id, draining=True))
         await vm.session(RouteKind.BOUNDED).send("READ 1")
         self.assertEqual(["READ 1"], vm.primary.caller_statements)
+
+
+class UrgencyTest(TestCase):
+    """What the VM that holds an instance's connections learns of a statement's urgency."""
+
+    @trio_test(mock_clock=True)
+    async def test_statements_carry_the_priority_and_the_limits_of_their_route(self) -> None:
+        # Guards against a home that serves urgent statements in the order of arrival.
+        vm = await start_vm()
+        received_at = trio.current_time()
+        await vm.session(RouteKind.PRIMARY).send("WRITE 1 x")
+        [(_, statement)] = vm.primary.received
+        self.assertEqual(Urgency(1, received_at + 0.2, received_at + 1.0), statement.urgency)
+
+    @trio_test(mock_clock=True)
+    async def test_a_read_states_when_its_vm_gives_the_attempt_up(self) -> None:
+        # Guards against a home that keeps a read after its VM has tried another instance.
+        vm = await start_vm()
+        received_at = trio.current_time()
+        await vm.session(RouteKind.PRIMARY).send("READ 1")
+        [(_, statement)] = vm.primary.received
+        assert statement.urgency is not None
+        self.assertAlmostEqual(received_at + 0.45, statement.urgency.deadline, delta=0.03)
+
+    @trio_test(mock_clock=True)
+    async def test_statements_after_the_first_are_those_of_an_open_transaction(self) -> None:
+        vm = await start_vm()
+        caller = vm.session(RouteKind.PRIMARY)
+        for text in ("BEGIN", "WRITE 1 x", "COMMIT"):
+            await caller.send(text)
+        urgencies = [statement.urgency for _, statement in vm.primary.received]
+        self.assertEqual(
+            [False, True, True], [urgency.in_transaction for urgency in urgencies if urgency]
+        )
--- a/tests/test_instance_pool.py
+++ b/tests/test_instance_pool.py
@@ -12,7 +12,9 @@
 from support import TestCase, trio_test
 from tanagerfront.errors import ConnectionLostError, OverloadedError, TooManyConnectionsError
 from tanagerfront.instance_pool import InstancePool, InstanceStatement, PoolLimits
-from tanagerfront.session_model import Prepare, ResetSession, SetValue, Verbatim
+from tanagerfront.session_model import Prepare, ResetSession, SetValue, Urgency, Verbatim
+from tanagerfront.slot_admission import UrgencyOrder
+from tanagerfront.slot_queue import SlotRequest
 
 
 def make_pool(instance: FakeInstance, open_limit: int = 2, kept_open: int = 2) -> InstancePool:
@@ -121,6 +123,27 @@
         order = await self._order([("b", 1.00), ("a", 1.02), ("b", 1.01)], held_by="a")
         self.assertEqual([1.02, 1.0, 1.01], order)
 
+    @trio_test(mock_clock=True)
+    async def test_waiters_are_served_by_priority_where_the_settings_ask_for_it(self) -> None:
+        # Guards against urgent statements that wait for a connection behind a burst of reads.
+        limits = PoolLimits(1, 1, slot_order=UrgencyOrder())
+        pool = InstancePool(registration("i-1"), FakeInstance().open, limits)
+        held = await pool.acquire("a", 0.0, 10.0)
+        order: list[int] = []
+
+        async def wait(priority: int) -> None:
+            request = SlotRequest("a", Urgency(priority, 1.0, 2.0))
+            connection = await pool.acquire("a", 0.0, 10.0, request)
+            order.append(priority)
+            await pool.release(connection)
+
+        async with trio.open_nursery() as nursery:
+            for priority in (2, 0, 1):
+                nursery.start_soon(wait, priority)
+                await trio.sleep(0.01)
+            await pool.release(held)
+        self.assertEqual([0, 1, 2], order)
+
     async def _order(self, waiters: Sequence[tuple[str, float]], held_by: str) -> list[float]:
         pool = make_pool(FakeInstance(), open_limit=1)
         held = await pool.acquire(held_by, 0.0, 10.0)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -32,8 +32,10 @@
     Rollback,
     SetValue,
     TransactionState,
+    Urgency,
     Verbatim,
 )
+from tanagerfront.slot_admission import UrgencyOrder
 
 
 def make_fleet(count: int) -> list[RegisteredVm]:
@@ -237,3 +239,30 @@
         assert reply.failure is not None
         self.assertEqual(FailureCode.OVERLOADED, reply.failure.code)
         self.assertLess(trio.current_time() - started, 0.5)
+
+    @trio_test(mock_clock=True)
+    async def test_a_home_serves_relayed_statements_by_urgency(self) -> None:
+        # Guards against urgent statements of a VM that stand behind another VM's, also if those
+        # state no urgency because their VM has an older build.
+        instance = FakeInstance()
+        instance.work_s = 0.02
+        limits = PoolLimits(9, 9, admission_control=True, slot_order=UrgencyOrder())
+        pool = InstancePool(registration("i"), instance.open, limits)
+
+        async def run(text: str, urgency: Urgency | None) -> None:
+            statement = InstanceStatement("q", Verbatim(text), urgency=urgency)
+            reply = await RelaySession(pool, "a").run(statement)
+            self.assertIsNone(reply.failure)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(run, "READ running", None)
+                # One slot becomes free after the other.
+                await trio.sleep(0.005)
+            now = trio.current_time()
+            nursery.start_soon(run, "READ patient", Urgency(2, now + 1.2, now + 2.0))
+            nursery.start_soon(run, "READ unstated", None)
+            await trio.sleep(0.001)
+            nursery.start_soon(run, "READ urgent", Urgency(0, now + 0.2, now + 1.0))
+        order = instance.caller_statements[3:]
+        self.assertEqual(["READ urgent", "READ unstated", "READ patient"], order)
