--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -26,6 +26,7 @@
     InstanceWithdrawnError,
     Opener,
     PooledConnection,
+    slot_request,
 )
 from .rendezvous import rendezvous_score
 from .session_model import (
@@ -43,6 +44,8 @@
     TransactionState,
     Verbatim,
 )
+from .slot_admission import UrgencyOrder
+from .slot_queue import waiting_limit
 
 __all__ = ["RelayOpener", "RelaySession", "RoutingOpener", "homes"]
 
@@ -207,7 +210,7 @@
         try:
             if self._transaction_connection is None and self._refuses_work():
                 raise InstanceWithdrawnError
-            connection = await self._acquire_connection()
+            connection = await self._acquire_connection(statement)
         except ConnectionLostError as error:
             return self._local_reply(Failure(FailureCode.MOVED, str(error)))
         except TanagerfrontError as error:
@@ -233,11 +236,16 @@
         )
         return Reply(failure=failure, state=state)
 
-    async def _acquire_connection(self) -> PooledConnection:
+    async def _acquire_connection(self, statement: InstanceStatement) -> PooledConnection:
         if self._transaction_connection is not None:
             return self._transaction_connection
         now = trio.current_time()
-        connection = await self._pool.acquire(self._organisation, now, now + MAX_CONNECTION_WAIT_S)
+        deadline = now + MAX_CONNECTION_WAIT_S
+        match self._pool.slot_order:
+            case UrgencyOrder() if statement.urgency is not None:
+                deadline = waiting_limit(statement.urgency, now)
+        request = slot_request(self._organisation, statement)
+        connection = await self._pool.acquire(self._organisation, now, deadline, request)
         if self._refuses_work():
             await self._pool.release(connection)
             raise InstanceWithdrawnError
