Choose replicas by the load that homes report

Dozens of VMs took the smallest estimated delay from what each had seen, so they chose the same instance at the same moment and left it together. Replies that pass a home carry the instance's load; each VM keeps the newest reading, lets it count less with age, adds its own statements since, and draws the instance with weights that even out the expected delays. In use where callers compete for slots or each instance accepts a connection for each organisation, in fleets that relay.

--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -14,13 +15,14 @@
 from .errors import ConnectionLostError, OverloadedError, TooManyConnectionsError
 from .front_metrics import FrontMetrics
 from .instance_directory import Group, Instance, InstanceDirectory
+from .instance_load import ReadingFault, even_load_enabled
 from .instance_pool import (
     INTERNAL_STATEMENT_ID,
     InstanceRefusedError,
     InstanceStatement,
     PooledConnection,
 )
-from .placement import choose_candidate
+from .placement import Candidate, assess_candidates, choose_candidate, choose_evenly
 from .primary_use import expected_wait_s, primary_obstacle
 from .rate_shares import RateShares
 from .session_model import (
@@ -64,6 +66,9 @@
     rates: RateShares
     log: DecisionLog
     metrics: FrontMetrics
+    # Whether the callers compete for the instances' slots.
+    urgency_order: bool = False
+    rng: random.Random = random.Random()
 
 
 @dataclass(slots=True)
@@ -510,15 +515,35 @@
             )
         ]
         directory = self._services.directory
+        even_load = even_load_enabled(
+            caller.configuration,
+            urgency_order=self._services.urgency_order,
+            relayed=directory.relayed,
+        )
         candidates = [
-            directory.candidate(group, instance, caller.organisation_name) for instance in eligible
+            directory.candidate(group, instance, caller.organisation_name, with_load=even_load)
+            for instance in eligible
         ]
-        chosen = choose_candidate(candidates, after, boottime_s(), attempts.tried_instances)
+        if even_load:
+            chosen = self._choose_evenly(candidates, after, attempts)
+        else:
+            chosen = choose_candidate(candidates, after, boottime_s(), attempts.tried_instances)
         if chosen is None:
             return primary, None
         instance = group.instances[chosen.id]
         return instance, None if instance is primary else after
 
+    def _choose_evenly(
+        self, candidates: list[Candidate], after: EntryId | None, attempts: Attempts
+    ) -> Candidate | None:
+        """Choose by the load that homes report, and count the reason."""
+        assessments = assess_candidates(candidates, after, boottime_s(), attempts.tried_instances)
+        chosen = choose_evenly(assessments, self._services.rng)
+        if chosen is None:
+            return None
+        self._services.metrics.count("reads_placed", reason=chosen.reason.value)
+        return chosen.candidate
+
     async def _wait_for_change(self, group: Group, attempts: Attempts) -> None:
         """Wait for a change of the group; raises RefusedError at the wait deadline.
 
@@ -574,19 +599,37 @@
         group = self._services.directory.group(instance.registration.group)
         is_primary = self._usable_primary(group) is instance
         requested_at, started_at = boottime_s(), trio.current_time()
-        with trio.move_on_at(deadline) as scope:
-            replies = await connection.run(statements)
-        if scope.cancelled_caught:
-            raise ConnectionLostError("the instance did not answer in time")
+        instance.known_load.record_sent()
+        try:
+            with trio.move_on_at(deadline) as scope:
+                replies = await connection.run(statements)
+            if scope.cancelled_caught:
+                raise ConnectionLostError("the instance did not answer in time")
+        except ConnectionLostError:
+            instance.known_load.record_failed(boottime_s())
+            raise
         last_reply = replies[-1]
         is_internal = statements[-1].id == INTERNAL_STATEMENT_ID
         response_s = None if is_internal else trio.current_time() - started_at
+        self._record_load(instance, last_reply, response_s)
         if instance.record_reply(last_reply, response_s):
             group.notify()
         if is_primary and last_reply.reached is not None and group.primary is instance:
             group.samples.add(requested_at, last_reply.reached)
         return replies
 
+    def _record_load(self, instance: Instance, reply: Reply, response_s: float | None) -> None:
+        """Record what a reply tells about the load of an instance."""
+        fault = instance.known_load.record_reply(
+            reply, response_s, instance.registration.slots, boottime_s()
+        )
+        if fault is not None:
+            self._services.metrics.count("load_readings_dropped", reason=fault.value)
+        if fault is ReadingFault.IMPLAUSIBLE:
+            self._services.log.failure(
+                "load_reading_dropped", instance=instance.registration.id, load=reply.load
+            )
+
     def _record_write(self, group: str, reached: EntryId | None) -> None:
         self._last_write = reached
         self._last_write_group = group
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -25,6 +25,7 @@
 from .rate_shares import RateShares, TokenLoanRequest
 from .relay import RelayOpener, RoutingOpener
 from .session_failover import FailoverController, InstanceControl, PromotionApi, build_heartbeat
+from .session_model import boottime_s
 from .session_peer_messages import Heartbeat
 from .session_peers import VmPeers
 from .store_era import era_of
@@ -224,7 +225,12 @@
             self._directory, self._confirmed_state, adapters.can_connect, log
         )
         services = SessionServices(
-            self._confirmed_state, self._directory, self._rates, log, self._metrics
+            self._confirmed_state,
+            self._directory,
+            self._rates,
+            log,
+            self._metrics,
+            self._features.urgency_order,
         )
         self._callers = adapters.caller_server(services)
         self._relays = adapters.relay_server(self._directory, log)
@@ -283,6 +289,12 @@
                 "confirmation_age_seconds", self._confirmed_state.confirmation_age_s
             )
             self._metrics.gauge("caller_connections", self._callers.count)
+            for instance in self._directory.instances():
+                self._metrics.gauge(
+                    "load_reading_age_seconds",
+                    instance.load_estimate(boottime_s()).age_s,
+                    instance=instance.registration.id,
+                )
             self._log.decision(
                 "status",
                 callers=self._callers.count,
--- a/src/tanagerfront/front_metrics.py
+++ b/src/tanagerfront/front_metrics.py
@@ -38,13 +38,13 @@
             self._counters[name] = counter
         counter.inc({key: self._labels.bounded_value(value) for key, value in labels.items()})
 
-    def gauge(self, name: str, value: float) -> None:
+    def gauge(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge."""
         gauge = self._gauges.get(name)
         if gauge is None:
             gauge = Gauge(f"tanagerfront_{name}", name, registry=self._registry)
             self._gauges[name] = gauge
-        gauge.set({}, value)
+        gauge.set({key: self._labels.bounded_value(label) for key, label in labels.items()}, value)
 
     def render(self) -> bytes:
         """Return all metrics in the text format."""
--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -8,8 +8,9 @@
 import trio
 
 from .entry_id import EntryId
+from .instance_load import KnownLoad
 from .instance_pool import InstancePool, Opener, PoolLimits
-from .placement import Candidate
+from .placement import Candidate, LoadEstimate
 from .position_samples import PositionSamples
 from .session_model import InstanceRegistration, InstanceRole, Reply, boottime_s
 
@@ -74,6 +75,9 @@
         self.pool = pool
         self.reached: EntryId | None = None
         self.response_s = INITIAL_RESPONSE_S
+        self.known_load = KnownLoad()
+        # Whether this VM is the home that the others prefer, and so measures the load itself.
+        self.is_first_home = False
         self.lagging_since = float("-inf")
         self.unreachable_since: float | None = None
         self.unregistered_since: float | None = None
@@ -106,6 +110,16 @@
             self.response_s += RESPONSE_SMOOTHING * (response_s - self.response_s)
         return regained
 
+    def load_estimate(self, now: float) -> LoadEstimate:
+        """Return the load as known to this VM; `now` is in seconds of `boottime_s()`."""
+        estimate = self.known_load.estimate(self.registration.slots, now)
+        own = self.pool.load if self.is_first_home else None
+        if own is None:
+            return estimate
+        return estimate._replace(
+            statements=float(own.running + own.waiting), trust=1.0, age_s=0.0, sent_since=0
+        )
+
     def record_reply(self, reply: Reply, response_s: float | None) -> bool:
         """Record a reply, except a refusal by a home, which knows no position.
 
@@ -226,7 +240,7 @@
         self._vms = vms
         self._connections = connections
         for instance in self.instances():
-            await instance.pool.set_limits(self._limits(instance.registration))
+            await self._set_limits(instance)
 
     async def apply(self, registration: InstanceRegistration) -> None:
         """Add or update an instance from its registration."""
@@ -237,6 +251,7 @@
                 await instance.pool.close()
             pool = InstancePool(registration, self._opener, self._limits(registration))
             instance = group.instances[registration.id] = Instance(registration, pool)
+            instance.is_first_home = self._is_first_home(registration)
             self.on_change("registered", instance)
         if instance.registration.role is not registration.role:
             self.on_change("role", instance)
@@ -309,7 +324,14 @@
             # VMs may have confirmed the store's older record until this one is written again.
             group.moving_since = boottime_s()
 
-    def candidate(self, group: Group, instance: Instance, organisation: str) -> Candidate:
+    @property
+    def relayed(self) -> bool:
+        """Return whether the fleet is so large that homes relay statements."""
+        return self._vms >= MIN_VMS_FOR_RELAY
+
+    def candidate(
+        self, group: Group, instance: Instance, organisation: str, *, with_load: bool = False
+    ) -> Candidate:
         """Return the properties of an instance that its selection is based on."""
         pool = instance.pool
         return Candidate(
@@ -323,6 +345,16 @@
             response_s=instance.response_s,
             reached=instance.reached,
             lagging_since=instance.lagging_since,
+            load=instance.load_estimate(boottime_s()) if with_load else None,
+        )
+
+    async def _set_limits(self, instance: Instance) -> None:
+        instance.is_first_home = self._is_first_home(instance.registration)
+        await instance.pool.set_limits(self._limits(instance.registration))
+
+    def _is_first_home(self, registration: InstanceRegistration) -> bool:
+        return (
+            self.relayed and not self.uses_relay(registration) and self.home_rank(registration) == 0
         )
 
     def _limits(self, registration: InstanceRegistration) -> PoolLimits:
--- a/src/tanagerfront/platform/instance_wire.py
+++ b/src/tanagerfront/platform/instance_wire.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Sequence
 
+import trio
+
 from ..errors import BadRequestError, ConnectionLostError, TooManyConnectionsError
 from ..fleet_store import RELAY_VERSION, RegisteredVm
 from ..http_client import Address, enable_keepalive, open_tcp
@@ -33,8 +35,13 @@
 class InstanceConnection:
     """One session at an instance; any failure makes the connection unusable."""
 
-    def __init__(self, stream: LineStream, relay_version: int | None = None) -> None:
+    def __init__(
+        self, stream: LineStream, relay_version: int | None = None, home: str = ""
+    ) -> None:
         self._stream = stream
+        # The process at the other end of a relayed session, which its load readings come from.
+        self._home = home
+        self._opened_at = trio.current_time()
         # None for an instance, and for a home that accepts only the first version.
         self._relay_version = relay_version
         self._usable = True
@@ -99,6 +106,8 @@
                 case Ready(state, reached, load):
                     if signature is None and failure is None:
                         raise ConnectionLostError("reply ended without COMPLETE or ERROR")
+                    if load is not None:
+                        load = load._replace(home=self._home, session_opened_at=self._opened_at)
                     return Reply(tuple(rows), failure, signature, state, reached, load)
 
     async def _read_message(self) -> InstanceMessage:
@@ -123,7 +132,13 @@
 ) -> InstanceConnection:
     """Open a session at an instance through another VM; raises as `open_instance` does."""
     version = min(home.relay_version, RELAY_VERSION)
-    return await _open(home.address, registration, organisation, version if version > 1 else None)
+    return await _open(
+        home.address,
+        registration,
+        organisation,
+        version if version > 1 else None,
+        home.incarnation,
+    )
 
 
 async def _open(
@@ -131,10 +146,11 @@
     registration: InstanceRegistration,
     organisation: str,
     relay_version: int | None = None,
+    home: str = "",
 ) -> InstanceConnection:
     stream = await open_tcp(address, timeout_s=TCP_CONNECT_TIMEOUT_S)
     enable_keepalive(stream, user_timeout_ms=USER_TIMEOUT_MS, idle_s=1, interval_s=1)
-    connection = InstanceConnection(LineStream(stream), relay_version)
+    connection = InstanceConnection(LineStream(stream), relay_version, home)
     try:
         await connection.connect(registration.group, organisation, registration.id)
     except BaseException:
--- a/src/tanagerfront/session_model.py
+++ b/src/tanagerfront/session_model.py
@@ -121,12 +121,15 @@
     """Load of an instance, as its home measured it when it sent a reply.
 
     Readings of one home are numbered by `sequence`, so that a late one never replaces a newer one.
+    The VM that receives a reading adds the `home` and when it opened the session, in its own clock.
     """
 
     sequence: int
     running: int
     waiting: int
     expected_wait_s: float
+    home: str = ""
+    session_opened_at: float = 0.0
 
 
 class Reply(NamedTuple):
