--- a/src/tanagerfront/placement.py
+++ b/src/tanagerfront/placement.py
@@ -34,8 +34,12 @@
 # A failed statement costs its caller another attempt, often after a pause of its own, about as
 # much as the shortest latency objectives of 150 ms.
 FAILED_STATEMENT_PENALTY_S = 0.15
+# An instance that fails everything stays a choice where there is no other.
+MAX_FAILED_SHARE = 0.98
 # Utilisation of the slots that is assumed while no reading of any instance is known.
 UNKNOWN_UTILISATION = 0.5
+# The probability that a statement finds all slots taken falls steeply with the utilisation.
+QUEUEING_EXPONENT = 3
 
 
 class LoadEstimate(NamedTuple):
@@ -242,7 +246,9 @@
     sharing = list(_sharing(candidates, delays, eligible))
     weights = dict.fromkeys(range(len(candidates)), 0.0)
     if sharing:
-        horizon_s = _mean_age_s([candidates[index] for index in sharing]) * min(1.0, neutral)
+        # What arrives while slots are free leaves no queue, so near instances are preferred then.
+        queueing = min(1.0, neutral) ** QUEUEING_EXPONENT
+        horizon_s = queueing * _mean_age_s([candidates[index] for index in sharing])
         rates = [_service_rate(candidates[index]) for index in sharing]
         shares = _weights([delays[index] for index in sharing], rates, horizon_s)
         weights.update(zip(sharing, shares, strict=True))
@@ -267,18 +273,15 @@
 ) -> Iterator[int]:
     """Yield the candidates that share the statements.
 
-    These are the ones with the smallest penalty, and others that are expected to be faster in
-    spite of theirs. Where no load is known, all take part.
+    The primary serves all writes, so it takes part only if it is expected to be faster than every
+    replica in spite of its penalty.
     """
-    least_s = min((_penalty_s(candidates[index]) for index in eligible), default=0.0)
-    nearest = [index for index in eligible if _penalty_s(candidates[index]) == least_s]
-    fastest_s = min((delays_s[index] for index in nearest), default=0.0)
-    known = all(_load_known(candidates[index]) for index in nearest)
+    fastest_s = min(
+        (delays_s[index] for index in eligible if not candidates[index].is_primary),
+        default=float("inf"),
+    )
     for index in eligible:
-        candidate = candidates[index]
-        comparable = known and _load_known(candidate)
-        unknown_replica = not comparable and not candidate.is_primary
-        if index in nearest or delays_s[index] < fastest_s or unknown_replica:
+        if not candidates[index].is_primary or delays_s[index] < fastest_s:
             yield index
 
 
@@ -295,7 +298,7 @@
     """Return the statements that an instance serves in a second, less with failures."""
     load = candidate.load
     slots, failed = (1, 0.0) if load is None else (load.slots, load.failed_share)
-    return slots * (1.0 - failed) ** 2 / _service_s(candidate)
+    return slots * (1.0 - min(failed, MAX_FAILED_SHARE)) ** 2 / _service_s(candidate)
 
 
 def choose_evenly(assessments: Sequence[Assessment], rng: random.Random) -> Assessment | None:
--- a/src/tanagerfront_lab/even_load.py
+++ b/src/tanagerfront_lab/even_load.py
@@ -52,6 +52,9 @@
     swing: float = WAVE_SWING
     slow: bool = False
     failing: bool = False
+    # Each instance lies in a failure domain of its own, with as many VMs, and the wave reaches
+    # each domain a second after the one before.
+    domains: bool = False
     # Time at which the last instance, absent until then, takes part; 0 for the whole time.
     returns_at: float = 0.0
     seconds: float = 26.0
@@ -65,6 +68,7 @@
     p99_wait_s: float
     failed_share: float
     last_instance_share: float
+    other_domain_share: float
 
 
 class _Instance:
@@ -94,7 +98,8 @@
 
 
 class _Chooser:
-    def __init__(self, case: EvenLoadCase) -> None:
+    def __init__(self, case: EvenLoadCase, domain: int) -> None:
+        self.domain = domain
         self.known = [KnownLoad() for _ in range(case.instances)]
         self.response_s = [0.02] * case.instances
         self.busy = [0] * case.instances
@@ -114,12 +119,13 @@
             _Instance(4.0 if case.slow and i == last else 1.0, case.failing and i == last)
             for i in range(case.instances)
         ]
-        self.choosers = [_Chooser(case) for _ in range(case.choosers)]
+        self.choosers = [_Chooser(case, n % case.instances) for n in range(case.choosers)]
         self.events: list[tuple[float, int, Callable[[float], None]]] = []
         self.number = 0
         self.waits: list[float] = []
         self.failed = 0
         self.to_last = 0
+        self.to_other = 0
         self.idle_s = self.largest = self.mean = 0.0
         self.last_event = 0.0
 
@@ -156,7 +162,16 @@
 
     def candidate(self, chooser: _Chooser, i: int) -> Candidate:
         return Candidate(
-            str(i), False, True, True, chooser.busy[i], 0, 8, chooser.response_s[i], None, 0.0
+            str(i),
+            is_primary=False,
+            same_failure_domain=not self.case.domains or chooser.domain == i,
+            has_idle_connection=True,
+            busy_connections=chooser.busy[i],
+            waiting_requests=0,
+            connection_limit=8,
+            response_s=chooser.response_s[i],
+            reached=None,
+            lagging_since=0.0,
         )
 
     def candidate_with_load(self, chooser: _Chooser, i: int, now: float) -> Candidate:
@@ -170,12 +185,16 @@
 
     def arrive(self, now: float) -> None:
         case = self.case
-        wave = 1.0 + case.swing * math.sin(2 * math.pi * now / WAVE_PERIOD_S)
         healthy = case.instances - case.failing - 0.75 * case.slow
         rate = healthy * SLOTS / STATEMENT_S * case.utilisation
-        self.at(now + self.demand.expovariate(rate * wave), self.arrive)
+        self.at(now + self.demand.expovariate(rate * (1.0 + case.swing)), self.arrive)
+        chooser = self.demand.choice(self.choosers)
+        delay_s = float(chooser.domain) if case.domains else 0.0
+        wave = 1.0 + case.swing * math.sin(2 * math.pi * (now - delay_s) / WAVE_PERIOD_S)
+        if self.demand.random() * (1.0 + case.swing) > wave:
+            return
         work = self.demand.lognormvariate(-(STATEMENT_SIGMA**2) / 2, STATEMENT_SIGMA)
-        self.send(self.demand.choice(self.choosers), work, now, now, set())
+        self.send(chooser, work, now, now, set())
 
     def send(
         self, chooser: _Chooser, work: float, since: float, now: float, tried: set[str]
@@ -184,6 +203,7 @@
         instance = self.instances[i]
         chooser.busy[i] += 1
         chooser.sent[i].append(now)
+        self.to_other += chooser.domain != i
         self.to_last += i == self.case.instances - 1
 
         def run(started: float) -> None:
@@ -242,6 +262,7 @@
             waits[int(0.99 * len(waits))],
             self.failed / max(1, len(waits) + self.failed),
             self.to_last / max(1, len(waits) + self.failed),
+            self.to_other / max(1, len(waits) + self.failed) if self.case.domains else 0.0,
         )
 
 
