--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from unittest import mock
 
 import trio
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from support import TestCase, trio_test
-from tanagerfront.fleet_roles import rate_holders
+from tanagerfront.fleet_roles import RateHolders, rate_holders
 from tanagerfront.rate_shares import UNKNOWN_LENDER, RateShare, RateShares, TokenLoanRequest
 from tanagerfront.session_model import Organisation
 
@@ -39,11 +39,15 @@
         shares = RateShares("a", _no_loan, lambda _vm, _organisation: 0)
         ranked: list[int] = []
 
-        def counted(organisation: Organisation, vms: Sequence[str]) -> tuple[str, ...]:
+        update = RateHolders.update
+
+        def counted(
+            holders: RateHolders, organisations: Collection[Organisation], vms: Sequence[str]
+        ) -> dict[str, tuple[str, ...]]:
             ranked.append(len(vms))
-            return rate_holders(organisation, vms)
+            return update(holders, organisations, vms)
 
-        with mock.patch("tanagerfront.rate_shares.rate_holders", counted):
+        with mock.patch.object(RateHolders, "update", counted):
             limits = Organisation("x", 50.0, 10.0)
             for rate_per_s, vms in (
                 (50.0, ["a", "b", "c"]),
