Announce only the surpluses of held rate shares, computed ten times a second

Cause: a coordinator computed the surplus of every organisation's share for each reply to a heartbeat. Change: only the shares that this VM holds are announced, and computed at most every 0.1 s. Heartbeats and their replies become smaller by the entries that nobody used.

--- a/src/tanagerfront/rate_shares.py
+++ b/src/tanagerfront/rate_shares.py
@@ -31,6 +31,9 @@
 STARTUP_WAIT_S = 1.0
 MIN_STARTUP_VMS = 3
 MAX_LOAN_TOKENS = 8
+# Age at which the announced surpluses are computed again, short compared with the 0.3 s between
+# heartbeats.
+SURPLUS_INTERVAL_S = 0.1
 UNKNOWN_LENDER = -1
 # Initial tokens of a restarted VM's share: a fixed number and a fraction of the rate and burst over
 # a window, out of the overage that the limit tolerates in that window. The previous process may
@@ -122,6 +125,10 @@
         self._shares: dict[str, RateShare] = {}
         self._lenders: dict[str, tuple[str, ...]] = {}
         self._holders = RateHolders()
+        # Names of the organisations of whose buckets this VM holds a share.
+        self._held: frozenset[str] = frozenset()
+        self._surpluses: dict[str, int] = {}
+        self._surpluses_at = float("-inf")
         self._configured = False
         self._startup_ends_at = trio.current_time() + STARTUP_WAIT_S
 
@@ -153,6 +160,12 @@
                 share.set_limits(now, 0.0, 1.0)
         for name in [name for name in self._shares if name not in organisations]:
             del self._shares[name]
+        self._held = frozenset(
+            name
+            for name, limits in organisations.items()
+            if self._own_vm in all_holders[limits.name]
+        )
+        self._surpluses_at = float("-inf")
         self._configured = True
 
     def _initial_tokens(self, limits: Organisation, holders: int) -> float:
@@ -196,7 +209,14 @@
         return share.lend(trio.current_time(), request.tokens) if share is not None else 0
 
     def surpluses(self) -> dict[str, int]:
-        """Return how many whole tokens this VM could lend, by organisation."""
+        """Return how many whole tokens this VM could lend, by organisation.
+
+        Only holders are asked for loans. The result may be SURPLUS_INTERVAL_S old: a coordinator
+        sends it with each reply to the heartbeats of the whole fleet.
+        """
         now = trio.current_time()
-        surpluses = ((name, int(share.surplus(now))) for name, share in self._shares.items())
-        return {name: count for name, count in surpluses if count > 0}
+        if now - self._surpluses_at >= SURPLUS_INTERVAL_S:
+            counts = ((name, int(self._shares[name].surplus(now))) for name in self._held)
+            self._surpluses = {name: count for name, count in counts if count > 0}
+            self._surpluses_at = now
+        return self._surpluses
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -28,6 +28,32 @@
         self.assertEqual(announced, share.lend(now, 100))
 
 
+class AnnouncementTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_surpluses_are_announced_of_held_shares_and_follow_their_use(self) -> None:
+        # Guards against heartbeats that take time for each organisation of the deployment, and
+        # against loan requests to a VM that has nothing left.
+        limits = {f"o{number}": Organisation(f"o{number}", 40.0, 40.0) for number in range(40)}
+        names = [f"vm-{number}" for number in range(40)]
+        held = {name for name in limits if "vm-0" in rate_holders(limits[name], names)}
+        self.assertTrue(0 < len(held) < 20)
+
+        async def no_loan(_request: TokenLoanRequest, _lender: str) -> int:
+            return UNKNOWN_LENDER
+
+        shares = RateShares("vm-0", no_loan, lambda _vm, _organisation: 0)
+        shares.configure(limits, names)
+        await trio.sleep(2.0)
+        before = dict(shares.surpluses())
+        self.assertEqual(held, set(before))
+        name = next(iter(sorted(held)))
+        self.assertGreater(shares.lend(TokenLoanRequest(name, 100)), 0)
+        await trio.sleep(0.1)
+        self.assertLess(shares.surpluses().get(name, 0), before[name])
+        shares.configure({}, names)
+        self.assertEqual({}, shares.surpluses())
+
+
 class Fleet:
     """VMs that share one organisation's rate and lend tokens to each other."""
 
