Let VMs that can't promote look at the groups every 0.25 s

Cause: FailoverController evaluated every group each 50 ms on every VM, although only the promoter and the coordinators start failovers; InstanceWatch read the clock and the newest sample for every instance each 100 ms. Change: the other VMs evaluate every 0.25 s, which keeps the times at which they learned of groups. InstanceWatch determines the primary once for each group and tests samples only for it.

--- a/src/tanagerfront/instance_watch.py
+++ b/src/tanagerfront/instance_watch.py
@@ -64,23 +64,31 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(self._timing.interval_s)
-                for group in list(self._directory.groups.values()):
-                    for instance in list(group.instances.values()):
-                        self._check_instance(group, instance, nursery)
+                for group in tuple(self._directory.groups.values()):
+                    primary = group.primary
+                    for instance in tuple(group.instances.values()):
+                        self._check_instance(group, instance, instance is primary, nursery)
 
-    def _check_instance(self, group: Group, instance: Instance, nursery: trio.Nursery) -> None:
+    def _check_instance(
+        self, group: Group, instance: Instance, is_primary: bool, nursery: trio.Nursery
+    ) -> None:
         instance_id = instance.registration.id
         if instance_id in self._active:
             return
-        silent_s = boottime_s() - instance.answered_at
         unreachable = instance.unreachable_since is not None and instance.unregistered_since is None
-        if unreachable or (instance.pool.busy_connections and silent_s > self._timing.overdue_s):
+        if unreachable or self._is_overdue(instance):
             self._active.add(instance_id)
             nursery.start_soon(self._probe, group, instance)
-        elif self._needs_sample(group, instance):
+        elif is_primary and self._needs_sample(group, instance):
             self._active.add(instance_id)
             nursery.start_soon(self._sample, group, instance)
 
+    def _is_overdue(self, instance: Instance) -> bool:
+        """Return whether an instance with work in progress has been silent for too long."""
+        if not instance.pool.busy_connections:
+            return False
+        return boottime_s() - instance.answered_at > self._timing.overdue_s
+
     async def _probe(self, group: Group, instance: Instance) -> None:
         """Connect to an instance to check whether its host and process respond."""
         try:
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -45,6 +45,9 @@
 
 # Short compared with the 300 to 600 ms that a promotion takes.
 EVALUATION_INTERVAL_S = 0.05
+# Interval at VMs that can't start a failover, which only note when they learned of a group. A VM
+# becomes a coordinator no sooner than 3 s after another one was lost.
+OBSERVATION_INTERVAL_S = 0.25
 # A primary that is unreachable for less time may only have reset its connections.
 UNREACHABLE_THRESHOLD_S = 0.1
 # A group that never had a primary is left alone for this long after its instances registered.
@@ -236,12 +239,22 @@
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                await trio.sleep(EVALUATION_INTERVAL_S)
+                await trio.sleep(
+                    EVALUATION_INTERVAL_S if self._is_candidate else OBSERVATION_INTERVAL_S
+                )
                 if self._confirmed_state.stopping or not self._lease_is_current:
                     continue
                 for group in list(self._directory.groups.values()):
                     self._evaluate(group, nursery)
 
+    @property
+    def _is_candidate(self) -> bool:
+        """Return whether this VM is the promoter or may claim the promoter lock."""
+        lock = self._sync.promoter_lock
+        if lock is not None and lock.vm == self._own.name:
+            return True
+        return self._own.name in self._sync.coordinators
+
     @property
     def _lease_is_current(self) -> bool:
         """Return whether the store would accept decisions of this VM now."""
