Wait for a record that a VM announces before it can pass it on

A promoter announces its record when it has written it. The announcing VM now replies when it has the change, or after 0.3 s with what it knows.

--- a/src/tanagerfront/fleet_store.py
+++ b/src/tanagerfront/fleet_store.py
@@ -174,7 +174,8 @@
 
     after: int
     large: LargeValues
-    # The peer waits for up to `wait_s` seconds until it knows all changes up to this revision.
+    # The peer waits for up to `wait_s` seconds until it knows all changes up to this revision. Only
+    # with WITHHELD it replies without them after that.
     until: int = 0
     wait_s: float = 0.0
 
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -92,6 +92,9 @@
     # Changes within this time are read with one call; the VMs of a starting fleet register within
     # 0.3 s.
     batch_window_s: float = 0.4
+    # A promoter announces a record when it has written it, before its own watch returns it. Reading
+    # the store instead would take a call, and a large configuration, per VM.
+    announcer_wait_s: float = 0.3
     # A VM above in the tree has the value two heartbeats later at most; after this wait the next
     # source is asked.
     spread_wait_s: float = 0.6
@@ -393,7 +396,9 @@
         if announcer is None or self._revision >= self._announced_revision:
             return False
         revision = self._announced_revision
-        read = PeerRead(self._revision, LargeValues.WITHHELD)
+        read = PeerRead(
+            self._revision, LargeValues.WITHHELD, revision, self._timing.announcer_wait_s
+        )
         try:
             found = await self._store.fetch_from_peer(announcer, read)
         except HistoryLostError as error:
--- a/src/tanagerfront/platform/changes_wire.py
+++ b/src/tanagerfront/platform/changes_wire.py
@@ -49,7 +49,8 @@
         recent = (
             self._history.small_since(after) if withhold else self._history.since(after, large=True)
         )
-        if recent is None or recent.revision < until:
+        # Small changes are useful as far as they are known.
+        if recent is None or (recent.revision < until and not withhold):
             return Response(GONE)
         body = encode_packed(
             recent.events, recent.revision, self._history, withheld=recent.withheld
--- a/src/tanagerfront/platform/store.py
+++ b/src/tanagerfront/platform/store.py
@@ -196,8 +196,9 @@
     ) -> tuple[PackedPage, int]:
         """Return a peer VM's changes after a revision, and the size of the response in bytes.
 
-        The peer waits up to `wait_s` seconds until it knows all changes up to `until`; raises
-        HistoryLostError if it doesn't. With `withhold` it leaves out large values.
+        The peer waits up to `wait_s` seconds until it knows all changes up to `until`. After that
+        this raises HistoryLostError, except that with `withhold`, which leaves out large values,
+        the peer replies with what it knows.
         """
         query = {"prefix": "", "after": after, "until": until, "wait_ms": int(wait_s * 1000)}
         query |= {"packed": 1} | ({"withhold": 1} if withhold else {})
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -252,6 +253,7 @@
         self.configurations_are_large = False
         self.large_values_delay_s = 0.0
         self.peers_without_large_values: set[str] = set()
+        self._peer_revision: float = math.inf
         # VMs of builds that refuse large changes unless asked for them uncompressed.
         self.old_builds: set[str] = set()
         self.peer_reads: list[tuple[str, LargeValues]] = []
@@ -287,6 +289,12 @@
         changed.set()
         return self.revision
 
+    def set_peer_revision(self, revision: int) -> None:
+        """Let changes after a revision not reach the peer VMs for now."""
+        self._peer_revision = revision
+        changed, self._changed = self._changed, trio.Event()
+        changed.set()
+
     @property
     def calls(self) -> dict[str, int]:
         return {name: self.call_names.count(name) for name in set(self.call_names)}
@@ -357,11 +365,15 @@
             await trio.sleep(self.large_values_delay_s)
             if vm.name in self.peers_without_large_values:
                 raise HistoryLostError("not received yet")
-        changes = [change for at, change in self._changes if at > read.after]
+        with trio.move_on_after(read.wait_s):
+            while self._peer_revision < read.until:
+                await self._changed.wait()
+        revision = int(min(self.revision, self._peer_revision))
+        changes = [change for at, change in self._changes if read.after < at <= revision]
         small = [change for change in changes if not isinstance(change, ConfigurationChanged)]
         if read.large is LargeValues.WITHHELD and self.configurations_are_large:
-            return PeerChanges(small, self.revision, withheld=len(small) < len(changes))
-        return PeerChanges(changes, self.revision)
+            return PeerChanges(small, revision, withheld=len(small) < len(changes))
+        return PeerChanges(changes, revision)
 
     async def check(self, known: KnownRevisions) -> CheckResult:
         self._call("check")
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -319,6 +319,42 @@
             nursery.cancel_scope.cancel()
         self.assertEqual(8, self._version)
 
+    @trio_test(mock_clock=True)
+    async def test_a_vm_that_announces_a_record_before_it_can_pass_it_on_is_awaited(self) -> None:
+        # Guards against a read of the store by every VM when a primary moves: the promoter knew its
+        # own record before its watch returned it, while that received a large configuration.
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            store = self.synced_vm.store
+            store.set_peer_revision(store.revision)
+            store.record(ConfigurationChanged(configuration(8)))
+            record = PrimaryRecord(GROUP, "r", 2, False, 0)
+            revision = store.record(PrimaryRecordChanged(record))
+            self.synced_vm.sync.record_newer_primary("vm-1", revision)
+            await trio.sleep(0.1)
+            store.set_peer_revision(revision)
+            await trio.sleep(0.1)
+            current = self.synced_vm.directory.group(GROUP).primary_record
+            assert current is not None
+            self.assertEqual(("r", 8), (current.instance, self._version))
+            nursery.cancel_scope.cancel()
+        self.assertEqual(0, self._store_reads)
+
+    @trio_test(mock_clock=True)
+    async def test_the_store_is_read_if_the_announcing_vm_cannot_pass_the_record_on(self) -> None:
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            store = self.synced_vm.store
+            store.set_peer_revision(store.revision)
+            record = PrimaryRecord(GROUP, "r", 2, False, 0)
+            revision = store.record(PrimaryRecordChanged(record))
+            self.synced_vm.sync.record_newer_primary("vm-1", revision)
+            await trio.sleep(0.5)
+            nursery.cancel_scope.cancel()
+        current = self.synced_vm.directory.group(GROUP).primary_record
+        assert current is not None
+        self.assertEqual(("r", 1), (current.instance, self._store_reads))
+
     @trio_test(mock_clock=True)
     async def test_a_source_without_the_configuration_is_passed_over(self) -> None:
         async with trio.open_nursery() as nursery:
