--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -18,6 +18,7 @@
     INTERNAL_STATEMENT_ID,
     InstanceRefusedError,
     InstanceStatement,
+    InstanceWithdrawnError,
     PooledConnection,
     slot_request,
 )
@@ -116,7 +117,11 @@
         """Return the longest allowed pause before the next statement, None without a limit."""
         if self._transaction is None:
             return None
-        return self._transaction.caller.configuration.transaction_idle_s
+        limit_s = self._transaction.caller.configuration.transaction_idle_s
+        instance = self._transaction.instance
+        if instance is None or instance.evacuation is None:
+            return limit_s
+        return min(limit_s, max(0.0, instance.evacuation.transactions_until - boottime_s()))
 
     async def execute(self, query: Query) -> Reply:
         """Run one statement and return its reply; failures and refusals are replies too."""
@@ -306,6 +311,8 @@
             return reply
         if reply.failure.code in NOT_EXECUTED_CODES:
             self._recorder.record_not_run(query, instance, reply.failure)
+            if _is_refused_by_home(reply):
+                attempts.overloaded_instances.add(instance.registration.id)
             if writes and reply.failure.code is FailureCode.OVERLOADED:
                 # Only the primary can execute it; retries would add to its load.
                 return reply
@@ -357,6 +364,15 @@
             raise RefusedError(
                 FailureCode.ABORTED, "the API key now belongs to another organisation"
             )
+        instance = transaction.instance
+        if (
+            instance is not None
+            and instance.evacuation is not None
+            and instance.evacuation.transactions_ended(boottime_s())
+        ):
+            raise RefusedError(
+                FailureCode.ABORTED, "the transaction's instance was taken out of service"
+            )
         if transaction.read_only:
             return
         group = self._services.directory.group(transaction.caller.route.group)
@@ -388,6 +404,8 @@
             try:
                 replies = await self._run(instance, connection, statements, attempts.deadline)
                 failure = replies[-1].failure
+                if _is_refused_by_home(replies[-1]):
+                    attempts.overloaded_instances.add(instance.registration.id)
             except ConnectionLostError as error:
                 self._recorder.record_lost_answer(query, instance, error)
                 failure = Failure(FailureCode.ABORTED, str(error))
@@ -431,7 +449,11 @@
         if instance is None or connection is None:
             return
         with trio.CancelScope(shield=True):
-            if connection.reusable_after_rollback:
+            # The instance rolls back by itself when the pool closes the connection.
+            out_of_service = instance.evacuation is not None and (
+                instance.evacuation.primary_ended(boottime_s())
+            )
+            if connection.reusable_after_rollback and not out_of_service:
                 rollback = InstanceStatement(INTERNAL_STATEMENT_ID, Rollback())
                 deadline = trio.current_time() + ROLLBACK_TIMEOUT_S
                 try:
@@ -485,6 +507,10 @@
             if instance is None:
                 await self._wait_for_change(group, attempts)
                 continue
+            if instance.registration.id in attempts.overloaded_instances:
+                raise RefusedError(
+                    FailureCode.OVERLOADED, "every instance that may execute it is overloaded"
+                )
             try:
                 connection = await instance.pool.acquire(
                     caller.organisation_name,
@@ -492,6 +518,8 @@
                     attempts.wait_deadline,
                     slot_request(caller.organisation_name, statement),
                 )
+            except InstanceWithdrawnError:
+                continue
             except OverloadedError as error:
                 raise RefusedError(FailureCode.OVERLOADED, str(error)) from error
             except TooManyConnectionsError as error:
@@ -507,8 +535,10 @@
                 if not attempts.start_next(instance.registration.id):
                     raise RefusedError(FailureCode.OVERLOADED, str(error)) from error
                 continue
-            if at_primary and self._usable_primary(group) is not instance:
-                # The primary changed while the statement waited for the connection.
+            withdrawn = instance.evacuation is not None or at_primary
+            if withdrawn and self._usable_primary(group) is not instance:
+                # The primary changed, or the instance was taken out of service, while the statement
+                # waited for the connection.
                 await instance.pool.release(connection)
                 continue
             return _Placement(instance, connection, after)
@@ -527,9 +557,10 @@
         eligible = [
             instance
             for instance in group.instances.values()
-            if instance is primary
-            or (
-                not instance.leaving
+            if instance.evacuation is None
+            and (
+                instance is primary
+                or not instance.leaving
                 and instance.unreachable_since is None
                 and instance is not group.primary
             )
@@ -616,3 +647,12 @@
     def _record_write(self, group: str, reached: EntryId | None) -> None:
         self._last_write = reached
         self._last_write_group = group
+
+
+def _is_refused_by_home(reply: Reply) -> bool:
+    """Return whether the queue of an instance's home refused a statement, not the instance itself.
+
+    Only the instance knows a position of its log.
+    """
+    failure = reply.failure
+    return failure is not None and failure.code is FailureCode.OVERLOADED and reply.reached is None
--- a/src/tanagerfront/front_metrics.py
+++ b/src/tanagerfront/front_metrics.py
@@ -50,7 +50,7 @@
         if gauge is None:
             gauge = Gauge(f"tanagerfront_{name}", name, registry=self._registry)
             self._gauges[name] = gauge
-        gauge.set(labels, value)
+        gauge.set({key: self._labels.bounded_value(text) for key, text in labels.items()}, value)
 
     def render(self) -> bytes:
         """Return all metrics in the text format."""
--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -11,11 +11,15 @@
     Change,
     CheckResult,
     ConfigurationChanged,
+    DomainEvacuated,
+    DomainReturned,
     EraSettled,
     FleetState,
     InstanceChanged,
     InstanceUnregistered,
     KnownRevisions,
+    PeerChanges,
+    PeerRead,
     PrimaryRecordChanged,
     PromoterLock,
     PromoterLockAcquired,
@@ -27,9 +31,11 @@
 from ..http_client import parse_address
 from ..instance_directory import PrimaryRecord
 from ..kv import KeyValue, WatchEvent
+from ..session_model import FrontConfiguration
 from .changes_wire import PeerWatchClients
 from .documents import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     INSTANCE_PREFIX,
     OWN_PREFIX,
     PRIMARY_PREFIX,
@@ -40,6 +46,7 @@
     SettledEraRecord,
     VmRecord,
     decode_configuration,
+    decode_evacuation,
     decode_instance,
     decode_primary_record,
     decode_promoter,
@@ -76,6 +83,8 @@
         self._leases = leases
         self._log = log
         self._era = era or StoreEra()
+        # The last configuration that was decoded: several calls may return the same one.
+        self._configuration: FrontConfiguration | None = None
 
     @property
     def era(self) -> int:
@@ -117,7 +126,8 @@
             revisions={
                 found.key: found.revision
                 for found in page.values
-                if found.key == CONFIGURATION_KEY or found.key.startswith(OWN_PREFIX)
+                if found.key == CONFIGURATION_KEY
+                or found.key.startswith((OWN_PREFIX, EVACUATION_PREFIX))
             },
         )
         return FleetState(
@@ -128,6 +138,7 @@
             groups=groups,
             has_promoter=PROMOTER_KEY in keys,
             revision=page.revision,
+            evacuated_domains=frozenset(_suffixes(keys, EVACUATION_PREFIX)),
         )
 
     async def watch(self, after: int, wait_s: float) -> tuple[Sequence[Change], int]:
@@ -136,11 +147,18 @@
             after, await self._watches.watch(ALL_KEYS_PREFIX, after, wait_s)
         )
 
-    async def fetch_from_peer(
-        self, vm: RegisteredVm, after: int, *, large: bool
-    ) -> tuple[Sequence[Change], int]:
+    async def fetch_from_peer(self, vm: RegisteredVm, read: PeerRead) -> PeerChanges:
         """Return the changes after a revision from a peer VM's history."""
-        return self._record_changes(after, await self._peer_clients.watch(vm, after, large=large))
+        page, size = await self._peer_clients.watch(vm, read)
+        if page.withheld:
+            # The history has to stay complete up to its revision.
+            changes = tuple(self._changes(page.events))
+            return PeerChanges(changes, page.revision, withheld=True, size=size)
+        new, revision = self._record_changes(read.after, Page((), page.events, page.revision))
+        revisions = {event.key: event.revision for event in page.events}
+        for key, value in page.deflated.items():
+            self._history.keep_compressed(key, revisions[key], value)
+        return PeerChanges(new, revision, size=size)
 
     def _record_changes(self, after: int, page: Page) -> tuple[Sequence[Change], int]:
         revision = max(after, page.revision)
@@ -154,6 +172,9 @@
         expected |= {
             PRIMARY_PREFIX + group: revision for group, revision in known.primary_records.items()
         }
+        expected |= {
+            EVACUATION_PREFIX + domain: revision for domain, revision in known.evacuations.items()
+        }
         keys = list(expected)
         differing: dict[str, tuple[int, int]] = {}
         changes: list[Change] = []
@@ -168,6 +189,12 @@
                     key: (batch[key], stored[key]) for key in batch if stored[key] != batch[key]
                 }
                 changes += self._changes(found[key] for key in differing if key in found)
+                # A newer order may have followed the removed one meanwhile.
+                changes += (
+                    DomainReturned(key.removeprefix(EVACUATION_PREFIX), batch[key])
+                    for key in batch
+                    if key in differing and key.startswith(EVACUATION_PREFIX) and key not in found
+                )
         return CheckResult(differing, changes)
 
     async def register(self, vm: RegisteredVm, ttl_s: float) -> int:
@@ -281,12 +308,18 @@
 
     def _change(self, key: str, value: bytes | None, revision: int) -> Change | None:
         """Return the decoded change, None if it is ignored or malformed."""
+        last = self._configuration
+        if key == CONFIGURATION_KEY and last is not None and last.revision == revision:
+            return ConfigurationChanged(last)
         try:
-            return _decode(key, value, revision)
+            change = _decode(key, value, revision)
         except (ConfigurationError, ValueError) as error:
             # The last state that could be decoded stays in force.
             self._log.failure("unreadable_entry", key=key, revision=revision, error=str(error))
             return None
+        if isinstance(change, ConfigurationChanged):
+            self._configuration = change.configuration
+        return change
 
 
 def _suffixes(keys: Iterable[str], prefix: str) -> Iterator[str]:
@@ -320,6 +353,11 @@
             return PromoterLockReleased()
         holder = decode_promoter(value)
         return PromoterLockAcquired(PromoterLock(holder.vm, holder.incarnation, revision))
+    if key.startswith(EVACUATION_PREFIX):
+        domain = key.removeprefix(EVACUATION_PREFIX)
+        if value is None:
+            return DomainReturned(domain, revision)
+        return DomainEvacuated(domain, revision, decode_evacuation(domain, value))
     if value is None:
         return None
     if key == CONFIGURATION_KEY:
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -12,11 +12,15 @@
 from tanagerfront.confirmed_state import ConfirmedState, StalenessLimits
 from tanagerfront.errors import ConnectionLostError
 from tanagerfront.fleet_store import (
+    Change,
     CheckResult,
     ConfigurationChanged,
+    DomainEvacuated,
+    DomainReturned,
     InstanceChanged,
     InstanceUnregistered,
     KnownRevisions,
+    LargeValues,
     PrimaryRecordChanged,
     VmChanged,
     VmUnregistered,
@@ -51,7 +55,13 @@
         self.log = RecordingLog()
         self.rates = RateShares("a", _no_loan, lambda _vm, _organisation: 0)
         self.sync = FleetSync(
-            self.store, self.confirmed_state, self.directory, self.rates, vm("a"), self.log
+            self.store,
+            self.confirmed_state,
+            self.directory,
+            self.rates,
+            vm("a"),
+            self.log,
+            evacuation_s=5.0,
         )
         self.store.record(ConfigurationChanged(configuration()))
         self.store.record(InstanceChanged(registration("p", primary=True)))
@@ -251,6 +261,146 @@
         return synced_vm.store.call_names.count("watch") // 2
 
 
+class LargeConfigurationTest(TestCase):
+    """A configuration of thousands of routes reaches one of many VMs with small links."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.synced_vm: SyncedVm
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        self.synced_vm = synced_vm = SyncedVm()
+        synced_vm.store.configurations_are_large = True
+        for number in range(40):
+            synced_vm.store.record(VmChanged(vm(f"vm-{number}")))
+        nursery.start_soon(synced_vm.sync.run)
+        await trio.sleep(5)
+        self.assertFalse(synced_vm.sync.is_coordinator)
+        synced_vm.store.call_names.clear()
+
+    def _announce(self) -> None:
+        """Write a large configuration, and announce it in a coordinator's reply."""
+        store = self.synced_vm.store
+        store.record(ConfigurationChanged(configuration(8)))
+        store.record(PrimaryRecordChanged(PrimaryRecord(GROUP, "r", 2, False, 0)))
+        assert store.configuration is not None
+        self.synced_vm.sync.record_echo(
+            self.synced_vm.sync.coordinators[0],
+            Echo(boottime_s(), 0.0, store.configuration.revision, store.revision),
+        )
+
+    @property
+    def _version(self) -> int:
+        assert self.synced_vm.confirmed_state.configuration is not None
+        return self.synced_vm.confirmed_state.configuration.version
+
+    @property
+    def _store_reads(self) -> int:
+        calls = self.synced_vm.store.call_names
+        return calls.count("watch") // 2 + calls.count("check") + calls.count("load")
+
+    @trio_test(mock_clock=True)
+    async def test_a_large_configuration_is_fetched_compressed_and_not_from_the_store(self) -> None:
+        # Guards against 84 reads of 0.5 MB from the store over links of 10 Mbit/s: they exceeded
+        # the timeout and were repeated, until no VM could confirm its keys.
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            self._announce()
+            await trio.sleep(1)
+            nursery.cancel_scope.cancel()
+        self.assertEqual((8, 0), (self._version, self._store_reads))
+        kinds = [large for _name, large in self.synced_vm.store.peer_reads]
+        self.assertEqual([LargeValues.WITHHELD, LargeValues.DEFLATED], kinds)
+
+    @trio_test(mock_clock=True)
+    async def test_primary_records_do_not_wait_for_a_large_configuration(self) -> None:
+        # Guards against writes that are refused while the configuration is on its way: the records
+        # of five moved primaries followed it in the same response.
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            self.synced_vm.store.large_values_delay_s = 0.5
+            self._announce()
+            await trio.sleep(0.1)
+            record = self.synced_vm.directory.group(GROUP).primary_record
+            assert record is not None
+            self.assertEqual(("r", 1), (record.instance, self._version))
+            await trio.sleep(1)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(8, self._version)
+
+    @trio_test(mock_clock=True)
+    async def test_a_source_without_the_configuration_is_passed_over(self) -> None:
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            store = self.synced_vm.store
+            self._announce()
+            await trio.sleep(1)
+            first = store.peer_reads[-1][0]
+            store.peers_without_large_values.add(first)
+            self._announce()
+            await trio.sleep(1)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(0, self._store_reads)
+        self.assertNotEqual(first, store.peer_reads[-1][0])
+        assert store.configuration is not None
+        assert self.synced_vm.confirmed_state.configuration is not None
+        self.assertEqual(
+            store.configuration.revision, self.synced_vm.confirmed_state.configuration.revision
+        )
+
+    @trio_test(mock_clock=True)
+    async def test_the_store_is_read_if_no_peer_has_the_configuration(self) -> None:
+        # Also guards a VM whose peers all run a build that does not compress.
+        for old_builds in (True, False):
+            async with trio.open_nursery() as nursery:
+                await self._start(nursery)
+                store = self.synced_vm.store
+                names = {f"vm-{number}" for number in range(40)}
+                if old_builds:
+                    store.old_builds |= names
+                else:
+                    store.peers_without_large_values |= names
+                self._announce()
+                await trio.sleep(1)
+                nursery.cancel_scope.cancel()
+            self.assertEqual((8, 1), (self._version, self._store_reads))
+
+    @trio_test(mock_clock=True)
+    async def test_without_the_store_it_is_fetched_from_a_build_that_does_not_compress(
+        self,
+    ) -> None:
+        # Guards against a VM that refuses its callers because the store rejects its calls, although
+        # a VM of an older build has the configuration.
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            store = self.synced_vm.store
+            store.old_builds |= {f"vm-{number}" for number in range(40)}
+            store.down = True
+            await trio.sleep(3)
+            self._announce()
+            await trio.sleep(3)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(8, self._version)
+        self.assertIn(LargeValues.PLAIN, {large for _name, large in store.peer_reads})
+
+    @trio_test(mock_clock=True)
+    async def test_no_check_repeats_the_transfer_while_the_configuration_is_on_its_way(
+        self,
+    ) -> None:
+        # Guards against checks that a VM makes because no reply to its heartbeats confirms the old
+        # configuration: each contained the new one and delayed it on a link that was full already.
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            self.synced_vm.store.large_values_delay_s = 2.0
+            self.synced_vm.confirmed_state._confirmed_at = boottime_s() - 1.0
+            self._announce()
+            await trio.sleep(1.9)
+            self.assertEqual(0, self._store_reads)
+            await trio.sleep(0.3)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(8, self._version)
+
+
 class InstanceTest(TestCase):
     @trio_test(mock_clock=True)
     async def test_an_instance_that_registers_again_soon_stays_registered(self) -> None:
@@ -352,3 +502,149 @@
             nursery.cancel_scope.cancel()
         self.assertEqual(1, len(synced_vm.log.inputs_of("store_lost")))
         self.assertEqual(2, len(synced_vm.log.inputs_of("store_regained")))
+
+
+class EvacuationTest(TestCase):
+    def _vm(self) -> SyncedVm:
+        synced_vm = SyncedVm()
+        synced_vm.store.record(InstanceChanged(registration("r", failure_domain="adum")))
+        return synced_vm
+
+    def _evacuated(self, synced_vm: SyncedVm) -> set[str]:
+        return {
+            instance.registration.id
+            for instance in synced_vm.directory.instances()
+            if instance.evacuation is not None
+        }
+
+    @trio_test(mock_clock=True)
+    async def test_a_vm_that_starts_knows_the_order_before_it_serves(self) -> None:
+        # Guards against statements to the domain from a VM that was not there for the change; the
+        # store returns the order before the instances.
+        synced_vm = self._vm()
+        synced_vm.store.record(DomainEvacuated("adum", 0))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await synced_vm.confirmed_state.first_confirmation.wait()
+            self.assertEqual({"r"}, self._evacuated(synced_vm))
+            nursery.cancel_scope.cancel()
+
+    @trio_test(mock_clock=True)
+    async def test_a_missed_change_is_found_by_the_next_check(self) -> None:
+        # Guards against a coordinator whose watch has gone silent and that confirms its state to
+        # the fleet without the order, or with one that has been removed.
+        synced_vm = self._vm()
+        synced_vm.store.watch = _silent_watch  # type: ignore[method-assign]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await trio.sleep(2)
+            synced_vm.store.record(DomainEvacuated("adum", 0))
+            synced_vm.sync.request_check()
+            await trio.sleep(0.5)
+            self.assertEqual({"r"}, self._evacuated(synced_vm))
+            self.assertEqual(["adum"], synced_vm.sync.echo(0.0).evacuated)
+            synced_vm.store.record(DomainReturned("adum", 0))
+            synced_vm.sync.request_check()
+            await trio.sleep(0.5)
+            self.assertEqual(set(), self._evacuated(synced_vm))
+            nursery.cancel_scope.cancel()
+
+    @trio_test(mock_clock=True)
+    async def test_a_removal_that_was_missed_is_found_when_everything_is_read_again(self) -> None:
+        synced_vm = self._vm()
+        synced_vm.store.record(DomainEvacuated("adum", 0))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await trio.sleep(2)
+            synced_vm.store.evacuations.clear()
+            synced_vm.store.revision += 1
+            synced_vm.sync._reload()
+            await trio.sleep(2)
+            self.assertEqual(set(), self._evacuated(synced_vm))
+            nursery.cancel_scope.cancel()
+
+    @trio_test(mock_clock=True)
+    async def test_a_reply_of_a_vm_that_knows_other_orders_confirms_nothing(self) -> None:
+        # Guards against a VM that uses the domain because coordinators confirm its configuration.
+        synced_vm = self._vm()
+        assert synced_vm.store.configuration is not None
+        synced_vm.confirmed_state.apply(synced_vm.store.configuration)
+        revision = synced_vm.store.configuration.revision
+        synced_vm.sync.record_echo("b", Echo(boottime_s(), 0.0, revision, 1, 0, ["adum"]))
+        self.assertFalse(synced_vm.confirmed_state.keys_confirmed)
+        await synced_vm.sync.apply([DomainEvacuated("adum", 5)])
+        synced_vm.sync.record_echo("b", Echo(boottime_s(), 0.0, revision, 1, 0, ["adum"]))
+        self.assertTrue(synced_vm.confirmed_state.keys_confirmed)
+
+    @trio_test(mock_clock=True)
+    async def test_an_order_is_fetched_from_the_announcer_at_once(self) -> None:
+        # Guards against waiting for further changes, which takes a part of the bound.
+        synced_vm = self._vm()
+        for number in range(40):
+            synced_vm.store.record(VmChanged(vm(f"vm-{number}")))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await trio.sleep(5)
+            revision = synced_vm.store.record(DomainEvacuated("adum", 0))
+            configured = synced_vm.confirmed_state.configuration
+            assert configured is not None
+            echo = Echo(boottime_s(), 0.0, configured.revision, revision, 0, ["adum"])
+            synced_vm.sync.record_echo(synced_vm.sync.coordinators[0], echo)
+            await trio.sleep(0.05)
+            self.assertEqual({"r"}, self._evacuated(synced_vm))
+            nursery.cancel_scope.cancel()
+
+    @trio_test(mock_clock=True)
+    async def test_orders_that_cannot_be_followed_leave_one_log_line_and_the_confirmation(
+        self,
+    ) -> None:
+        # Guards against a fleet that stops serving because of one unreadable or mistaken order.
+        synced_vm = self._vm()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await trio.sleep(2)
+            synced_vm.store.record(DomainEvacuated("adum", 0, readable=False))
+            synced_vm.store.record(DomainEvacuated("nowhere", 0))
+            await trio.sleep(5)
+            self.assertEqual(set(), self._evacuated(synced_vm))
+            self.assertTrue(synced_vm.confirmed_state.keys_confirmed)
+            nursery.cancel_scope.cancel()
+        outcomes = [
+            (inputs["failure_domain"], inputs["outcome"], inputs["known"])
+            for inputs in synced_vm.log.inputs_of("evacuation_ordered")
+        ]
+        self.assertEqual([("adum", "unreadable", True), ("nowhere", "evacuated", False)], outcomes)
+
+    @trio_test(mock_clock=True)
+    async def test_the_last_domain_stays_in_service(self) -> None:
+        synced_vm = self._vm()
+        synced_vm.store.record(DomainEvacuated("suame", 0))
+        synced_vm.store.record(DomainEvacuated("adum", 0))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await trio.sleep(5)
+            self.assertEqual({"p"}, self._evacuated(synced_vm))
+            self.assertTrue(synced_vm.confirmed_state.keys_confirmed)
+            nursery.cancel_scope.cancel()
+
+    @trio_test(mock_clock=True)
+    async def test_an_order_that_a_restored_store_has_lost_stays_in_force(self) -> None:
+        # Guards against statements to a domain whose operators were told that it is out of service.
+        synced_vm = self._vm()
+        synced_vm.store.record(DomainEvacuated("adum", 0))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await trio.sleep(2)
+            synced_vm.store.evacuations.clear()
+            synced_vm.sync._era.begin(2, boottime_s())
+            synced_vm.sync._reload()
+            await trio.sleep(0.3)
+            self.assertEqual({"r"}, self._evacuated(synced_vm))
+            self.assertEqual([], synced_vm.sync.echo(0.0).evacuated)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(["adum"], synced_vm.log.inputs_of("evacuation_lost")[0]["failure_domains"])
+
+
+async def _silent_watch(after: int, _wait_s: float) -> tuple[Sequence[Change], int]:
+    await trio.sleep_forever()
+    raise AssertionError("unreachable")
