Limit the statements to cold instances over all VMs

When a domain is given back, all VMs found its idle instances at once. The homes count the statements to a cold instance in a sliding second; in fleets without homes each VM has a part.

--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -388,6 +388,8 @@
                 failure = replies[-1].failure
                 if _is_refused_by_home(replies[-1]):
                     attempts.overloaded_instances.add(instance.registration.id)
+            except OverloadedError as error:
+                failure = Failure(FailureCode.OVERLOADED, str(error))
             except ConnectionLostError as error:
                 self._recorder.record_lost_answer(query, instance, error)
                 failure = Failure(FailureCode.ABORTED, str(error))
@@ -536,6 +538,7 @@
             and (
                 instance is primary
                 or not instance.leaving
+                and instance.pool.may_begin_work
                 and instance.unreachable_since is None
                 and instance is not group.primary
             )
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -419,6 +419,7 @@
         self._shares_outdated = False
         self._rates.configure(configuration.organisations, names)
         connections = {group.name: group.connections for group in configuration.groups.values()}
+        self._directory.set_group_options(configuration.groups)
         await self._directory.set_connection_shares(len(names), connections)
 
     async def _run_watch(self) -> None:
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -191,6 +191,12 @@
         self._directory = InstanceDirectory(opener, identity.failure_domain)
         self._directory.uses_relay = opener.uses_relay
         self._directory.home_rank = opener.home_rank
+        if self._features.cold_overage > 1.0 or self._features.cold_slack > 0.0:
+            opener.is_cold = self._directory.is_cold
+            self._directory.cold_allowance = (
+                self._features.cold_overage,
+                self._features.cold_slack,
+            )
         self._directory.on_change = self._log_instance
         self._confirmed_state.on_primaries_confirmed = self._directory.notify_all
         self._rates = RateShares(own.name, self._borrow, self._surplus_of)
--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -7,12 +7,13 @@
 
 import trio
 
+from .cold_rate import ColdLimit, ColdRate, cold_share
 from .entry_id import EntryId
 from .evacuation import Evacuation
 from .instance_pool import InstancePool, Opener, PoolLimits
 from .placement import Candidate
 from .position_samples import PositionSamples
-from .session_model import InstanceRegistration, InstanceRole, Reply, boottime_s
+from .session_model import GroupOptions, InstanceRegistration, InstanceRole, Reply, boottime_s
 
 __all__ = [
     "HOMES_PER_INSTANCE",
@@ -82,6 +83,7 @@
         self.answered_at = boottime_s()
         # The order by which the instance's failure domain is out of service, None without one.
         self.evacuation: Evacuation | None = None
+        self.cold_until = float("-inf")
 
     @property
     def leaving(self) -> bool:
@@ -202,6 +204,10 @@
         self._groups: dict[str, Group] = {}
         self._unrecorded: dict[str, float] = {}
         self._evacuations: Mapping[str, Evacuation] = {}
+        self._group_options: Mapping[str, GroupOptions] = {}
+        # Factor and number of statements by which a cold instance may exceed its rate; None where
+        # the deployment does not limit it.
+        self.cold_allowance: tuple[float, float] | None = None
         self._vms = 1
         self._connections: Mapping[str, int] = {}
         self.on_change: Callable[[str, Instance], None] = lambda change, instance: None
@@ -252,6 +258,11 @@
         self._connections = connections
         for instance in self.instances():
             await instance.pool.set_limits(self._limits(instance.registration))
+            self._update_cold_rate(instance)
+
+    def set_group_options(self, options: Mapping[str, GroupOptions]) -> None:
+        """Set the options of the groups from the configuration."""
+        self._group_options = options
 
     async def apply(self, registration: InstanceRegistration) -> None:
         """Add or update an instance from its registration."""
@@ -266,7 +277,10 @@
             self.on_change("registered", instance)
         if instance.registration.role is not registration.role:
             self.on_change("role", instance)
+        is_new = instance.registration.revision != registration.revision
         instance.registration = registration
+        if is_new or instance.cold_until == float("-inf"):
+            self._apply_cold_time(instance)
         instance.pool.set_registration(registration)
         instance.unregistered_since = None
         if registration.draining and instance.draining_since is None:
@@ -288,10 +302,56 @@
             for instance in group.instances.values():
                 before = instance.evacuation
                 instance.evacuation = evacuations.get(instance.registration.failure_domain)
+                if before is not None and instance.evacuation is None:
+                    # Its entry may not say yet that it has become cold.
+                    options = self._group_options.get(group.name)
+                    start_s = options.cold_start_s if options else 0.0
+                    self._set_cold(instance, max(instance.cold_until, boottime_s() + start_s))
                 if before is None and group.refuses_work(instance, boottime_s()):
                     instance.pool.dismiss_waiting()
             group.notify()
 
+    def _apply_cold_time(self, instance: Instance) -> None:
+        remaining_s = instance.registration.cold_remaining_s
+        if remaining_s is None:
+            self.on_change("cold_time_unreadable", instance)
+            return
+        self._set_cold(instance, boottime_s() + remaining_s)
+
+    def _set_cold(self, instance: Instance, until: float) -> None:
+        instance.cold_until = until
+        self._update_cold_rate(instance)
+
+    def is_cold(self, registration: InstanceRegistration) -> bool:
+        """Return whether an instance is cold, so that its statements are limited."""
+        instance = self.group(registration.group).instances.get(registration.id)
+        if instance is None or self.cold_allowance is None:
+            return False
+        options = self._group_options.get(registration.group)
+        limited = options is not None and options.cold_rate_per_s > 0.0
+        return limited and boottime_s() < instance.cold_until
+
+    def _update_cold_rate(self, instance: Instance) -> None:
+        """Limit the statements to a cold instance, where this VM connects to it."""
+        now, pool = boottime_s(), instance.pool
+        options = self._group_options.get(instance.registration.group)
+        limited = options is not None and options.cold_rate_per_s > 0.0
+        if self.cold_allowance is None or options is None or not limited:
+            pool.cold_rate = None
+            return
+        if now >= instance.cold_until and pool.cold_rate is None:
+            return
+        if self.uses_relay(instance.registration):
+            # Its homes count the statements.
+            pool.cold_rate = None
+            return
+        share = cold_share(self._vms, HOMES_PER_INSTANCE, uses_homes=self._vms >= MIN_VMS_FOR_RELAY)
+        limit = ColdLimit(options.cold_rate_per_s, *self.cold_allowance).share(share)
+        if pool.cold_rate is None:
+            pool.cold_rate = ColdRate(limit, now)
+        pool.cold_rate.set_limit(limit, now)
+        pool.cold_rate.until = instance.cold_until
+
     async def mark_unregistered(self, instance_id: str) -> None:
         """Record that an instance is not registered any more."""
         instance = self.find(instance_id)
--- a/src/tanagerfront/instance_pool.py
+++ b/src/tanagerfront/instance_pool.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from .cold_rate import ColdRate
 from .entry_id import EntryId
 from .errors import DatabaseError, OverloadedError, TooManyConnectionsError
 from .session_model import (
@@ -29,6 +30,7 @@
     StepDown,
     Urgency,
     Verbatim,
+    boottime_s,
 )
 from .slot_admission import SlotAdmission
 
@@ -151,7 +153,9 @@
         organisation: str,
         opened_at: float,
         admission: SlotAdmission | None = None,
+        cold_rate: Callable[[], ColdRate | None] = lambda: None,
     ) -> None:
+        self._cold_rate = cold_rate
         self._connection = connection
         self._slot_admission = admission
         self._values: dict[str, str] = {}
@@ -235,6 +239,7 @@
         return replies
 
     async def _run_admitted(self, statements: Sequence[InstanceStatement]) -> list[Reply]:
+        self._take_cold_rate(statements)
         needs_slot = any(_needs_slot(statement) for statement in statements)
         if self._slot_admission is not None and needs_slot and self._held_slot is None:
             try:
@@ -247,6 +252,23 @@
         finally:
             self.release_slot()
 
+    def _take_cold_rate(self, statements: Sequence[InstanceStatement]) -> None:
+        """Count statements to a cold instance; raise OverloadedError if it gets too many."""
+        cold_rate = self._cold_rate()
+        if cold_rate is None:
+            return
+        now, count = boottime_s(), len(statements)
+        if isinstance(statements[-1].statement, Rollback):
+            # Also ends the work at the instance.
+            cold_rate.take(count, now)
+            return
+        # A connection is marked as in a transaction before its BEGIN is sent.
+        begins = not self.in_transaction or isinstance(statements[-1].statement, Begin)
+        if not cold_rate.try_take(count, now, begins=begins):
+            self._session_state_known = False
+            self.release_slot()
+            raise OverloadedError("the instance is still cold and takes no more statements")
+
     def attach_slot(self, held_slot: _HeldSlot) -> None:
         """Run the next statements in a slot that was acquired already."""
         self._held_slot = held_slot
@@ -329,6 +351,8 @@
             SlotAdmission(registration.slots) if limits.admission_control else None
         )
         self.opened_total = 0
+        # Limits the statements to a cold instance, where this VM connects to it.
+        self.cold_rate: ColdRate | None = None
 
     @property
     def busy_connections(self) -> int:
@@ -355,6 +379,13 @@
         """Return the instance's load, None if this VM doesn't admit statements to its slots."""
         return None if self._slot_admission is None else self._slot_admission.load
 
+    @property
+    def may_begin_work(self) -> bool:
+        """Return whether a cold instance has room for a statement that begins work."""
+        if self.cold_rate is None:
+            return True
+        return self.cold_rate.has_room(1, boottime_s(), begins=True)
+
     def set_registration(self, registration: InstanceRegistration) -> None:
         """Set a newer registration of the same instance."""
         self._registration = registration
@@ -547,7 +578,13 @@
             self._grant_reservations()
             raise
         self.opened_total += 1
-        return PooledConnection(connection, organisation, trio.current_time(), self._slot_admission)
+        return PooledConnection(
+            connection,
+            organisation,
+            trio.current_time(),
+            self._slot_admission,
+            lambda: self.cold_rate,
+        )
 
     async def _cancel_reservation(self, reservation: _Reservation) -> None:
         """Release a reservation that was not used."""
--- a/src/tanagerfront/platform/documents.py
+++ b/src/tanagerfront/platform/documents.py
@@ -87,6 +87,8 @@
     name: str
     max_connections: int = 16
     sync_replicas: int = 0
+    cold_per_s: float = 0.0
+    cold_start_s: float = 0.0
 
 
 class _Tenant(msgspec.Struct):
@@ -118,6 +120,8 @@
     slots: int = 1
     born: int = 0
     sequence: int = 0
+    # Not a reason to leave out the instance if it is malformed.
+    cold_remaining_ms: msgspec.Raw = msgspec.Raw(b"0")
 
 
 class VmRecord(msgspec.Struct):
@@ -175,7 +179,13 @@
         revision=revision,
         routes=routes,
         groups={
-            service.name: GroupOptions(service.name, service.max_connections, service.sync_replicas)
+            service.name: GroupOptions(
+                service.name,
+                service.max_connections,
+                service.sync_replicas,
+                service.cold_per_s,
+                service.cold_start_s,
+            )
             for service in document.services
         },
         organisations={
@@ -219,6 +229,7 @@
             born_ms=document.born,
             revision=revision,
             sequence=document.sequence,
+            cold_remaining_s=_cold_remaining_s(document.cold_remaining_ms),
         )
     except (msgspec.MsgspecError, KeyError, ValueError) as error:
         raise ConfigurationError(
@@ -226,6 +237,14 @@
         ) from error
 
 
+def _cold_remaining_s(value: msgspec.Raw) -> float | None:
+    try:
+        remaining_s = msgspec.json.decode(value, type=float) / 1000
+    except msgspec.MsgspecError:
+        return None
+    return remaining_s if remaining_s >= 0.0 else None
+
+
 def decode_evacuation(failure_domain: str, value: bytes) -> bool:
     """Return whether an order to evacuate a failure domain is readable: an object for a name."""
     try:
--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -101,6 +101,8 @@
         self._relay = relay
         self._vms = vms
         self._skipped_until: dict[str, float] = {}
+        # Cold instances get statements only through their homes, which count them.
+        self.is_cold: Callable[[InstanceRegistration], bool] = lambda registration: False
         # Homes by id and failure domain of the instance, for one state of the registered VMs.
         self._homes: dict[tuple[str, str], tuple[RegisteredVm, ...]] = {}
         self._homes_vms: tuple[RegisteredVm, ...] = ()
@@ -142,7 +144,8 @@
         instead, because direct connections of all VMs would exceed the instance's limit.
         """
         refusal: InstanceRefusedError | None = None
-        for home in self._relay_homes(registration):
+        instance_homes = self._relay_homes(registration)
+        for home in instance_homes:
             if trio.current_time() < self._skipped_until.get(home.name, float("-inf")):
                 continue
             try:
@@ -157,6 +160,9 @@
                     self._skipped_until[home.name] = trio.current_time() + FAILED_HOME_BACKOFF_S
         if refusal is not None:
             raise refusal
+        if instance_homes and self.is_cold(registration):
+            failure = Failure(FailureCode.OVERLOADED, "no home of the cold instance answers")
+            raise InstanceRefusedError(failure)
         return await self._direct(registration, organisation)
 
 
--- a/src/tanagerfront/session_model.py
+++ b/src/tanagerfront/session_model.py
@@ -290,6 +290,10 @@
     name: str
     connections: int
     synchronous_replicas: int
+    # Statements a second that an instance takes while it is cold, and how long it is cold after its
+    # start; 0 if its instances are never cold.
+    cold_rate_per_s: float = 0.0
+    cold_start_s: float = 0.0
 
 
 class FrontConfiguration(NamedTuple):
@@ -325,6 +329,8 @@
     revision: int
     # Counts the instance's own reports since its start.
     sequence: int = 0
+    # How long the instance remains cold, in seconds from its report; None if it can't be read.
+    cold_remaining_s: float | None = 0.0
 
     @property
     def age_order(self) -> tuple[int, int]:
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -95,6 +95,15 @@
             with self.assertRaises(ConfigurationError):
                 decode_instance("i-1", json.dumps({**REGISTRATION, field: value}).encode(), 9)
 
+    def test_an_odd_cold_time_does_not_remove_the_instance(self) -> None:
+        # Guards against an instance that serves nobody because of a field that few deployments use.
+        for value, expected in ((1500, 1.5), (None, None), ("x", None), (-1, None)):
+            entry = json.dumps({**REGISTRATION, "cold_remaining_ms": value}).encode()
+            self.assertEqual(expected, decode_instance("i-1", entry, 9).cold_remaining_s)
+        self.assertEqual(
+            0.0, decode_instance("i-1", json.dumps(REGISTRATION).encode(), 9).cold_remaining_s
+        )
+
     @given(st.binary(max_size=60))
     def test_any_bytes_are_decoded_or_rejected(self, value: bytes) -> None:
         for decode in (
