--- a/src/tanagerfront/instance_watch.py
+++ b/src/tanagerfront/instance_watch.py
@@ -100,8 +100,6 @@
         age_s = boottime_s() - group.samples.latest_at
         if age_s < self._timing.sample_s or not self._is_usable_primary(group, instance):
             return False
-        if group.refuses_work(instance, boottime_s()):
-            return False
         staleness_s = self._smallest_staleness_s(group.name)
         if staleness_s is None:
             return False
@@ -116,6 +114,7 @@
             instance is group.primary
             and self._confirmed_state.primaries_confirmed
             and not group.superseded
+            and not group.refuses_work(instance, boottime_s())
         )
 
     def _smallest_staleness_s(self, group: str) -> float | None:
