--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -241,7 +241,12 @@
         )
         self._watch.samples_for_others = lambda: self._sync.replies_to_heartbeats
         services = SessionServices(
-            self._confirmed_state, self._directory, self._rates, log, self._metrics
+            self._confirmed_state,
+            self._directory,
+            self._rates,
+            log,
+            self._metrics,
+            self._features.urgency_order,
         )
         self._callers = adapters.caller_server(services)
         self._relays = adapters.relay_server(self._directory, log)
@@ -300,6 +305,12 @@
                 "confirmation_age_seconds", self._confirmed_state.confirmation_age_s
             )
             self._metrics.gauge("caller_connections", self._callers.count)
+            for instance in self._directory.instances():
+                self._metrics.gauge(
+                    "load_reading_age_seconds",
+                    instance.load_estimate(boottime_s()).age_s,
+                    instance=instance.registration.id,
+                )
             self._log.decision(
                 "status",
                 callers=self._callers.count,
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from unittest import mock
 
 import trio
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from support import TestCase, trio_test
-from tanagerfront.fleet_roles import rate_holders
+from tanagerfront.fleet_roles import RateHolders, rate_holders
 from tanagerfront.rate_shares import UNKNOWN_LENDER, RateShare, RateShares, TokenLoanRequest
 from tanagerfront.session_model import Organisation
 
@@ -39,11 +39,15 @@
         shares = RateShares("a", _no_loan, lambda _vm, _organisation: 0)
         ranked: list[int] = []
 
-        def counted(organisation: Organisation, vms: Sequence[str]) -> tuple[str, ...]:
+        update = RateHolders.update
+
+        def counted(
+            holders: RateHolders, organisations: Collection[Organisation], vms: Sequence[str]
+        ) -> dict[str, tuple[str, ...]]:
             ranked.append(len(vms))
-            return rate_holders(organisation, vms)
+            return update(holders, organisations, vms)
 
-        with mock.patch("tanagerfront.rate_shares.rate_holders", counted):
+        with mock.patch.object(RateHolders, "update", counted):
             limits = Organisation("x", 50.0, 10.0)
             for rate_per_s, vms in (
                 (50.0, ["a", "b", "c"]),
@@ -59,6 +63,29 @@
     return UNKNOWN_LENDER
 
 
+class AnnouncementTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_surpluses_are_announced_of_held_shares_and_follow_their_use(self) -> None:
+        # Guards against heartbeats that take time for each organisation of the deployment, and
+        # against loan requests to a VM that has nothing left.
+        limits = {f"o{number}": Organisation(f"o{number}", 40.0, 40.0) for number in range(40)}
+        names = [f"vm-{number}" for number in range(40)]
+        held = {name for name in limits if "vm-0" in rate_holders(limits[name], names)}
+        self.assertTrue(0 < len(held) < 20)
+
+        shares = RateShares("vm-0", _no_loan, lambda _vm, _organisation: 0)
+        shares.configure(limits, names)
+        await trio.sleep(2.0)
+        before = dict(shares.surpluses())
+        self.assertEqual(held, set(before))
+        name = next(iter(sorted(held)))
+        self.assertGreater(shares.lend(TokenLoanRequest(name, 100)), 0)
+        await trio.sleep(0.1)
+        self.assertLess(shares.surpluses().get(name, 0), before[name])
+        shares.configure({}, names)
+        self.assertEqual({}, shares.surpluses())
+
+
 class Fleet:
     """VMs that share one organisation's rate and lend tokens to each other."""
 
