Make no check while the watch receives a large configuration

The reply to a check contains the configuration too, and on a small link of a coordinator both arrived later than the confirmations lasted (trial of test_configuration_links with links of 5 Mbit/s on all VMs: not confirmed for more than 3.5 s).

--- a/src/tanagerfront/fleet_store.py
+++ b/src/tanagerfront/fleet_store.py
@@ -228,6 +228,10 @@
     def on_restored(self, callback: Callable[[int], None]) -> None:
         """Call back with the new era when a reply shows that the store has been restored."""
 
+    @property
+    def receives_large_changes(self) -> bool:
+        """Return whether a large reply to a watch or load is arriving."""
+
     @property
     def calls(self) -> dict[str, int]:
         """Return the number of calls made, by kind."""
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -140,6 +140,7 @@
         self._lease: int | None = None
         self._promoter_lock: PromoterLock | None = None
         self._check_requested = trio.Event()
+        self._check_deferred = False
         self._connected = False
         self._loaded = False
         self._era = EraProgress()
@@ -647,6 +648,11 @@
         requested = self._check_requested.is_set()
         if requested:
             self._check_requested = trio.Event()
+        if self._store.receives_large_changes:
+            # Nothing is confirmed until they are applied, and the reply would contain them again.
+            self._check_deferred = self._check_deferred or requested
+            return False
+        requested, self._check_deferred = requested or self._check_deferred, False
         # The other VMs are confirmed by coordinators and check the store only when that fails.
         limit_s = self._timing.fallback_check_interval_s
         if self.is_coordinator:
--- a/src/tanagerfront/http_client.py
+++ b/src/tanagerfront/http_client.py
@@ -135,6 +135,12 @@
         self._stream = stream
         self._usable = True
         self._busy = False
+        self._arriving_bytes = 0
+
+    @property
+    def arriving_bytes(self) -> int:
+        """Return the announced length of the body that is arriving, 0 if none is."""
+        return self._arriving_bytes
 
     @property
     def address(self) -> Address:
@@ -180,6 +186,7 @@
                 if not received:
                     raise ConnectionLostError(f"{self._address} closed the connection")
                 parser.feed(received)
+                self._arriving_bytes = parser.content_length
                 if min_body_bytes_per_s is not None:
                     latest = deadline + parser.content_length / min_body_bytes_per_s
                     scope.deadline = max(deadline, min(latest, trio.current_time() + BODY_PAUSE_S))
@@ -219,6 +226,7 @@
             raise ConnectionLostError(message) from error
         finally:
             self._busy = False
+            self._arriving_bytes = 0
             if not reusable:
                 await self.close()
         return HttpReply(parser.status, parser.headers, b"".join(parser.chunks))
--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable, Iterator, Sequence
 
-from ..change_history import ChangeHistory
+from ..change_history import MAX_RESPONSE_BYTES, ChangeHistory
 from ..decision_log import DecisionLog
 from ..errors import ConfigurationError, KeyValueTimeoutError, StoreRestoredError
 from ..fleet_store import (
@@ -96,6 +96,11 @@
         """Call back with the new era when a reply shows that the store has been restored."""
         self._era.on_restored = callback
 
+    @property
+    def receives_large_changes(self) -> bool:
+        """Return whether a large reply to a watch or load is arriving."""
+        return self._watches.arriving_bytes > MAX_RESPONSE_BYTES
+
     @property
     def calls(self) -> dict[str, int]:
         """Return the number of calls made, by kind."""
--- a/src/tanagerfront/platform/store.py
+++ b/src/tanagerfront/platform/store.py
@@ -160,6 +160,11 @@
         self._lock = trio.Lock()
         self.calls = 0
 
+    @property
+    def arriving_bytes(self) -> int:
+        """Return the length of the reply whose body is arriving, 0 if none is."""
+        return self._connection.arriving_bytes if self._connection is not None else 0
+
     async def range(self, prefix: str) -> Page:
         """Return all values under a prefix and a revision from which a watch misses no change."""
         values: list[KeyValue] = []
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -253,6 +253,7 @@
         self.configurations_are_large = False
         self.large_values_delay_s = 0.0
         self.peers_without_large_values: set[str] = set()
+        self.receives_large_changes = False
         self._peer_revision: float = math.inf
         # VMs of builds that refuse large changes unless asked for them uncompressed.
         self.old_builds: set[str] = set()
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -355,6 +355,24 @@
         assert current is not None
         self.assertEqual(("r", 1), (current.instance, self._store_reads))
 
+    @trio_test(mock_clock=True)
+    async def test_no_check_is_made_while_the_watch_receives_a_large_configuration(self) -> None:
+        # Guards against a coordinator that receives the configuration twice over a small link: no
+        # VM was confirmed for more than 3.5 s.
+        synced_vm = SyncedVm()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await trio.sleep(5)
+            synced_vm.store.call_names.clear()
+            synced_vm.store.receives_large_changes = True
+            synced_vm.sync.request_check()
+            await trio.sleep(1.5)
+            self.assertEqual(0, synced_vm.store.call_names.count("check"))
+            synced_vm.store.receives_large_changes = False
+            await trio.sleep(0.15)
+            self.assertEqual(1, synced_vm.store.call_names.count("check"))
+            nursery.cancel_scope.cancel()
+
     @trio_test(mock_clock=True)
     async def test_a_source_without_the_configuration_is_passed_over(self) -> None:
         async with trio.open_nursery() as nursery:
