Bound connections to an instance beyond those of its homes

Cause: a VM that was a home no longer kept up to eight direct connections; a VM that reached no home opened up to eight and kept them after the homes' return; and a pool that an instance had refused asked again every 0.1 s for as long as connections of a VM without power were counted, 3 s. Change: connections are closed when the pool changes between direct and relayed ones. Without a home a VM has one direct connection at a time, closed after its use. The delay after a refusal doubles up to 1 s while the pool has connections to serve with, else it stays 0.1 s. Measured: tests with mocked time, at most 6 attempts in 3 s where there were 30.

--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -27,7 +27,7 @@
 # closed connections that the instance still counts for a moment.
 SPARE_CONNECTIONS = 2
 # Relayed sessions of one VM at an instance's home; they need no connection of their own.
-RELAY_POOL_LIMITS = PoolLimits(8, 8)
+RELAY_POOL_LIMITS = PoolLimits(8, 8, relayed=True)
 # Response time that is assumed before the first measurement.
 INITIAL_RESPONSE_S = 0.02
 # Smaller fleets share the connections without a relay, which saves a hop; see `relay`.
--- a/src/tanagerfront/instance_pool.py
+++ b/src/tanagerfront/instance_pool.py
@@ -44,6 +44,7 @@
     "Opener",
     "PoolLimits",
     "PooledConnection",
+    "SingleUseConnection",
 ]
 
 # Id of statements that the proxy sends on its own behalf.
@@ -56,6 +57,9 @@
 EXCESS_IDLE_TIMEOUT_S = 0.5
 # Delay before the next attempt after the instance refused a connection because of its limit.
 INSTANCE_FULL_BACKOFF_S = 0.1
+# The delay doubles up to this while the pool has connections to serve with: an instance counts
+# those of a VM that lost power for 3 s, and ten attempts a second would be refused meanwhile.
+MAX_INSTANCE_FULL_BACKOFF_S = 1.0
 
 
 class InstanceRefusedError(DatabaseError):
@@ -98,6 +102,8 @@
     # Whether this VM applies admission control, because it holds most of the instance's
     # connections.
     admission_control: bool = False
+    # Whether connections lead through a home.
+    relayed: bool = False
 
 
 class InstanceStatement(NamedTuple):
@@ -130,6 +136,35 @@
         """Close the connection."""
 
 
+class SingleUseConnection(Connection):
+    """A connection that is closed after a statement or transaction instead of being kept."""
+
+    def __init__(self, connection: Connection, on_close: Callable[[], None]) -> None:
+        self._connection = connection
+        self._on_close: Callable[[], None] | None = on_close
+
+    @property
+    def usable(self) -> bool:
+        """Return whether every reply was read completely."""
+        return self._connection.usable
+
+    @property
+    def alive(self) -> bool:
+        """Return whether the connection is open and no unsolicited data has arrived."""
+        return self._connection.alive
+
+    async def run(self, statements: Sequence[InstanceStatement]) -> list[Reply]:
+        """Send statements and return their replies; raises ConnectionLostError."""
+        return await self._connection.run(statements)
+
+    async def close(self) -> None:
+        """Close the connection."""
+        on_close, self._on_close = self._on_close, None
+        if on_close is not None:
+            on_close()
+        await self._connection.close()
+
+
 Opener = Callable[[InstanceRegistration, str], Awaitable[Connection]]
 
 
@@ -142,6 +177,7 @@
         organisation: str,
         opened_at: float,
         admission: SlotAdmission | None = None,
+        path: int = 0,
     ) -> None:
         self._connection = connection
         self._slot_admission = admission
@@ -154,12 +190,15 @@
         self.organisation = organisation
         self.last_used_at = opened_at
         self.reused = False
+        # Number of the pool's path at the time of the opening.
+        self.path = path
         self.in_transaction = False
 
     @property
     def reusable(self) -> bool:
         """Return whether another caller may use the connection."""
-        return self._connection.usable and not self.in_transaction
+        single_use = isinstance(self._connection, SingleUseConnection)
+        return self._connection.usable and not self.in_transaction and not single_use
 
     @property
     def alive(self) -> bool:
@@ -316,6 +355,9 @@
         self._closed: list[PooledConnection] = []
         self._waiters: list[_Waiter] = []
         self._instance_full_until = float("-inf")
+        self._instance_full_backoff_s = INSTANCE_FULL_BACKOFF_S
+        # Counts the changes between direct and relayed connections.
+        self._path = 0
         self._slot_admission = (
             SlotAdmission(registration.slots) if limits.admission_control else None
         )
@@ -351,8 +393,16 @@
         self._registration = registration
 
     async def set_limits(self, limits: PoolLimits) -> None:
-        """Change the limits; busy connections above them are closed on release."""
+        """Change the limits; busy connections above them are closed on release.
+
+        When direct connections give way to relayed ones or the reverse, the former are closed: VMs
+        that are homes no longer would hold connections that the new homes need.
+        """
+        path_changed = limits.relayed != self._limits.relayed
         self._limits = limits
+        self._path += path_changed
+        while path_changed and (connection := self._idle.take_oldest()):
+            await self._close_connection(connection)
         if limits.admission_control != (self._slot_admission is not None):
             self._slot_admission = (
                 SlotAdmission(self._registration.slots) if limits.admission_control else None
@@ -473,7 +523,8 @@
     async def release(self, connection: PooledConnection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
         connection.release_slot()
-        if not connection.reusable or self._open > self._limits.max_open:
+        outdated = connection.path != self._path
+        if not connection.reusable or outdated or self._open > self._limits.max_open:
             await self._close_connection(connection)
             return
         if not self._limits.kept_open and not self._waiters:
@@ -525,18 +576,33 @@
 
     async def _connect(self, organisation: str, reservation: _Reservation) -> PooledConnection:
         """Open a connection under a reservation."""
+        path = self._path
         try:
             if reservation.replaced is not None:
                 await reservation.replaced.close()
             connection = await self._opener(self._registration, organisation)
         except BaseException as error:
             if isinstance(error, TooManyConnectionsError):
-                self._instance_full_until = trio.current_time() + INSTANCE_FULL_BACKOFF_S
+                self._back_off()
             self._open -= 1
             self._grant_reservations()
             raise
         self.opened_total += 1
-        return PooledConnection(connection, organisation, trio.current_time(), self._slot_admission)
+        if reservation.replaced is None:
+            self._instance_full_backoff_s = INSTANCE_FULL_BACKOFF_S
+        return PooledConnection(
+            connection, organisation, trio.current_time(), self._slot_admission, path
+        )
+
+    def _back_off(self) -> None:
+        """Open no further connection for a while, because the instance has reached its limit."""
+        if self._open <= 1:
+            # There is only the reservation, so that nothing could be served meanwhile.
+            self._instance_full_backoff_s = INSTANCE_FULL_BACKOFF_S
+        self._instance_full_until = trio.current_time() + self._instance_full_backoff_s
+        self._instance_full_backoff_s = min(
+            2 * self._instance_full_backoff_s, MAX_INSTANCE_FULL_BACKOFF_S
+        )
 
     async def _cancel_reservation(self, reservation: _Reservation) -> None:
         """Release a reservation that was not used."""
--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -9,13 +9,14 @@
 from __future__ import annotations
 
 import heapq
+from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import trio
 
 from .decision_log import DecisionLog
-from .errors import ConnectionLostError, OverloadedError, TanagerfrontError
+from .errors import ConnectionLostError, OverloadedError, TanagerfrontError, TooManyConnectionsError
 from .fleet_store import RegisteredVm
 from .instance_directory import HOMES_PER_INSTANCE, MIN_VMS_FOR_RELAY
 from .instance_pool import (
@@ -25,6 +26,7 @@
     InstanceStatement,
     Opener,
     PooledConnection,
+    SingleUseConnection,
 )
 from .rendezvous import rendezvous_score
 from .session_model import (
@@ -47,6 +49,9 @@
 
 # A home that could not be reached is not tried again for this long.
 FAILED_HOME_BACKOFF_S = 1.0
+# Direct connections to an instance of a VM that reaches no home. A large fleet has more VMs than
+# an instance has slots, and about as many as it has connections.
+MAX_DIRECT_WITHOUT_HOME = 1
 # A statement at a home waits at most this long for a connection. The VM that sent it gives up
 # earlier if its caller's deadline passes.
 MAX_CONNECTION_WAIT_S = 0.4
@@ -100,6 +105,8 @@
         self._relay = relay
         self._vms = vms
         self._skipped_until: dict[str, float] = {}
+        # Direct connections of a VM that is no home, by id of the instance.
+        self._direct_open: Counter[str] = Counter()
         # Homes by id and failure domain of the instance, for one state of the registered VMs.
         self._homes: dict[tuple[str, str], tuple[RegisteredVm, ...]] = {}
         self._homes_vms: tuple[RegisteredVm, ...] = ()
@@ -137,11 +144,13 @@
     async def __call__(self, registration: InstanceRegistration, organisation: str) -> Connection:
         """Open a connection; raises what the direct opener raises.
 
-        The connection is opened directly if no home can be reached. A refusal by a home is raised
-        instead, because direct connections of all VMs would exceed the instance's limit.
+        The connection is opened directly if no home can be reached, but only one at a time and for
+        one use, because direct connections of all VMs would exceed the instance's limit. For the
+        same reason a refusal by a home is raised instead.
         """
         refusal: InstanceRefusedError | None = None
-        for home in self._relay_homes(registration):
+        relay_homes = self._relay_homes(registration)
+        for home in relay_homes:
             if trio.current_time() < self._skipped_until.get(home.name, float("-inf")):
                 continue
             try:
@@ -156,7 +165,29 @@
                     self._skipped_until[home.name] = trio.current_time() + FAILED_HOME_BACKOFF_S
         if refusal is not None:
             raise refusal
-        return await self._direct(registration, organisation)
+        if not relay_homes:
+            return await self._direct(registration, organisation)
+        return await self._open_without_home(registration, organisation)
+
+    async def _open_without_home(
+        self, registration: InstanceRegistration, organisation: str
+    ) -> Connection:
+        instance = registration.id
+        if self._direct_open[instance] >= MAX_DIRECT_WITHOUT_HOME:
+            raise TooManyConnectionsError(
+                "no home can be reached, and the direct connection is in use", executed="no"
+            )
+
+        def count_closed() -> None:
+            self._direct_open[instance] -= 1
+
+        self._direct_open[instance] += 1
+        try:
+            connection = await self._direct(registration, organisation)
+        except BaseException:
+            count_closed()
+            raise
+        return SingleUseConnection(connection, count_closed)
 
 
 class RelaySession:
--- a/tests/test_instance_pool.py
+++ b/tests/test_instance_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from contextlib import suppress
 from unittest.mock import PropertyMock, patch
 
 import trio
@@ -12,8 +13,19 @@
 from front_fakes import FakeConnection, FakeInstance, registration
 from support import TestCase, trio_test
 from tanagerfront.errors import ConnectionLostError, OverloadedError, TooManyConnectionsError
-from tanagerfront.instance_pool import InstancePool, InstanceStatement, PoolLimits
-from tanagerfront.session_model import Prepare, ResetSession, SetValue, Verbatim
+from tanagerfront.instance_pool import (
+    INSTANCE_FULL_BACKOFF_S,
+    InstancePool,
+    InstanceStatement,
+    PoolLimits,
+)
+from tanagerfront.session_model import (
+    InstanceRegistration,
+    Prepare,
+    ResetSession,
+    SetValue,
+    Verbatim,
+)
 
 
 def make_pool(instance: FakeInstance, open_limit: int = 2, kept_open: int = 2) -> InstancePool:
@@ -107,6 +119,76 @@
         connection = await pool.acquire(name, 0.0, trio.current_time() + 0.45)
         await pool.release(connection)
 
+    @trio_test(mock_clock=True)
+    async def test_a_pool_that_can_serve_asks_a_full_instance_ever_less_often(self) -> None:
+        # Guards against hundreds of connections that an instance resets, while it counts those of
+        # a VM that lost power (kitahoshi: 846 beyond the limit of 64).
+        instance = FakeInstance()
+        attempts: list[float] = []
+        open_connection = instance.open
+
+        async def count(used: InstanceRegistration, organisation: str) -> FakeConnection:
+            attempts.append(trio.current_time())
+            return await open_connection(used, organisation)
+
+        pool = InstancePool(registration("i-1"), count, PoolLimits(8, 8))
+        held = await pool.acquire("held", 0.0, 10.0)
+        attempts.clear()
+        instance.at_connection_limit = True
+        until = trio.current_time() + 3.0
+        while trio.current_time() < until:
+            with suppress(TooManyConnectionsError, OverloadedError):
+                await pool.acquire("other", 0.0, trio.current_time() + 0.05)
+        self.assertLessEqual(len(attempts), 6)
+        instance.at_connection_limit = False
+        served = await pool.acquire("other", 0.0, trio.current_time() + 1.5)
+        self.assertEqual("other", served.organisation)
+        await pool.release(held)
+
+    @trio_test(mock_clock=True)
+    async def test_a_pool_without_connections_keeps_asking(self) -> None:
+        # Guards against a restarted home that serves nothing for a second after there is room.
+        instance = FakeInstance()
+        pool = make_pool(instance)
+        instance.at_connection_limit = True
+        for _ in range(5):
+            with self.assertRaises(TooManyConnectionsError):
+                await pool.acquire("a", 0.0, trio.current_time() + 1.0)
+            await trio.sleep(INSTANCE_FULL_BACKOFF_S)
+        instance.at_connection_limit = False
+        await pool.acquire("a", 0.0, trio.current_time() + 2 * INSTANCE_FULL_BACKOFF_S)
+
+
+class PathTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_direct_connections_are_closed_when_the_vm_is_a_home_no_longer(self) -> None:
+        # Guards against former homes that hold connections which the new ones need.
+        instance = FakeInstance()
+        pool = make_pool(instance, open_limit=8, kept_open=8)
+        idle, busy = [await pool.acquire(name, 0.0, 10.0) for name in "ab"]
+        await pool.release(idle)
+        await pool.set_limits(PoolLimits(8, 8, relayed=True))
+        self.assertEqual(1, instance.open_now)
+        await pool.release(busy)
+        self.assertEqual((0, 0), (instance.open_now, pool.open_connections))
+        await pool.release(await pool.acquire("a", 0.0, 10.0))
+        await pool.set_limits(PoolLimits(4, 4, relayed=True))
+        self.assertEqual(1, instance.open_now)
+
+    @trio_test(mock_clock=True)
+    async def test_a_connection_that_was_being_opened_then_is_not_kept(self) -> None:
+        instance = FakeInstance()
+        pool = make_pool(instance, open_limit=8, kept_open=8)
+
+        async def use() -> None:
+            await pool.release(await pool.acquire("a", 0.0, 10.0))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(use)
+            await trio.sleep(instance.open_s / 2)
+            await pool.set_limits(PoolLimits(8, 8, relayed=True))
+        self.assertEqual((0, 0), (instance.open_now, pool.open_connections))
+
 
 class OrderTest(TestCase):
     @trio_test(mock_clock=True)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from contextlib import suppress
 
 import trio
 from hypothesis import given
@@ -10,7 +11,7 @@
 
 from front_fakes import FakeConnection, FakeInstance, RecordingLog, registration, vm
 from support import TestCase, trio_test
-from tanagerfront.errors import ConnectionLostError
+from tanagerfront.errors import ConnectionLostError, TooManyConnectionsError
 from tanagerfront.fleet_store import RegisteredVm
 from tanagerfront.instance_directory import HOMES_PER_INSTANCE, MIN_VMS_FOR_RELAY
 from tanagerfront.instance_pool import (
@@ -80,6 +81,44 @@
         self.assertEqual(expected, homes(registration("i", failure_domain="a"), vms))
 
 
+class WithoutHomesTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_a_vm_that_reaches_no_home_holds_one_direct_connection_during_its_use(
+        self,
+    ) -> None:
+        # Guards against the direct connections of all VMs, up to eight each, that take an
+        # instance's connections while its homes are gone and when they return.
+        openings = RecordedOpenings()
+        fleet = tuple(make_fleet(40))
+        names = {home.name for home in homes(registration("i"), fleet)}
+        own = next(other.name for other in fleet if other.name not in names)
+        openings.down = names
+        opener = RoutingOpener(
+            own, openings.open_direct, openings.open_relay, lambda: fleet, RecordingLog()
+        )
+        pool = InstancePool(registration("i"), opener, PoolLimits(8, 8, relayed=True))
+        served: list[str] = []
+
+        async def use(name: str) -> None:
+            with suppress(TooManyConnectionsError):
+                connection = await pool.acquire(name, 0.0, trio.current_time() + 2.0)
+                await connection.run([InstanceStatement("q", Verbatim("READ 1"))])
+                await pool.release(connection)
+                served.append(name)
+
+        async with trio.open_nursery() as nursery:
+            for name in "abcd":
+                nursery.start_soon(use, name)
+        await use("e")
+        self.assertEqual((1, 0), (openings.instance.most_open, openings.instance.open_now))
+        self.assertIn("e", served)
+        self.assertGreaterEqual(len(served), 2)
+        openings.down = set()
+        await trio.sleep(2.0)
+        await use("f")
+        self.assertEqual((1, 1), (openings.instance.open_now, pool.open_connections))
+
+
 class RecordedOpenings:
     """Opens connections and records how; `down` homes are unreachable, `refusing` ones refuse."""
 
