--- a/src/tanagerfront/fleet_store.py
+++ b/src/tanagerfront/fleet_store.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from enum import Enum
+from types import MappingProxyType
 from typing import NamedTuple, Protocol
 
 from .http_client import Address
@@ -15,11 +17,16 @@
     "CheckResult",
     "EraSettled",
     "ConfigurationChanged",
+    "DomainEvacuated",
+    "DomainReturned",
     "FleetStore",
     "FleetState",
     "InstanceChanged",
     "InstanceUnregistered",
     "KnownRevisions",
+    "LargeValues",
+    "PeerChanges",
+    "PeerRead",
     "PrimaryRecordChanged",
     "PromoterLockAcquired",
     "PromoterLockReleased",
@@ -128,6 +135,23 @@
     era: int
 
 
+@dataclass(frozen=True, slots=True)
+class DomainEvacuated:
+    """Operators ordered a failure domain out of service; the order may be unreadable."""
+
+    failure_domain: str
+    revision: int
+    readable: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class DomainReturned:
+    """Operators removed the order for a failure domain that had at most this revision."""
+
+    failure_domain: str
+    revision: int
+
+
 Change = (
     ConfigurationChanged
     | InstanceChanged
@@ -138,6 +162,8 @@
     | PromoterLockAcquired
     | PromoterLockReleased
     | EraSettled
+    | DomainEvacuated
+    | DomainReturned
 )
 
 
@@ -153,6 +179,40 @@
     # Whether a configuration exists and it and all primary records could be decoded.
     readable: bool
     revision: int
+    # Failure domains for which an order of the operators exists.
+    evacuated_domains: frozenset[str] = frozenset()
+
+
+class LargeValues(Enum):
+    """What a peer VM does with large values among the changes that it is asked for."""
+
+    # Leaves them out if the response would be large.
+    WITHHELD = "withheld"
+    DEFLATED = "deflated"
+    # Sends them uncompressed, which builds without compression understand.
+    PLAIN = "plain"
+
+
+class PeerRead(NamedTuple):
+    """A request for a peer VM's changes after a revision."""
+
+    after: int
+    large: LargeValues
+    # The peer waits for up to `wait_s` seconds until it knows all changes up to this revision. Only
+    # with WITHHELD it replies without them after that.
+    until: int = 0
+    wait_s: float = 0.0
+
+
+class PeerChanges(NamedTuple):
+    """Changes from a peer VM, and the revision to continue from."""
+
+    changes: Sequence[Change]
+    revision: int
+    # Whether changes with large values were left out; then those after `revision` aren't enough.
+    withheld: bool = False
+    # Size of the response in bytes.
+    size: int = 0
 
 
 class KnownRevisions(NamedTuple):
@@ -160,6 +220,8 @@
 
     configuration: int
     primary_records: Mapping[str, int]
+    # Orders for failure domains, by domain.
+    evacuations: Mapping[str, int] = MappingProxyType({})
 
 
 class CheckResult(NamedTuple):
@@ -205,12 +267,10 @@
         Waits up to `wait_s` for a change; raises HistoryLostError if the store dropped changes.
         """
 
-    async def fetch_from_peer(
-        self, vm: RegisteredVm, after: int, *, large: bool
-    ) -> tuple[Sequence[Change], int]:
-        """Return changes that another VM has applied, as `watch` does but without waiting.
+    async def fetch_from_peer(self, vm: RegisteredVm, read: PeerRead) -> PeerChanges:
+        """Return changes that another VM has applied; raises HistoryLostError if it lacks them.
 
-        Without `large` the other VM refuses large values, which are to be read from the store.
+        VMs of builds that don't compress also raise it if the changes are large.
         """
 
     async def check(self, known: KnownRevisions) -> CheckResult:
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -29,6 +29,8 @@
 from .session_model import boottime_s
 from .session_peer_messages import Heartbeat
 from .session_peers import VmPeers
+from .slot_admission import ArrivalOrder, UrgencyOrder
+from .slot_report import report_slot_queue
 from .store_era import era_of
 from .supervision import run_restarting
 
@@ -188,15 +190,26 @@
         opener = RoutingOpener(
             own.name, adapters.opener, adapters.relay, lambda: self._sync.vms, log
         )
-        self._directory = InstanceDirectory(opener, identity.failure_domain)
+        self._directory = InstanceDirectory(
+            opener,
+            identity.failure_domain,
+            UrgencyOrder() if self._features.urgency_order else ArrivalOrder(),
+        )
         self._directory.uses_relay = opener.uses_relay
         self._directory.home_rank = opener.home_rank
         self._directory.on_change = self._log_instance
         self._confirmed_state.on_primaries_confirmed = self._directory.notify_all
         self._rates = RateShares(own.name, self._borrow, self._surplus_of)
         self._sync = FleetSync(
-            adapters.store, self._confirmed_state, self._directory, self._rates, own, log
+            adapters.store,
+            self._confirmed_state,
+            self._directory,
+            self._rates,
+            own,
+            log,
+            evacuation_s=self._features.evacuation_s,
         )
+        self._sync.on_evacuation_change = self._record_evacuation
         self._peers = VmPeers(
             own,
             vms=lambda: self._sync.vms,
@@ -228,7 +241,12 @@
         )
         self._watch.samples_for_others = lambda: self._sync.replies_to_heartbeats
         services = SessionServices(
-            self._confirmed_state, self._directory, self._rates, log, self._metrics
+            self._confirmed_state,
+            self._directory,
+            self._rates,
+            log,
+            self._metrics,
+            self._features.urgency_order,
         )
         self._callers = adapters.caller_server(services)
         self._relays = adapters.relay_server(self._directory, log)
@@ -287,6 +305,12 @@
                 "confirmation_age_seconds", self._confirmed_state.confirmation_age_s
             )
             self._metrics.gauge("caller_connections", self._callers.count)
+            for instance in self._directory.instances():
+                self._metrics.gauge(
+                    "load_reading_age_seconds",
+                    instance.load_estimate(boottime_s()).age_s,
+                    instance=instance.registration.id,
+                )
             self._log.decision(
                 "status",
                 callers=self._callers.count,
@@ -297,6 +321,8 @@
                 **self._connection_counts(),
                 store_calls=self._store.calls,
             )
+            for instance in self._directory.instances():
+                report_slot_queue(instance, self._log, self._metrics)
 
     def _connection_counts(self) -> dict[str, int]:
         """Count open and ever opened connections to instances, direct and relayed ones."""
@@ -359,6 +385,9 @@
             self._sync.record_echo(heartbeat.vm, heartbeat.echo)
             record_passed_positions(self._directory, heartbeat.echo.sent_at, heartbeat.positions)
 
+    def _record_evacuation(self, failure_domain: str, evacuated: bool) -> None:
+        self._metrics.gauge("evacuated", float(evacuated), failure_domain=failure_domain)
+
     def _log_instance(self, change: str, instance: Instance) -> None:
         self._log.decision(f"instance_{change}", **instance.registration._asdict())
 
--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -8,10 +8,13 @@
 import trio
 
 from .entry_id import EntryId
+from .evacuation import Evacuation
+from .instance_load import KnownLoad
 from .instance_pool import InstancePool, Opener, PoolLimits
-from .placement import Candidate
+from .placement import Candidate, LoadEstimate
 from .position_samples import PositionSamples
 from .session_model import InstanceRegistration, InstanceRole, Reply, boottime_s
+from .slot_admission import ArrivalOrder, SlotOrder, UrgencyOrder
 
 __all__ = [
     "HOMES_PER_INSTANCE",
@@ -28,6 +31,9 @@
 SPARE_CONNECTIONS = 2
 # Relayed sessions of one VM at an instance's home; they need no connection of their own.
 RELAY_POOL_LIMITS = PoolLimits(8, 8, relayed=True)
+# With an order by urgency, statements that can wait do so at the home. The sessions that they hold
+# meanwhile must leave some to urgent statements.
+RELAYED_WAITING = 24
 # Response time that is assumed before the first measurement.
 INITIAL_RESPONSE_S = 0.02
 # Smaller fleets share the connections without a relay, which saves a hop; see `relay`.
@@ -74,11 +80,16 @@
         self.pool = pool
         self.reached: EntryId | None = None
         self.response_s = INITIAL_RESPONSE_S
+        self.known_load = KnownLoad()
+        # Whether this VM is the home that the others prefer, and so measures the load itself.
+        self.is_first_home = False
         self.lagging_since = float("-inf")
         self.unreachable_since: float | None = None
         self.unregistered_since: float | None = None
         self.draining_since: float | None = None
         self.answered_at = boottime_s()
+        # The order by which the instance's failure domain is out of service, None without one.
+        self.evacuation: Evacuation | None = None
 
     @property
     def leaving(self) -> bool:
@@ -106,6 +117,16 @@
             self.response_s += RESPONSE_SMOOTHING * (response_s - self.response_s)
         return regained
 
+    def load_estimate(self, now: float) -> LoadEstimate:
+        """Return the load as known to this VM; `now` is in seconds of `boottime_s()`."""
+        estimate = self.known_load.estimate(self.registration.slots, now)
+        own = self.pool.load if self.is_first_home else None
+        if own is None:
+            return estimate
+        return estimate._replace(
+            statements=float(own.running + own.waiting), trust=1.0, age_s=0.0, sent_since=0
+        )
+
     def record_reply(self, reply: Reply, response_s: float | None) -> bool:
         """Record a reply, except a refusal by a home, which knows no position.
 
@@ -156,6 +177,27 @@
         ]
         return max(claimants, key=lambda instance: instance.registration.revision, default=None)
 
+    def successors(self, primary: Instance | None) -> Sequence[Instance]:
+        """Return the instances that may become primary in place of the given one."""
+        return [
+            instance
+            for instance in self.instances.values()
+            if instance is not primary and not instance.leaving and instance.evacuation is None
+        ]
+
+    def refuses_work(self, instance: Instance, now: float) -> bool:
+        """Return whether the instance gets no new statements because of an evacuation.
+
+        A primary serves until another one has been promoted or the time for that has passed.
+        """
+        if instance.evacuation is None:
+            return False
+        if self.primary_record is not None:
+            is_primary = self.primary_record.instance == instance.registration.id
+        else:
+            is_primary = self.primary is instance
+        return not is_primary or instance.evacuation.primary_ended(now)
+
     @property
     def superseded(self) -> bool:
         """Return whether another primary has followed the recorded one, unknown to the store.
@@ -172,11 +214,15 @@
 class InstanceDirectory:
     """Registered groups and instances; the state of instances is kept across re-registrations."""
 
-    def __init__(self, opener: Opener, failure_domain: str) -> None:
+    def __init__(
+        self, opener: Opener, failure_domain: str, slot_order: SlotOrder | None = None
+    ) -> None:
+        self._slot_order = slot_order or ArrivalOrder()
         self._opener = opener
         self._failure_domain = failure_domain
         self._groups: dict[str, Group] = {}
         self._unrecorded: dict[str, float] = {}
+        self._evacuations: Mapping[str, Evacuation] = {}
         self._vms = 1
         self._connections: Mapping[str, int] = {}
         self.on_change: Callable[[str, Instance], None] = lambda change, instance: None
@@ -226,7 +272,7 @@
         self._vms = vms
         self._connections = connections
         for instance in self.instances():
-            await instance.pool.set_limits(self._limits(instance.registration))
+            await self._set_limits(instance)
 
     async def apply(self, registration: InstanceRegistration) -> None:
         """Add or update an instance from its registration."""
@@ -237,6 +283,8 @@
                 await instance.pool.close()
             pool = InstancePool(registration, self._opener, self._limits(registration))
             instance = group.instances[registration.id] = Instance(registration, pool)
+            instance.evacuation = self._evacuations.get(registration.failure_domain)
+            instance.is_first_home = self._is_first_home(registration)
             self.on_change("registered", instance)
         if instance.registration.role is not registration.role:
             self.on_change("role", instance)
@@ -250,6 +298,22 @@
             instance.draining_since = None
         group.notify()
 
+    @property
+    def failure_domains(self) -> frozenset[str]:
+        """Return the failure domains of the known instances."""
+        return frozenset(instance.registration.failure_domain for instance in self.instances())
+
+    def set_evacuations(self, evacuations: Mapping[str, Evacuation]) -> None:
+        """Set the failure domains that are out of service; wake the statements concerned."""
+        self._evacuations = evacuations
+        for group in self._groups.values():
+            for instance in group.instances.values():
+                before = instance.evacuation
+                instance.evacuation = evacuations.get(instance.registration.failure_domain)
+                if before is None and group.refuses_work(instance, boottime_s()):
+                    instance.pool.dismiss_waiting()
+            group.notify()
+
     async def mark_unregistered(self, instance_id: str) -> None:
         """Record that an instance is not registered any more."""
         instance = self.find(instance_id)
@@ -309,7 +373,14 @@
             # VMs may have confirmed the store's older record until this one is written again.
             group.moving_since = boottime_s()
 
-    def candidate(self, group: Group, instance: Instance, organisation: str) -> Candidate:
+    @property
+    def relayed(self) -> bool:
+        """Return whether the fleet is so large that homes relay statements."""
+        return self._vms >= MIN_VMS_FOR_RELAY
+
+    def candidate(
+        self, group: Group, instance: Instance, organisation: str, *, with_load: bool = False
+    ) -> Candidate:
         """Return the properties of an instance that its selection is based on."""
         pool = instance.pool
         return Candidate(
@@ -323,13 +394,30 @@
             response_s=instance.response_s,
             reached=instance.reached,
             lagging_since=instance.lagging_since,
+            load=instance.load_estimate(boottime_s()) if with_load else None,
+        )
+
+    async def _set_limits(self, instance: Instance) -> None:
+        instance.is_first_home = self._is_first_home(instance.registration)
+        await instance.pool.set_limits(self._limits(instance.registration))
+
+    def _is_first_home(self, registration: InstanceRegistration) -> bool:
+        return (
+            self.relayed and not self.uses_relay(registration) and self.home_rank(registration) == 0
         )
 
     def _limits(self, registration: InstanceRegistration) -> PoolLimits:
+        limits = self._connection_limits(registration)
+        return limits._replace(slot_order=self._slot_order)
+
+    def _connection_limits(self, registration: InstanceRegistration) -> PoolLimits:
         connections = self._connections.get(registration.group, self._vms)
         if self._vms < MIN_VMS_FOR_RELAY:
             return connection_budget(connections, self._vms)
         if self.uses_relay(registration):
+            match self._slot_order:
+                case UrgencyOrder():
+                    return RELAY_POOL_LIMITS._replace(max_open=RELAYED_WAITING)
             return RELAY_POOL_LIMITS
         limit = int(
             (connections - SPARE_CONNECTIONS) * HOME_CONNECTION_SHARES[self.home_rank(registration)]
--- a/src/tanagerfront/instance_watch.py
+++ b/src/tanagerfront/instance_watch.py
@@ -122,6 +122,7 @@
             instance is group.primary
             and self._confirmed_state.primaries_confirmed
             and not group.superseded
+            and not group.refuses_work(instance, boottime_s())
         )
 
     def _smallest_staleness_s(self, group: str) -> float | None:
--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -24,9 +24,11 @@
     InstancePool,
     InstanceRefusedError,
     InstanceStatement,
+    InstanceWithdrawnError,
     Opener,
     PooledConnection,
     SingleUseConnection,
+    slot_request,
 )
 from .rendezvous import rendezvous_score
 from .session_model import (
@@ -44,6 +46,8 @@
     TransactionState,
     Verbatim,
 )
+from .slot_admission import UrgencyOrder
+from .slot_queue import waiting_limit
 
 __all__ = ["RelayOpener", "RelaySession", "RoutingOpener", "homes"]
 
@@ -197,10 +201,16 @@
     """
 
     def __init__(
-        self, pool: InstancePool, organisation: str, peer_waiting: Callable[[], bool] = lambda: True
+        self,
+        pool: InstancePool,
+        organisation: str,
+        peer_waiting: Callable[[], bool] = lambda: True,
+        refuses_work: Callable[[], bool] = lambda: False,
     ) -> None:
         self._pool = pool
         self._peer_waiting = peer_waiting
+        # Whether the instance is out of service for new statements.
+        self._refuses_work = refuses_work
         self._organisation = organisation
         self._values: dict[str, str] = {}
         self._prepared: dict[str, tuple[bool, str]] = {}
@@ -229,7 +239,9 @@
                 self._values = {}
                 self._prepared = {}
         try:
-            connection = await self._acquire_connection()
+            if self._transaction_connection is None and self._refuses_work():
+                raise InstanceWithdrawnError
+            connection = await self._acquire_connection(statement)
         except ConnectionLostError as error:
             return self._local_reply(Failure(FailureCode.MOVED, str(error)))
         except TanagerfrontError as error:
@@ -255,11 +267,20 @@
         )
         return Reply(failure=failure, state=state)
 
-    async def _acquire_connection(self) -> PooledConnection:
+    async def _acquire_connection(self, statement: InstanceStatement) -> PooledConnection:
         if self._transaction_connection is not None:
             return self._transaction_connection
         now = trio.current_time()
-        return await self._pool.acquire(self._organisation, now, now + MAX_CONNECTION_WAIT_S)
+        deadline = now + MAX_CONNECTION_WAIT_S
+        match self._pool.slot_order:
+            case UrgencyOrder() if statement.urgency is not None:
+                deadline = waiting_limit(statement.urgency, now)
+        request = slot_request(self._organisation, statement)
+        connection = await self._pool.acquire(self._organisation, now, deadline, request)
+        if self._refuses_work():
+            await self._pool.release(connection)
+            raise InstanceWithdrawnError
+        return connection
 
     async def _run_on(self, connection: PooledConnection, statement: InstanceStatement) -> Reply:
         begins = isinstance(statement.statement, Begin)
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection, Sequence
+from unittest import mock
+
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
 from support import TestCase, trio_test
-from tanagerfront.fleet_roles import rate_holders
+from tanagerfront.fleet_roles import RateHolders, rate_holders
 from tanagerfront.rate_shares import UNKNOWN_LENDER, RateShare, RateShares, TokenLoanRequest
 from tanagerfront.session_model import Organisation
 
@@ -28,6 +31,38 @@
         self.assertEqual(announced, share.lend(now, 100))
 
 
+class DivisionTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_rates_are_divided_again_only_if_organisations_or_vms_change(self) -> None:
+        # Guards against a ranking of 84 VMs for each of 84 organisations when a configuration only
+        # adds routes: statements wait for it on a VM with half a core.
+        shares = RateShares("a", _no_loan, lambda _vm, _organisation: 0)
+        ranked: list[int] = []
+
+        update = RateHolders.update
+
+        def counted(
+            holders: RateHolders, organisations: Collection[Organisation], vms: Sequence[str]
+        ) -> dict[str, tuple[str, ...]]:
+            ranked.append(len(vms))
+            return update(holders, organisations, vms)
+
+        with mock.patch.object(RateHolders, "update", counted):
+            limits = Organisation("x", 50.0, 10.0)
+            for rate_per_s, vms in (
+                (50.0, ["a", "b", "c"]),
+                (50.0, ["a", "b", "c"]),
+                (60.0, ["a", "b", "c"]),
+                (60.0, ["a", "b", "c", "d"]),
+            ):
+                shares.configure({"x": limits._replace(rate_per_s=rate_per_s)}, vms)
+        self.assertEqual([3, 3, 4], ranked)
+
+
+async def _no_loan(_request: TokenLoanRequest, _lender: str) -> int:
+    return UNKNOWN_LENDER
+
+
 class AnnouncementTest(TestCase):
     @trio_test(mock_clock=True)
     async def test_surpluses_are_announced_of_held_shares_and_follow_their_use(self) -> None:
@@ -38,10 +73,7 @@
         held = {name for name in limits if "vm-0" in rate_holders(limits[name], names)}
         self.assertTrue(0 < len(held) < 20)
 
-        async def no_loan(_request: TokenLoanRequest, _lender: str) -> int:
-            return UNKNOWN_LENDER
-
-        shares = RateShares("vm-0", no_loan, lambda _vm, _organisation: 0)
+        shares = RateShares("vm-0", _no_loan, lambda _vm, _organisation: 0)
         shares.configure(limits, names)
         await trio.sleep(2.0)
         before = dict(shares.surpluses())
