--- a/src/tanagerfront/instance_pool.py
+++ b/src/tanagerfront/instance_pool.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from .cold_rate import ColdRate
 from .entry_id import EntryId
 from .errors import DatabaseError, OverloadedError, TooManyConnectionsError
 from .idle_connections import IdleConnections
@@ -31,6 +32,7 @@
     StepDown,
     Urgency,
     Verbatim,
+    boottime_s,
 )
 from .slot_admission import ArrivalOrder, QueueCounts, SlotAdmission, SlotOrder
 from .slot_queue import SlotRequest, kind_of
@@ -192,8 +194,10 @@
         organisation: str,
         opened_at: float,
         admission: SlotAdmission | None = None,
+        cold_rate: Callable[[], ColdRate | None] = lambda: None,
         path: int = 0,
     ) -> None:
+        self._cold_rate = cold_rate
         self._connection = connection
         self._slot_admission = admission
         self._values: dict[str, str] = {}
@@ -281,6 +285,7 @@
         return replies
 
     async def _run_admitted(self, statements: Sequence[InstanceStatement]) -> list[Reply]:
+        self._take_cold_rate(statements)
         needs_slot = any(_needs_slot(statement) for statement in statements)
         if self._slot_admission is not None and needs_slot and self._held_slot is None:
             try:
@@ -294,6 +299,23 @@
         finally:
             self.release_slot(used=needs_slot)
 
+    def _take_cold_rate(self, statements: Sequence[InstanceStatement]) -> None:
+        """Count statements to a cold instance; raise OverloadedError if it gets too many."""
+        cold_rate = self._cold_rate()
+        if cold_rate is None:
+            return
+        now, count = boottime_s(), len(statements)
+        if isinstance(statements[-1].statement, Rollback):
+            # Also ends the work at the instance.
+            cold_rate.take(count, now)
+            return
+        # A connection is marked as in a transaction before its BEGIN is sent.
+        begins = not self.in_transaction or isinstance(statements[-1].statement, Begin)
+        if not cold_rate.try_take(count, now, begins=begins):
+            self._session_state_known = False
+            self.release_slot()
+            raise OverloadedError("the instance is still cold and takes no more statements")
+
     def attach_slot(self, held_slot: _HeldSlot) -> None:
         """Run the next statements in a slot that was acquired already."""
         self._held_slot = held_slot
@@ -401,6 +423,8 @@
         self._path = 0
         self._slot_admission = self._new_slot_admission()
         self.opened_total = 0
+        # Limits the statements to a cold instance, where this VM connects to it.
+        self.cold_rate: ColdRate | None = None
 
     @property
     def busy_connections(self) -> int:
@@ -427,6 +451,13 @@
         """Return the instance's load, None if this VM doesn't admit statements to its slots."""
         return None if self._slot_admission is None else self._slot_admission.load
 
+    @property
+    def may_begin_work(self) -> bool:
+        """Return whether a cold instance has room for a statement that begins work."""
+        if self.cold_rate is None:
+            return True
+        return self.cold_rate.has_room(1, boottime_s(), begins=True)
+
     @property
     def slot_order(self) -> SlotOrder:
         """Return the order in which requests get slots and connections."""
@@ -663,7 +694,12 @@
         if reservation.replaced is None:
             self._instance_full_backoff_s = INSTANCE_FULL_BACKOFF_S
         return PooledConnection(
-            connection, organisation, trio.current_time(), self._slot_admission, path
+            connection,
+            organisation,
+            trio.current_time(),
+            self._slot_admission,
+            lambda: self.cold_rate,
+            path,
         )
 
     def _back_off(self) -> None:
--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -111,6 +111,8 @@
         self._skipped_until: dict[str, float] = {}
         # Direct connections of a VM that is no home, by id of the instance.
         self._direct_open: Counter[str] = Counter()
+        # Cold instances get statements only through their homes, which count them.
+        self.is_cold: Callable[[InstanceRegistration], bool] = lambda registration: False
         # Homes by id and failure domain of the instance, for one state of the registered VMs.
         self._homes: dict[tuple[str, str], tuple[RegisteredVm, ...]] = {}
         self._homes_vms: tuple[RegisteredVm, ...] = ()
@@ -171,6 +173,9 @@
             raise refusal
         if not relay_homes:
             return await self._direct(registration, organisation)
+        if self.is_cold(registration):
+            failure = Failure(FailureCode.OVERLOADED, "no home of the cold instance answers")
+            raise InstanceRefusedError(failure)
         return await self._open_without_home(registration, organisation)
 
     async def _open_without_home(
@@ -242,7 +247,7 @@
             if self._transaction_connection is None and self._refuses_work():
                 raise InstanceWithdrawnError
             connection = await self._acquire_connection(statement)
-        except ConnectionLostError as error:
+        except (ConnectionLostError, InstanceWithdrawnError) as error:
             return self._local_reply(Failure(FailureCode.MOVED, str(error)))
         except TanagerfrontError as error:
             return self._local_reply(Failure(FailureCode.OVERLOADED, str(error)))
