--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -31,7 +31,7 @@
 # closed connections that the instance still counts for a moment.
 SPARE_CONNECTIONS = 2
 # Relayed sessions of one VM at an instance's home; they need no connection of their own.
-RELAY_POOL_LIMITS = PoolLimits(8, 8)
+RELAY_POOL_LIMITS = PoolLimits(8, 8, relayed=True)
 # With an order by urgency, statements that can wait do so at the home. The sessions that they hold
 # meanwhile must leave some to urgent statements.
 RELAYED_WAITING = 24
