--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -541,7 +541,9 @@
         chosen = choose_evenly(assessments, self._services.rng)
         if chosen is None:
             return None
-        self._services.metrics.count("reads_placed", reason=chosen.reason.value)
+        self._services.metrics.count(
+            "reads_placed", instance=chosen.candidate.id, reason=chosen.reason.value
+        )
         return chosen.candidate
 
     async def _wait_for_change(self, group: Group, attempts: Attempts) -> None:
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -290,11 +290,9 @@
             )
             self._metrics.gauge("caller_connections", self._callers.count)
             for instance in self._directory.instances():
-                self._metrics.gauge(
-                    "load_reading_age_seconds",
-                    instance.load_estimate(boottime_s()).age_s,
-                    instance=instance.registration.id,
-                )
+                load, name = instance.load_estimate(boottime_s()), instance.registration.id
+                self._metrics.gauge("load_reading_age_seconds", load.age_s, instance=name)
+                self._metrics.gauge("load_statements", load.statements or 0.0, instance=name)
             self._log.decision(
                 "status",
                 callers=self._callers.count,
