--- a/src/tanagerfront/instance_load.py
+++ b/src/tanagerfront/instance_load.py
@@ -74,8 +74,9 @@
         self._read_at = now
         self._sent_since = 0
         if reading.waiting and reading.expected_wait_s:
-            service_s = reading.expected_wait_s * slots / (reading.waiting + 1)
-            self._service_s += HOME_SERVICE_SMOOTHING * (service_s - self._service_s)
+            # A lower bound: statements may wait that an ordinary one would overtake.
+            least_s = reading.expected_wait_s * slots / (reading.waiting + 1)
+            self._service_s += HOME_SERVICE_SMOOTHING * max(0.0, least_s - self._service_s)
         return None
 
     def record_reply(
--- a/tests/test_instance_load.py
+++ b/tests/test_instance_load.py
@@ -132,6 +132,16 @@
             self.known.record_reading(load, SLOTS, NOW)
         self.assertAlmostEqual(0.1, self.known.estimate(SLOTS, NOW).service_s, delta=0.01)
 
+    def test_a_queue_that_ordinary_statements_overtake_does_not_make_an_instance_look_fast(
+        self,
+    ) -> None:
+        # Guards against long queues of late statements, which the expected wait leaves out.
+        before = self.known.estimate(SLOTS, NOW).service_s
+        for sequence in range(10):
+            load = InstanceLoad(sequence, SLOTS, 50, 0.01)
+            self.known.record_reading(load, SLOTS, NOW)
+        self.assertEqual(before, self.known.estimate(SLOTS, NOW).service_s)
+
 
 class EnabledTest(TestCase):
     def enabled(self, connections: int, *, urgency: bool = False, relayed: bool = True) -> bool:
