--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from .attempts import Attempts
+from .attempts import Attempts, urgency_of
 from .confirmed_state import ConfirmedState
 from .decision_log import DecisionLog
 from .entry_id import EntryId
@@ -20,7 +20,9 @@
     INTERNAL_STATEMENT_ID,
     InstanceRefusedError,
     InstanceStatement,
+    InstanceWithdrawnError,
     PooledConnection,
+    slot_request,
 )
 from .placement import Candidate, assess_candidates, choose_candidate, choose_evenly
 from .primary_use import expected_wait_s, primary_obstacle
@@ -41,6 +43,7 @@
     RouteKind,
     SetValue,
     TransactionState,
+    Urgency,
     Verbatim,
     Write,
     boottime_s,
@@ -119,7 +122,11 @@
         """Return the longest allowed pause before the next statement, None without a limit."""
         if self._transaction is None:
             return None
-        return self._transaction.caller.configuration.transaction_idle_s
+        limit_s = self._transaction.caller.configuration.transaction_idle_s
+        instance = self._transaction.instance
+        if instance is None or instance.evacuation is None:
+            return limit_s
+        return min(limit_s, max(0.0, instance.evacuation.transactions_until - boottime_s()))
 
     async def execute(self, query: Query) -> Reply:
         """Run one statement and return its reply; failures and refusals are replies too."""
@@ -259,7 +266,10 @@
         attempts = Attempts(caller.route, query.received_at)
         while True:
             try:
-                placement = await self._acquire_connection(caller, writes, attempts)
+                statement = self._instance_statement(
+                    query, attempts.statement_urgency(writes=writes)
+                )
+                placement = await self._acquire_connection(caller, writes, attempts, statement)
             except RefusedError:
                 if caller.organisation is not None and not attempts.sent:
                     self._services.rates.refund(caller.organisation.name)
@@ -281,7 +291,10 @@
         attempts.sent = True
         try:
             deadline = attempts.deadline if writes else attempts.read_attempt_deadline()
-            reply = await self._send(query, connection, instance, after, deadline)
+            statement = self._instance_statement(query, attempts.statement_urgency(writes=writes))
+            reply = await self._send(
+                statement._replace(after=after), connection, instance, deadline
+            )
         except OverloadedError as error:
             if not writes and attempts.start_next(instance.registration.id):
                 return None
@@ -303,6 +316,8 @@
             return reply
         if reply.failure.code in NOT_EXECUTED_CODES:
             self._recorder.record_not_run(query, instance, reply.failure)
+            if _is_refused_by_home(reply):
+                attempts.overloaded_instances.add(instance.registration.id)
             if writes and reply.failure.code is FailureCode.OVERLOADED:
                 # Only the primary can execute it; retries would add to its load.
                 return reply
@@ -334,9 +349,12 @@
         instance, connection = transaction.instance, transaction.connection
         assert instance is not None and connection is not None
         self._check_transaction(transaction)
-        deadline = query.received_at + transaction.caller.route.statement_timeout_s
+        urgency = urgency_of(transaction.caller.route, query.received_at, in_transaction=True)
+        deadline = urgency.deadline
         try:
-            reply = await self._send(query, connection, instance, None, deadline)
+            reply = await self._send(
+                self._instance_statement(query, urgency), connection, instance, deadline
+            )
         except OverloadedError as error:
             raise RefusedError(FailureCode.ABORTED, str(error)) from error
         except ConnectionLostError as error:
@@ -351,6 +369,15 @@
             raise RefusedError(
                 FailureCode.ABORTED, "the API key now belongs to another organisation"
             )
+        instance = transaction.instance
+        if (
+            instance is not None
+            and instance.evacuation is not None
+            and instance.evacuation.transactions_ended(boottime_s())
+        ):
+            raise RefusedError(
+                FailureCode.ABORTED, "the transaction's instance was taken out of service"
+            )
         if transaction.read_only:
             return
         group = self._services.directory.group(transaction.caller.route.group)
@@ -366,15 +393,24 @@
         caller = transaction.caller
         attempts = Attempts(caller.route, query.received_at)
         while True:
-            placement = await self._acquire_connection(caller, not transaction.read_only, attempts)
+            begin = InstanceStatement(
+                INTERNAL_STATEMENT_ID,
+                Begin(transaction.read_only),
+                urgency=attempts.statement_urgency(writes=not transaction.read_only),
+            )
+            placement = await self._acquire_connection(
+                caller, not transaction.read_only, attempts, begin
+            )
             instance, connection, after = placement
             connection.in_transaction = True
-            begin = InstanceStatement(INTERNAL_STATEMENT_ID, Begin(transaction.read_only), after)
+            begin = begin._replace(after=after)
             statements = [*connection.value_statements(self._values), begin]
             failure: Failure | None
             try:
                 replies = await self._run(instance, connection, statements, attempts.deadline)
                 failure = replies[-1].failure
+                if _is_refused_by_home(replies[-1]):
+                    attempts.overloaded_instances.add(instance.registration.id)
             except ConnectionLostError as error:
                 self._recorder.record_lost_answer(query, instance, error)
                 failure = Failure(FailureCode.ABORTED, str(error))
@@ -418,7 +454,11 @@
         if instance is None or connection is None:
             return
         with trio.CancelScope(shield=True):
-            if connection.reusable_after_rollback:
+            # The instance rolls back by itself when the pool closes the connection.
+            out_of_service = instance.evacuation is not None and (
+                instance.evacuation.primary_ended(boottime_s())
+            )
+            if connection.reusable_after_rollback and not out_of_service:
                 rollback = InstanceStatement(INTERNAL_STATEMENT_ID, Rollback())
                 deadline = trio.current_time() + ROLLBACK_TIMEOUT_S
                 try:
@@ -458,9 +498,13 @@
         return group.primary if obstacle is None else None
 
     async def _acquire_connection(
-        self, caller: AuthorisedCaller, at_primary: bool, attempts: Attempts
+        self,
+        caller: AuthorisedCaller,
+        at_primary: bool,
+        attempts: Attempts,
+        statement: InstanceStatement,
     ) -> _Placement:
-        """Choose an instance and acquire a connection to it; raises RefusedError."""
+        """Choose an instance and acquire a connection for a statement; raises RefusedError."""
         directory = self._services.directory
         while True:
             group = directory.group(caller.route.group)
@@ -468,10 +512,19 @@
             if instance is None:
                 await self._wait_for_change(group, attempts)
                 continue
+            if instance.registration.id in attempts.overloaded_instances:
+                raise RefusedError(
+                    FailureCode.OVERLOADED, "every instance that may execute it is overloaded"
+                )
             try:
                 connection = await instance.pool.acquire(
-                    caller.organisation_name, attempts.urgency, attempts.wait_deadline
+                    caller.organisation_name,
+                    attempts.urgency,
+                    attempts.wait_deadline,
+                    slot_request(caller.organisation_name, statement),
                 )
+            except InstanceWithdrawnError:
+                continue
             except OverloadedError as error:
                 raise RefusedError(FailureCode.OVERLOADED, str(error)) from error
             except TooManyConnectionsError as error:
@@ -487,8 +540,10 @@
                 if not attempts.start_next(instance.registration.id):
                     raise RefusedError(FailureCode.OVERLOADED, str(error)) from error
                 continue
-            if at_primary and self._usable_primary(group) is not instance:
-                # The primary changed while the statement waited for the connection.
+            withdrawn = instance.evacuation is not None or at_primary
+            if withdrawn and self._usable_primary(group) is not instance:
+                # The primary changed, or the instance was taken out of service, while the statement
+                # waited for the connection.
                 await instance.pool.release(connection)
                 continue
             return _Placement(instance, connection, after)
@@ -507,9 +562,10 @@
         eligible = [
             instance
             for instance in group.instances.values()
-            if instance is primary
-            or (
-                not instance.leaving
+            if instance.evacuation is None
+            and (
+                instance is primary
+                or not instance.leaving
                 and instance.unreachable_since is None
                 and instance is not group.primary
             )
@@ -569,20 +625,21 @@
 
     # Execution
 
+    @staticmethod
+    def _instance_statement(query: Query, urgency: Urgency) -> InstanceStatement:
+        match query.statement:
+            case Execute() as execute:
+                return InstanceStatement(query.id, execute, urgency=urgency)
+        return InstanceStatement(query.id, Verbatim(query.text), urgency=urgency)
+
     async def _send(
         self,
-        query: Query,
+        statement: InstanceStatement,
         connection: PooledConnection,
         instance: Instance,
-        after: EntryId | None,
         deadline: float,
     ) -> Reply:
         """Run a caller's statement after those that set up the session; see `_run` for errors."""
-        match query.statement:
-            case Execute() as execute:
-                statement = InstanceStatement(query.id, execute, after)
-            case _:
-                statement = InstanceStatement(query.id, Verbatim(query.text), after)
         statements = connection.session_statements(self._values, self._prepared, statement)
         replies = await self._run(instance, connection, statements, deadline)
         return replies[-1]
@@ -635,3 +692,12 @@
     def _record_write(self, group: str, reached: EntryId | None) -> None:
         self._last_write = reached
         self._last_write_group = group
+
+
+def _is_refused_by_home(reply: Reply) -> bool:
+    """Return whether the queue of an instance's home refused a statement, not the instance itself.
+
+    Only the instance knows a position of its log.
+    """
+    failure = reply.failure
+    return failure is not None and failure.code is FailureCode.OVERLOADED and reply.reached is None
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -7,18 +7,25 @@
 
 import trio
 
+from .configuration_spread import spread_sources
 from .confirmed_state import ConfirmedState
 from .decision_log import DecisionLog
 from .errors import HistoryLostError, KeyValueError, StoreRestoredError
+from .evacuation import Evacuation, Evacuations, OrderOutcome
 from .fleet_roles import COORDINATORS, coordinators
 from .fleet_store import (
     Change,
     ConfigurationChanged,
+    DomainEvacuated,
+    DomainReturned,
     EraSettled,
+    FleetState,
     FleetStore,
     InstanceChanged,
     InstanceUnregistered,
     KnownRevisions,
+    LargeValues,
+    PeerRead,
     PrimaryRecordChanged,
     PromoterLock,
     PromoterLockAcquired,
@@ -89,6 +96,15 @@
     # Changes within this time are read with one call; the VMs of a starting fleet register within
     # 0.3 s.
     batch_window_s: float = 0.4
+    # A promoter announces a record when it has written it, before its own watch returns it. Reading
+    # the store instead would take a call, and a large configuration, per VM.
+    announcer_wait_s: float = 0.3
+    # A VM above in the tree has the value two heartbeats later at most; after this wait the next
+    # source is asked.
+    spread_wait_s: float = 0.6
+    # While large values are on their way, a VM that is not a coordinator does not check, because
+    # the reply would contain the whole configuration. Longer than the wait for all sources.
+    spread_patience_s: float = 2.8
     # Instances whose registrations expired during an outage of the store register again within 2 s
     # of its return.
     instance_grace_s: float = 2.2
@@ -109,6 +125,7 @@
         own: RegisteredVm,
         log: DecisionLog,
         timing: SyncTiming | None = None,
+        evacuation_s: float | None = None,
     ) -> None:
         self._store = store
         self._confirmed_state = confirmed_state
@@ -117,8 +134,12 @@
         self._own = own
         self._log = log
         self._timing = timing or SyncTiming()
+        # None where the deployment evacuates no failure domains.
+        self._evacuations = None if evacuation_s is None else Evacuations(evacuation_s)
+        self._unreported_evacuations: dict[str, Evacuation] = {}
         self._vms: dict[str, RegisteredVm] = {}
         # Computed on demand (None until then), because registrations arrive in large numbers.
+        self._vm_list: tuple[RegisteredVm, ...] | None = None
         self._coordinators: tuple[str, ...] | None = None
         self._shares_outdated = False
         self._instance_unregistered_since: dict[str, float] = {}
@@ -138,17 +159,30 @@
         self._revision = 0
         self._announced_revision = 0
         self._announcer = ""
+        # Up to this revision all changes but those with large values have been applied.
+        self._followed_revision = 0
+        # Revision whose changes with large values are to be fetched from peer VMs, and since when.
+        self._spread_revision = 0
+        self._spread_since = float("-inf")
+        self._spread_requested = trio.Event()
+        self._spread_failed = False
         self._watch_scope = trio.CancelScope()
         self._announced_event = trio.Event()
         self._last_echo_at = float("-inf")
         self._announced_urgent = False
         self.on_primary_change: Callable[[], None] = lambda: None
+        self.on_evacuation_change: Callable[[str, bool], None] = lambda domain, evacuated: None
         store.on_restored(self._begin_era)
 
     @property
-    def vms(self) -> Sequence[RegisteredVm]:
-        """Return the registered VMs and those whose lease ended within the grace time."""
-        return tuple(self._vms.values())
+    def vms(self) -> tuple[RegisteredVm, ...]:
+        """Return the registered VMs and those whose lease ended within the grace time.
+
+        It is the same tuple until a VM changes.
+        """
+        if self._vm_list is None:
+            self._vm_list = tuple(self._vms.values())
+        return self._vm_list
 
     @property
     def vms_with_lease(self) -> Sequence[RegisteredVm]:
@@ -217,6 +251,7 @@
         async with trio.open_nursery() as nursery:
             for task in (
                 self._run_watch,
+                self._run_spread,
                 self._run_checks,
                 self._run_lease,
                 self._run_restoration,
@@ -226,7 +261,8 @@
 
     async def apply(self, changes: Sequence[Change]) -> None:
         """Apply changes of the store's keys."""
-        for change in changes:
+        # Whether a failure domain may be evacuated depends on the registered instances.
+        for change in sorted(changes, key=_is_evacuation):
             await self._apply_one(change)
         if self._shares_outdated:
             # Once per batch: a division takes about 6 ms with 81 VMs and 83 organisations.
@@ -262,7 +298,7 @@
                 known = self._vms.get(vm.name)
                 self._vms[vm.name] = vm
                 self._vm_unregistered_since.pop(vm.name, None)
-                self._coordinators = None
+                self._coordinators = self._vm_list = None
                 if known is None:
                     self._log.decision("vm_registered", peer=vm.name, vms=len(self._vms))
                     self._shares_outdated = True
@@ -280,6 +316,88 @@
                 self._log.decision("promoter_seat", holder=None)
             case EraSettled(era):
                 self._settle(era)
+            case DomainEvacuated() | DomainReturned():
+                self._apply_evacuation(change)
+
+    def _apply_evacuation(self, change: DomainEvacuated | DomainReturned) -> None:
+        domain, revision = change.failure_domain, change.revision
+        if self._evacuations is None:
+            self._log.decision("evacuation_ignored", failure_domain=domain, revision=revision)
+            return
+        match change:
+            case DomainEvacuated(_, _, readable):
+                known_domains = self._directory.failure_domains
+                outcome = self._evacuations.order(
+                    domain,
+                    revision,
+                    readable=readable,
+                    known_domains=known_domains,
+                    # The last confirmation came before the order.
+                    ordered_at=boottime_s() - self._confirmed_state.confirmation_age_s,
+                )
+                self._log.decision(
+                    "evacuation_ordered",
+                    failure_domain=domain,
+                    revision=revision,
+                    outcome=outcome.value,
+                    known=domain in known_domains,
+                )
+            case DomainReturned():
+                outcome = self._evacuations.remove(domain, revision)
+                self._log.decision(
+                    "evacuation_removed",
+                    failure_domain=domain,
+                    revision=revision,
+                    outcome=outcome.value,
+                )
+        if outcome not in (OrderOutcome.EVACUATED, OrderOutcome.RETURNED):
+            return
+        in_force = self._evacuations.in_force
+        self._directory.set_evacuations(in_force)
+        self._unreported_evacuations.pop(domain, None)
+        if domain in in_force:
+            self._unreported_evacuations[domain] = in_force[domain]
+        self.on_evacuation_change(domain, domain in in_force)
+        if self.is_coordinator:
+            # Renews the confirmations of all VMs, which an unknown order interrupts.
+            self.request_check()
+
+    def _report_evacuations(self, now: float) -> None:
+        """Log how long after its order an evacuated domain still answered this VM."""
+        for domain, evacuation in tuple(self._unreported_evacuations.items()):
+            if now - evacuation.ordered_at < evacuation.bound_s:
+                continue
+            del self._unreported_evacuations[domain]
+            answered_at = max(
+                (
+                    instance.answered_at
+                    for instance in self._directory.instances()
+                    if instance.registration.failure_domain == domain
+                ),
+                default=evacuation.ordered_at,
+            )
+            self._log.decision(
+                "evacuation_ended",
+                failure_domain=domain,
+                last_answer_s=round(max(0.0, answered_at - evacuation.ordered_at), 3),
+                primaries=[
+                    group.name
+                    for group in self._directory.groups.values()
+                    if group.primary is not None and group.primary.evacuation is not None
+                ],
+            )
+
+    @property
+    def _evacuated_in_era(self) -> list[str]:
+        """Return the evacuated domains, without those whose orders a restored store has lost."""
+        if self._evacuations is None:
+            return []
+        revisions = self._evacuations.revisions
+        return sorted(
+            domain
+            for domain in self._evacuations.in_force
+            if self._revision_in_era(revisions[domain])
+        )
 
     def _settle(self, era: int) -> None:
         before = self._era.settled
@@ -354,8 +472,9 @@
             wait_s = self._timing.catch_up_watch_wait_s
         if not self._loaded:
             return
-        if await self._fetch_from_announcer():
+        if not self._spread_failed and await self._fetch_from_announcer():
             return
+        self._spread_failed = False
         changes: Sequence[Change] = ()
         revision = self._revision
         with trio.CancelScope() as self._watch_scope:
@@ -367,34 +486,110 @@
         self._record_applied(revision)
 
     async def _fetch_from_announcer(self) -> bool:
-        """Apply changes from the VM that announced them; return whether all were received."""
+        """Apply changes from the VM that announced them; return whether all are received.
+
+        Large values follow from another VM, so that primary records don't wait for them.
+        """
         announcer = self._vms.get(self._announcer)
         if announcer is None or self._revision >= self._announced_revision:
             return False
+        revision = self._announced_revision
+        read = PeerRead(
+            self._revision, LargeValues.WITHHELD, revision, self._timing.announcer_wait_s
+        )
         try:
-            # A configuration may have 260 kB. Such values come from a peer only while the store
-            # refuses this VM, which then has no other source.
-            changes, revision = await self._store.fetch_from_peer(
-                announcer, self._revision, large=not self._connected
-            )
+            found = await self._store.fetch_from_peer(announcer, read)
+        except HistoryLostError as error:
+            self._log.decision("not_followed", peer=announcer.name, error=str(error))
+            # VMs of builds that don't withhold large values refuse them.
+            return self._request_spread(revision)
         except KeyValueError as error:
             self._log.decision("not_followed", peer=announcer.name, error=str(error))
-            return False
+            return self._spread_pending and self._request_spread(revision)
         if not self._loaded:
             return False
-        await self.apply(changes)
-        self._record_applied(revision)
-        return revision >= self._announced_revision
+        await self.apply(found.changes)
+        if found.withheld:
+            self._confirmed_state.record_applied(min(found.revision, self.seen_revision))
+            return self._request_spread(max(revision, found.revision))
+        self._record_applied(found.revision)
+        return self._revision >= self._announced_revision
+
+    @property
+    def _spread_pending(self) -> bool:
+        return self._loaded and self._revision < self._spread_revision
+
+    def _request_spread(self, revision: int) -> bool:
+        """Let large values be fetched from peer VMs; return whether this VM does that."""
+        if self.is_coordinator and self._connected:
+            # Reads them from the store, for the VMs of its failure domain.
+            return False
+        if not self._spread_pending:
+            self._spread_since = boottime_s()
+        self._spread_revision = max(self._spread_revision, revision)
+        self._followed_revision = max(self._followed_revision, revision)
+        self._spread_requested.set()
+        return True
+
+    async def _run_spread(self) -> None:
+        while True:
+            if not self._spread_pending:
+                self._spread_requested = trio.Event()
+                await self._spread_requested.wait()
+            elif not await self._fetch_large_values():
+                # The watch reads them from the store, and asks the peers again if that fails.
+                self._log.failure("spread_failed", revision=self._spread_revision)
+                self._spread_revision = self._followed_revision = 0
+                self._spread_failed = self._announced_urgent = True
+                self._wake_watch()
+
+    async def _fetch_large_values(self) -> bool:
+        """Apply changes with large values from a peer VM; return whether one had them."""
+        names = spread_sources(self._own, self.vms, self.coordinators, self._announcer)
+        sources = [(name, LargeValues.DEFLATED) for name in names]
+        if not self._connected:
+            # The store does not answer this VM either, so that no other source is left.
+            sources.append((self._announcer, LargeValues.PLAIN))
+        for name, large in sources:
+            if not self._spread_pending:
+                return True
+            peer = self._vms.get(name)
+            if peer is not None and await self._fetch_large_values_from(peer, large):
+                return True
+        return not self._spread_pending
+
+    async def _fetch_large_values_from(self, peer: RegisteredVm, large: LargeValues) -> bool:
+        revision, started_at = self._spread_revision, boottime_s()
+        read = PeerRead(self._revision, large, revision, self._timing.spread_wait_s)
+        try:
+            found = await self._store.fetch_from_peer(peer, read)
+        except KeyValueError as error:
+            self._log.decision("not_followed", peer=peer.name, error=str(error))
+            return False
+        if not self._loaded:
+            return True
+        await self.apply(found.changes)
+        self._record_applied(found.revision)
+        self._log.decision(
+            "large_values_received",
+            peer=peer.name,
+            failure_domain=peer.failure_domain,
+            revision=found.revision,
+            bytes=found.size,
+            duration_ms=round((boottime_s() - started_at) * 1000, 1),
+        )
+        return found.revision >= revision
 
     def _record_applied(self, revision: int) -> None:
         """Record that all changes up to a revision of the store have been applied."""
-        self._revision = revision
+        # Two sources may be read at once.
+        self._revision = max(self._revision, revision)
         # A newer record that could not be decoded was not applied.
         self._confirmed_state.record_applied(min(revision, self.seen_revision))
 
     async def _wait_for_announcement(self) -> None:
         """Wait until newer changes are announced or no coordinator has replied for a while."""
-        while self._loaded and self._revision >= self._announced_revision:
+        while self._loaded and not self._spread_failed and self._follows_announcements:
             with trio.move_on_after(self._timing.announcement_timeout_s):
                 await self._announced_event.wait()
             if boottime_s() - self._last_echo_at > self._timing.announcement_timeout_s:
@@ -406,15 +601,23 @@
                 await self._announced_event.wait()
         self._announced_urgent = False
 
+    @property
+    def _follows_announcements(self) -> bool:
+        return max(self._revision, self._followed_revision) >= self._announced_revision
+
     def record_echo(self, vm: str, echo: Echo) -> None:
         """Use a coordinator's reply to a heartbeat as a confirmation and an announcement."""
         self._last_echo_at = boottime_s()
         configuration = self._confirmed_state.configuration
         newer = configuration is not None and (echo.configuration_revision > configuration.revision)
+        # A VM that is not asked to evacuate domains goes without this comparison.
+        same_domains = self._evacuations is None or echo.evacuated == self._evacuated_in_era
+        newer = newer or not same_domains
         self._announced_urgent = self._announced_urgent or newer
         self._record_announcement(vm, echo.store_revision)
         if (
             configuration
+            and same_domains
             and echo.configuration_revision == configuration.revision
             and echo.configuration_version in (configuration.version, 0)
         ):
@@ -458,6 +661,7 @@
             configuration_revision=configuration.revision if configuration else 0,
             store_revision=self._revision,
             configuration_version=configuration.version if configuration else 0,
+            evacuated=self._evacuated_in_era,
         )
 
     async def _load(self) -> None:
@@ -474,18 +678,38 @@
         removals += [VmUnregistered(name) for name in self._vms.keys() - state.vms]
         if not state.has_promoter and self._promoter_lock is not None:
             removals.append(PromoterLockReleased())
+        removals += self._removed_orders(state)
         changes = [change for change in state.changes if not self._is_outdated(change)]
         await self.apply([*changes, *removals])
         if self._store.era != self._era.era:
             return
         self._directory.keep_lost_records(state.groups)
         self._loaded = True
+        self._spread_revision = self._followed_revision = 0
         self._record_applied(state.revision)
         if not self._era.settled:
             self._confirmed_state.expect_confirmation(requested_at + EXPECTED_SETTLING_S)
         elif state.readable:
             self._confirm(requested_at)
 
+    def _removed_orders(self, state: FleetState) -> list[Change]:
+        """Return the removals of orders that the store does not hold any more.
+
+        Those that a restored store has lost stay in force until operators repeat and remove them.
+        """
+        revisions = {} if self._evacuations is None else self._evacuations.revisions
+        missing = {
+            domain: revision
+            for domain, revision in revisions.items()
+            if domain not in state.evacuated_domains
+        }
+        lost = [
+            domain for domain, revision in missing.items() if not self._revision_in_era(revision)
+        ]
+        if lost:
+            self._log.failure("evacuation_lost", failure_domains=lost, era=self._era.era)
+        return [DomainReturned(domain, state.revision) for domain in missing if domain not in lost]
+
     def _is_outdated(self, change: Change) -> bool:
         """Return whether a restored store holds an older registration than this VM knows.
 
@@ -552,6 +776,10 @@
             # The first coordinator checks for all; each further one checks later, if none did.
             rank = names.index(self._own.name) if len(names) == COORDINATORS else 0
             limit_s = self._timing.check_interval_s + rank * self._timing.coordinator_stagger_s
+        if not requested and self._spread_pending and not self.is_coordinator:
+            patience_s = self._timing.spread_patience_s
+            if boottime_s() - self._spread_since < patience_s:
+                return False
         return requested or self._confirmed_state.confirmation_age_s >= limit_s
 
     def _reload(self) -> None:
@@ -588,7 +816,20 @@
         for name in configuration.groups:
             record = self._directory.group(name).primary_record
             primary_revisions[name] = self._revision_in_era(record.revision) if record else 0
-        return KnownRevisions(self._revision_in_era(configuration.revision), primary_revisions)
+        return KnownRevisions(
+            self._revision_in_era(configuration.revision),
+            primary_revisions,
+            self._known_orders(),
+        )
+
+    def _known_orders(self) -> dict[str, int]:
+        """Return the revisions of the orders for all failure domains with instances."""
+        if self._evacuations is None:
+            return {}
+        orders = dict.fromkeys(self._directory.failure_domains, 0)
+        for domain, revision in self._evacuations.revisions.items():
+            orders[domain] = self._revision_in_era(revision)
+        return orders
 
     def _revision_in_era(self, revision: int) -> int:
         """Return a revision, 0 if the entry was not read again since the store was restored."""
@@ -678,6 +919,7 @@
                 if now - since >= self._timing.instance_grace_s:
                     del self._instance_unregistered_since[instance_id]
                     await self._directory.mark_unregistered(instance_id)
+            self._report_evacuations(now)
             await self._apply_outdated(now)
             await self._remove_unregistered_vms(now)
             await self._directory.remove_unregistered(INSTANCE_RETENTION_S)
@@ -690,7 +932,7 @@
                 continue
             del self._vm_unregistered_since[name]
             del self._vms[name]
-            self._coordinators = None
+            self._coordinators = self._vm_list = None
             self._log.decision("vm_gone", peer=name, vms=len(self._vms))
             self._shares_outdated = True
         if self._shares_outdated:
@@ -731,3 +973,7 @@
             self._log.failure("store_lost", call=call, error=str(error))
         else:
             self._log.failure("store_call_failed", call=call, error=str(error))
+
+
+def _is_evacuation(change: Change) -> bool:
+    return isinstance(change, DomainEvacuated | DomainReturned)
--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -8,11 +8,13 @@
 import trio
 
 from .entry_id import EntryId
+from .evacuation import Evacuation
 from .instance_load import KnownLoad
 from .instance_pool import InstancePool, Opener, PoolLimits
 from .placement import Candidate, LoadEstimate
 from .position_samples import PositionSamples
 from .session_model import InstanceRegistration, InstanceRole, Reply, boottime_s
+from .slot_admission import ArrivalOrder, SlotOrder, UrgencyOrder
 
 __all__ = [
     "HOMES_PER_INSTANCE",
@@ -29,6 +31,9 @@
 SPARE_CONNECTIONS = 2
 # Relayed sessions of one VM at an instance's home; they need no connection of their own.
 RELAY_POOL_LIMITS = PoolLimits(8, 8)
+# With an order by urgency, statements that can wait do so at the home. The sessions that they hold
+# meanwhile must leave some to urgent statements.
+RELAYED_WAITING = 24
 # Response time that is assumed before the first measurement.
 INITIAL_RESPONSE_S = 0.02
 # Smaller fleets share the connections without a relay, which saves a hop; see `relay`.
@@ -83,6 +88,8 @@
         self.unregistered_since: float | None = None
         self.draining_since: float | None = None
         self.answered_at = boottime_s()
+        # The order by which the instance's failure domain is out of service, None without one.
+        self.evacuation: Evacuation | None = None
 
     @property
     def leaving(self) -> bool:
@@ -170,6 +177,27 @@
         ]
         return max(claimants, key=lambda instance: instance.registration.revision, default=None)
 
+    def successors(self, primary: Instance | None) -> Sequence[Instance]:
+        """Return the instances that may become primary in place of the given one."""
+        return [
+            instance
+            for instance in self.instances.values()
+            if instance is not primary and not instance.leaving and instance.evacuation is None
+        ]
+
+    def refuses_work(self, instance: Instance, now: float) -> bool:
+        """Return whether the instance gets no new statements because of an evacuation.
+
+        A primary serves until another one has been promoted or the time for that has passed.
+        """
+        if instance.evacuation is None:
+            return False
+        if self.primary_record is not None:
+            is_primary = self.primary_record.instance == instance.registration.id
+        else:
+            is_primary = self.primary is instance
+        return not is_primary or instance.evacuation.primary_ended(now)
+
     @property
     def superseded(self) -> bool:
         """Return whether another primary has followed the recorded one, unknown to the store.
@@ -186,11 +214,15 @@
 class InstanceDirectory:
     """Registered groups and instances; the state of instances is kept across re-registrations."""
 
-    def __init__(self, opener: Opener, failure_domain: str) -> None:
+    def __init__(
+        self, opener: Opener, failure_domain: str, slot_order: SlotOrder | None = None
+    ) -> None:
+        self._slot_order = slot_order or ArrivalOrder()
         self._opener = opener
         self._failure_domain = failure_domain
         self._groups: dict[str, Group] = {}
         self._unrecorded: dict[str, float] = {}
+        self._evacuations: Mapping[str, Evacuation] = {}
         self._vms = 1
         self._connections: Mapping[str, int] = {}
         self.on_change: Callable[[str, Instance], None] = lambda change, instance: None
@@ -251,6 +283,7 @@
                 await instance.pool.close()
             pool = InstancePool(registration, self._opener, self._limits(registration))
             instance = group.instances[registration.id] = Instance(registration, pool)
+            instance.evacuation = self._evacuations.get(registration.failure_domain)
             instance.is_first_home = self._is_first_home(registration)
             self.on_change("registered", instance)
         if instance.registration.role is not registration.role:
@@ -265,6 +298,22 @@
             instance.draining_since = None
         group.notify()
 
+    @property
+    def failure_domains(self) -> frozenset[str]:
+        """Return the failure domains of the known instances."""
+        return frozenset(instance.registration.failure_domain for instance in self.instances())
+
+    def set_evacuations(self, evacuations: Mapping[str, Evacuation]) -> None:
+        """Set the failure domains that are out of service; wake the statements concerned."""
+        self._evacuations = evacuations
+        for group in self._groups.values():
+            for instance in group.instances.values():
+                before = instance.evacuation
+                instance.evacuation = evacuations.get(instance.registration.failure_domain)
+                if before is None and group.refuses_work(instance, boottime_s()):
+                    instance.pool.dismiss_waiting()
+            group.notify()
+
     async def mark_unregistered(self, instance_id: str) -> None:
         """Record that an instance is not registered any more."""
         instance = self.find(instance_id)
@@ -358,10 +407,17 @@
         )
 
     def _limits(self, registration: InstanceRegistration) -> PoolLimits:
+        limits = self._connection_limits(registration)
+        return limits._replace(slot_order=self._slot_order)
+
+    def _connection_limits(self, registration: InstanceRegistration) -> PoolLimits:
         connections = self._connections.get(registration.group, self._vms)
         if self._vms < MIN_VMS_FOR_RELAY:
             return connection_budget(connections, self._vms)
         if self.uses_relay(registration):
+            match self._slot_order:
+                case UrgencyOrder():
+                    return RELAY_POOL_LIMITS._replace(max_open=RELAYED_WAITING)
             return RELAY_POOL_LIMITS
         limit = int(
             (connections - SPARE_CONNECTIONS) * HOME_CONNECTION_SHARES[self.home_rank(registration)]
--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
@@ -22,8 +23,10 @@
     InstancePool,
     InstanceRefusedError,
     InstanceStatement,
+    InstanceWithdrawnError,
     Opener,
     PooledConnection,
+    slot_request,
 )
 from .rendezvous import rendezvous_score
 from .session_model import (
@@ -41,6 +44,8 @@
     TransactionState,
     Verbatim,
 )
+from .slot_admission import UrgencyOrder
+from .slot_queue import waiting_limit
 
 __all__ = ["RelayOpener", "RelaySession", "RoutingOpener", "homes"]
 
@@ -60,10 +65,16 @@
     VMs in the instance's failure domain are preferred, then those with the most processor cores.
     """
 
-    def rank(vm: RegisteredVm) -> tuple[bool, float, int]:
-        score = rendezvous_score("home", registration.id, vm.name)
-        return vm.failure_domain != registration.failure_domain, -vm.cores, score
+    def suitability(vm: RegisteredVm) -> tuple[bool, float]:
+        return vm.failure_domain != registration.failure_domain, -vm.cores
 
+    def rank(vm: RegisteredVm) -> tuple[tuple[bool, float], int]:
+        return suitability(vm), rendezvous_score("home", registration.id, vm.name)
+
+    if len(vms) > HOMES_PER_INSTANCE:
+        # Only VMs that are as suitable as the last home need a score.
+        last = heapq.nsmallest(HOMES_PER_INSTANCE, map(suitability, vms))[-1]
+        vms = [vm for vm in vms if suitability(vm) <= last]
     return tuple(sorted(vms, key=rank)[:HOMES_PER_INSTANCE])
 
 
@@ -84,7 +95,7 @@
         own_vm: str,
         direct: Opener,
         relay: RelayOpener,
-        vms: Callable[[], Sequence[RegisteredVm]],
+        vms: Callable[[], tuple[RegisteredVm, ...]],
         log: DecisionLog,
     ) -> None:
         self._log = log
@@ -93,6 +104,9 @@
         self._relay = relay
         self._vms = vms
         self._skipped_until: dict[str, float] = {}
+        # Homes by id and failure domain of the instance, for one state of the registered VMs.
+        self._homes: dict[tuple[str, str], tuple[RegisteredVm, ...]] = {}
+        self._homes_vms: tuple[RegisteredVm, ...] = ()
 
     def uses_relay(self, registration: InstanceRegistration) -> bool:
         """Return whether statements for an instance go through another VM."""
@@ -103,16 +117,26 @@
 
         0 is the home that the other VMs prefer, or a VM that is no home.
         """
-        names = [home.name for home in homes(registration, self._vms())]
+        names = [home.name for home in self._instance_homes(registration)]
         return names.index(self._own_vm) if self._own_vm in names else 0
 
     def _relay_homes(self, registration: InstanceRegistration) -> tuple[RegisteredVm, ...]:
         """Return the homes to relay through, or none if this VM connects directly."""
-        vms = self._vms()
-        if len(vms) < MIN_VMS_FOR_RELAY:
+        if len(self._vms()) < MIN_VMS_FOR_RELAY:
             return ()
-        instance_homes = homes(registration, vms)
-        return () if self._own_vm in {home.name for home in instance_homes} else instance_homes
+        instance_homes = self._instance_homes(registration)
+        is_home = any(home.name == self._own_vm for home in instance_homes)
+        return () if is_home else instance_homes
+
+    def _instance_homes(self, registration: InstanceRegistration) -> tuple[RegisteredVm, ...]:
+        """Return an instance's homes, computed once for each state of the registered VMs."""
+        vms = self._vms()
+        if vms is not self._homes_vms:
+            self._homes_vms, self._homes = vms, {}
+        key = registration.id, registration.failure_domain
+        if key not in self._homes:
+            self._homes[key] = homes(registration, vms)
+        return self._homes[key]
 
     async def __call__(self, registration: InstanceRegistration, organisation: str) -> Connection:
         """Open a connection; raises what the direct opener raises.
@@ -146,10 +170,16 @@
     """
 
     def __init__(
-        self, pool: InstancePool, organisation: str, peer_waiting: Callable[[], bool] = lambda: True
+        self,
+        pool: InstancePool,
+        organisation: str,
+        peer_waiting: Callable[[], bool] = lambda: True,
+        refuses_work: Callable[[], bool] = lambda: False,
     ) -> None:
         self._pool = pool
         self._peer_waiting = peer_waiting
+        # Whether the instance is out of service for new statements.
+        self._refuses_work = refuses_work
         self._organisation = organisation
         self._values: dict[str, str] = {}
         self._prepared: dict[str, tuple[bool, str]] = {}
@@ -178,7 +208,9 @@
                 self._values = {}
                 self._prepared = {}
         try:
-            connection = await self._acquire_connection()
+            if self._transaction_connection is None and self._refuses_work():
+                raise InstanceWithdrawnError
+            connection = await self._acquire_connection(statement)
         except ConnectionLostError as error:
             return self._local_reply(Failure(FailureCode.MOVED, str(error)))
         except TanagerfrontError as error:
@@ -204,11 +236,20 @@
         )
         return Reply(failure=failure, state=state)
 
-    async def _acquire_connection(self) -> PooledConnection:
+    async def _acquire_connection(self, statement: InstanceStatement) -> PooledConnection:
         if self._transaction_connection is not None:
             return self._transaction_connection
         now = trio.current_time()
-        return await self._pool.acquire(self._organisation, now, now + MAX_CONNECTION_WAIT_S)
+        deadline = now + MAX_CONNECTION_WAIT_S
+        match self._pool.slot_order:
+            case UrgencyOrder() if statement.urgency is not None:
+                deadline = waiting_limit(statement.urgency, now)
+        request = slot_request(self._organisation, statement)
+        connection = await self._pool.acquire(self._organisation, now, deadline, request)
+        if self._refuses_work():
+            await self._pool.release(connection)
+            raise InstanceWithdrawnError
+        return connection
 
     async def _run_on(self, connection: PooledConnection, statement: InstanceStatement) -> Reply:
         begins = isinstance(statement.statement, Begin)
--- a/src/tanagerfront/session_peer_messages.py
+++ b/src/tanagerfront/session_peer_messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from .position_exchange import PassedPosition
+
 __all__ = [
     "Datagram",
     "Echo",
@@ -29,6 +31,8 @@
     store_revision: int
     # After its return from a copy the store may hold an older version than VMs know.
     configuration_version: int = 0
+    # Failure domains that are evacuated in the replying VM's view.
+    evacuated: list[str] = []
 
 
 class Heartbeat(msgspec.Struct, tag="h", array_like=True):
@@ -44,6 +48,8 @@
     # Rate tokens that the VM offers to lend, by organisation.
     surplus: dict[str, int]
     echo: Echo | None = None
+    # Positions of primaries, only in a reply to a heartbeat.
+    positions: list[PassedPosition] = msgspec.field(default_factory=list)
 
 
 class LoanRequest(msgspec.Struct, tag="r", array_like=True):
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -12,6 +13,7 @@
 from tanagerfront.entry_id import EntryId
 from tanagerfront.errors import (
     ConnectionLostError,
+    HistoryLostError,
     KeyValueTimeoutError,
     KeyValueUnavailableError,
     TanagerfrontError,
@@ -21,9 +23,14 @@
     Change,
     CheckResult,
     ConfigurationChanged,
+    DomainEvacuated,
+    DomainReturned,
     FleetState,
     InstanceChanged,
     KnownRevisions,
+    LargeValues,
+    PeerChanges,
+    PeerRead,
     PrimaryRecordChanged,
     PromoterLock,
     PromoterLockAcquired,
@@ -241,10 +248,18 @@
         self.primary_records: dict[str, PrimaryRecord] = {}
         self.registrations: dict[str, InstanceRegistration] = {}
         self.vms: dict[str, RegisteredVm] = {}
+        self.evacuations: dict[str, DomainEvacuated] = {}
         self.promoter_lock: PromoterLock | None = None
         self.down = False
         self.lose_answers = 0
         self.forwarding_down = False
+        self.configurations_are_large = False
+        self.large_values_delay_s = 0.0
+        self.peers_without_large_values: set[str] = set()
+        self._peer_revision: float = math.inf
+        # VMs of builds that refuse large changes unless asked for them uncompressed.
+        self.old_builds: set[str] = set()
+        self.peer_reads: list[tuple[str, LargeValues]] = []
         self.call_names: list[str] = []
         self._leases = itertools.count(100)
         self._changes: list[tuple[int, Change]] = []
@@ -272,11 +287,23 @@
                 change = PromoterLockAcquired(self.promoter_lock)
             case PromoterLockReleased():
                 self.promoter_lock = None
+            case DomainEvacuated(domain, _, readable):
+                change = DomainEvacuated(domain, self.revision, readable)
+                self.evacuations[domain] = change
+            case DomainReturned(domain, _):
+                change = DomainReturned(domain, self.revision)
+                self.evacuations.pop(domain, None)
         self._changes.append((self.revision, change))
         changed, self._changed = self._changed, trio.Event()
         changed.set()
         return self.revision
 
+    def set_peer_revision(self, revision: int) -> None:
+        """Let changes after a revision not reach the peer VMs for now."""
+        self._peer_revision = revision
+        changed, self._changed = self._changed, trio.Event()
+        changed.set()
+
     @property
     def calls(self) -> dict[str, int]:
         return {name: self.call_names.count(name) for name in set(self.call_names)}
@@ -311,7 +338,8 @@
 
     async def load(self) -> FleetState:
         self._call("load")
-        changes: list[Change] = [VmChanged(registered) for registered in self.vms.values()]
+        changes: list[Change] = list(self.evacuations.values())
+        changes += [VmChanged(registered) for registered in self.vms.values()]
         changes += [InstanceChanged(registration) for registration in self.registrations.values()]
         changes += [PrimaryRecordChanged(record) for record in self.primary_records.values()]
         if self.promoter_lock:
@@ -326,6 +354,7 @@
             self.promoter_lock is not None,
             self.configuration is not None,
             self.revision,
+            frozenset(self.evacuations),
         )
 
     async def watch(self, after: int, wait_s: float) -> tuple[Sequence[Change], int]:
@@ -336,13 +365,26 @@
         self._call("watch")
         return [change for at, change in self._changes if at > after], self.revision
 
-    async def fetch_from_peer(
-        self, vm: RegisteredVm, after: int, *, large: bool
-    ) -> tuple[Sequence[Change], int]:
-        self.call_names.append("fetch_from_peer large" if large else "fetch_from_peer")
+    async def fetch_from_peer(self, vm: RegisteredVm, read: PeerRead) -> PeerChanges:
+        self.call_names.append("fetch_from_peer")
+        self.peer_reads.append((vm.name, read.large))
         if self.forwarding_down:
             raise KeyValueUnavailableError("no answer")
-        return [change for at, change in self._changes if at > after], self.revision
+        if vm.name in self.old_builds and read.large is not LargeValues.PLAIN:
+            raise HistoryLostError("large changes")
+        if read.large is not LargeValues.WITHHELD:
+            await trio.sleep(self.large_values_delay_s)
+            if vm.name in self.peers_without_large_values:
+                raise HistoryLostError("not received yet")
+        with trio.move_on_after(read.wait_s):
+            while self._peer_revision < read.until:
+                await self._changed.wait()
+        revision = int(min(self.revision, self._peer_revision))
+        changes = [change for at, change in self._changes if read.after < at <= revision]
+        small = [change for change in changes if not isinstance(change, ConfigurationChanged)]
+        if read.large is LargeValues.WITHHELD and self.configurations_are_large:
+            return PeerChanges(small, revision, withheld=len(small) < len(changes))
+        return PeerChanges(changes, revision)
 
     async def check(self, known: KnownRevisions) -> CheckResult:
         self._call("check")
@@ -356,6 +398,12 @@
             if record is not None and record.revision != revision:
                 changes.append(PrimaryRecordChanged(record))
                 differing[group] = (revision, record.revision)
+        for domain, revision in known.evacuations.items():
+            order = self.evacuations.get(domain)
+            stored = 0 if order is None else order.revision
+            if stored != revision:
+                changes.append(DomainReturned(domain, revision) if order is None else order)
+                differing[f"evacuation/{domain}"] = (revision, stored)
         return CheckResult(differing, changes)
 
     async def register(self, vm: RegisteredVm, ttl_s: float) -> int:
