--- a/tests/test_instance_directory.py
+++ b/tests/test_instance_directory.py
@@ -7,7 +7,7 @@
 from front_fakes import GROUP, FakeInstance, registration
 from support import TestCase, trio_test
 from tanagerfront.instance_directory import InstanceDirectory
-from tanagerfront.session_model import InstanceRegistration
+from tanagerfront.session_model import InstanceRegistration, boottime_s
 
 
 async def _open(_registration: InstanceRegistration, organisation: str) -> object:
@@ -57,3 +57,29 @@
             await trio.sleep(0.05)
             await directory.apply(registration("c", group="other"))
         self.assertEqual({"a", "c"}, {i.registration.id for i in directory.instances()})
+
+
+class OwnLoadTest(TestCase):
+    async def _estimated(self, rank: int) -> float | None:
+        """Return the statements known at a home of a rank that runs one."""
+        directory = InstanceDirectory(_open, "suame")  # type: ignore[arg-type]
+        directory.home_rank = lambda _registration: rank
+        await directory.set_connection_shares(30, {GROUP: 16})
+        await directory.apply(registration("a"))
+        instance = directory.instances()[0]
+        now = trio.current_time()
+        connection = await instance.pool.acquire("org", now, now + 1)
+        estimate = instance.load_estimate(boottime_s())
+        await instance.pool.release(connection)
+        return estimate.statements
+
+    @trio_test(mock_clock=True)
+    async def test_the_first_home_knows_the_load_from_its_own_queue(self) -> None:
+        self.assertEqual(1.0, await self._estimated(0))
+
+    @trio_test(mock_clock=True)
+    async def test_the_second_home_does_not_take_its_own_queue_for_that_of_the_instance(
+        self,
+    ) -> None:
+        # Guards against a second home that sees few statements and sends all its own there.
+        self.assertIsNone(await self._estimated(1))
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -28,9 +28,9 @@
         self.relays = RelayConnections(self.directory, RecordingLog())
         self.address = ("127.0.0.1", 0)
 
-    async def open(self, instance: str = "i-1") -> InstanceConnection:
+    async def open(self, instance: str = "i-1", relay_version: int = 1) -> InstanceConnection:
         host, port = self.address
-        registered = vm("home")._replace(host=host, port=port)
+        registered = vm("home")._replace(host=host, port=port, relay_version=relay_version)
         return await open_relay(registered, registration(instance), "foremen")
 
 
@@ -60,6 +60,21 @@
             self.assertEqual(b"signed", reply.signature)
             self.assertEqual(["WRITE 1a4 some data"], home.instance.caller_statements)
 
+    @trio_test
+    async def test_a_reading_names_the_process_of_the_home_and_the_time_of_its_session(
+        self,
+    ) -> None:
+        # Guards against readings of a former home that pass for those of the present one.
+        async with running_home() as home:
+            # The share of a fleet with homes, in which this VM admits statements to the slots.
+            await home.directory.set_connection_shares(30, {GROUP: 16})
+            opened_after = trio.current_time()
+            connection = await home.open(relay_version=2)
+            [reply] = await connection.run(verbatim("READ x"))
+            assert reply.load is not None
+            self.assertEqual("inc-home", reply.load.home)
+            self.assertLessEqual(opened_after, reply.load.session_opened_at)
+
     @trio_test
     async def test_an_unknown_instance_is_rejected(self) -> None:
         async with running_home() as home:
