--- a/src/tanagerfront_lab/cli.py
+++ b/src/tanagerfront_lab/cli.py
@@ -263,6 +263,7 @@
     seconds: float = 20.0,
     vms: int = 4,
     restores: int = 0,
+    evacuations: int = 0,
     keep: Path | None = None,
 ) -> None:
     """Run the session interface under faults and check its promises.
@@ -271,11 +272,12 @@
     ----------
     seed: First seed; further runs use the next ones.
     restores: How often the store returns from an older copy, beside random faults.
+    evacuations: How many failure domains are taken out of service and given back, beside them.
     keep: Directory for settings and logs of the VMs.
     """
     failed = 0
     for number in range(seed, seed + runs):
-        options = SoakOptions(number, seconds, vms, restores=restores)
+        options = SoakOptions(number, seconds, vms, restores=restores, evacuations=evacuations)
         result = run_soak(options, keep / str(number) if keep else None)
         print(
             f"seed {result.seed}: {result.served} served, {result.refused} refused, "
--- a/src/tanagerfront_lab/soak.py
+++ b/src/tanagerfront_lab/soak.py
@@ -35,6 +35,10 @@
 STARTUP_TIMEOUT_S = 15.0
 REPLY_TIMEOUT_S = 4.0
 REVOCATION_LIMIT_S = 5.0
+# Bound of the settings for the last statement in an evacuated failure domain.
+EVACUATION_LIMIT_S = 5.0
+# An evacuation lasts longer than its bound, so that its end is checked.
+EVACUATION_S = 8.0
 HEARTBEAT_INTERVAL_S = 0.4
 # Time after the last fault within which callers must be served again.
 RECOVERY_LIMIT_S = 12.0
@@ -55,6 +59,8 @@
     vms: int = 4
     clients: int = 10
     restores: int = 0
+    # Failure domains that are taken out of service and given back, beside the random faults.
+    evacuations: int = 0
 
 
 class SoakResult(NamedTuple):
@@ -87,7 +93,7 @@
             f'[listen]\nfront = "{self.host}:{self.front_port}"\n'
             f'ready = "{self.host}:{self.ready_port}"\n'
             f'[platform]\naddress = "{store}"\n[cloud]\naddress = "{store}"\n'
-            "[bounds]\ndrain_ms = 7000\ngrace_s = 6\nrevoke_ms = 5000\n",
+            "[bounds]\ndrain_ms = 7000\ngrace_s = 6\nrevoke_ms = 5000\nevacuate_ms = 5000\n",
             encoding="utf-8",
         )
 
@@ -133,6 +139,7 @@
         # Copies of the store, the newest last, one for each COPY_INTERVAL_S.
         self.copies: deque[ModelCopy] = deque(maxlen=MAX_COPIES)
         self.api_keys = ["key-a", "key-b"]
+        self.evacuated_domain: str | None = None
 
     async def _promote(self, group: str, name: str, holder: str, token: int) -> bool:
         if any(
@@ -314,12 +321,31 @@
             await trio.sleep(self.options.seconds / (self.options.restores + 1))
             await self._restore_store(self.rng.uniform(0.3, 3.0))
 
+    async def run_evacuations(self) -> None:
+        """Take a failure domain out of service and give it back, one after the other."""
+        rng = random.Random(f"{self.options.seed}/evacuations")
+        for _ in range(self.options.evacuations):
+            await trio.sleep(rng.uniform(0.2, 2.0))
+            domain = rng.choice(FAILURE_DOMAINS)
+            self.faults.append(f"evacuate {domain}")
+            self.store.put(f"op/evacuate/{domain}", {})
+            self.evacuated_domain, ordered_at = domain, trio.current_time()
+            await trio.sleep(EVACUATION_S)
+            self.evacuated_domain = None
+            self.store.delete(f"op/evacuate/{domain}")
+            self.history.evacuations.append((domain, ordered_at, trio.current_time()))
+
     async def _restore_store(self, seconds: float) -> None:
         """Lose what was written since a copy; the operator and the instances write theirs again."""
         self.store.faults = StoreFaults(unavailable=True)
         await trio.sleep(seconds / 2)
         self.store.restore(self.rng.choice(self.copies))
         self._put_configuration()
+        for domain in FAILURE_DOMAINS if self.options.evacuations else ():
+            # Also repeats an order that has been removed: VMs may know it as lost.
+            self.store.put(f"op/evacuate/{domain}", {})
+            if domain != self.evacuated_domain:
+                self.store.delete(f"op/evacuate/{domain}")
         # Differs from every registration, so that each is written, or deleted, again.
         self.registered = {instance.name: "restored" for instance in self.group.instances}
         self.store.faults = StoreFaults()
@@ -490,14 +516,18 @@
                 for number in range(options.clients):
                     clients.start_soon(soak.run_client, number, faults_end + RECOVERY_LIMIT_S + 4)
                 clients.start_soon(soak.run_restores)
+                clients.start_soon(soak.run_evacuations)
                 await soak.run_faults(faults_end)
                 await trio.sleep(RECOVERY_LIMIT_S)
                 before = history.outcome_counts()
                 await trio.sleep(3.0)
                 history.check_recovery(before, history.outcome_counts())
             history.check_log(_primary_log(soak.group), soak.group.discarded, REVOCATION_LIMIT_S)
-            for instance in soak.group.instances:
+            for number, instance in enumerate(soak.group.instances):
                 history.violations += instance.violations
+                history.check_evacuations(
+                    FAILURE_DOMAINS[number], instance.query_ids, EVACUATION_LIMIT_S
+                )
             nursery.cancel_scope.cancel()
     finally:
         for vm in soak.vms:
--- a/src/tanagerfront_lab/soak_history.py
+++ b/src/tanagerfront_lab/soak_history.py
@@ -49,6 +49,8 @@
         self._refused = 0
         self._stale_reads: list[tuple[Attempt, str]] = []
         self.revoked_at: dict[str, float] = {}
+        # Failure domains that were out of service, with the times of the order and of its removal.
+        self.evacuations: list[tuple[str, float, float]] = []
         self.violations: list[str] = []
 
     def record_violation(self, text: str) -> None:
@@ -99,6 +101,16 @@
                 f"after recovery {served} operations were served and {refused} refused"
             )
 
+    def check_evacuations(self, domain: str, query_ids: Sequence[str], bound_s: float) -> None:
+        """Check that nothing ran in a domain that had been out of service for `bound_s` seconds."""
+        for evacuated, ordered_at, returned_at in self.evacuations:
+            if evacuated != domain:
+                continue
+            for query_id in query_ids:
+                started_at = self._attempts[query_id].started_at
+                if ordered_at + bound_s < started_at < returned_at:
+                    self.record_violation(f"{query_id} ran in {domain}, which was evacuated")
+
     def check_log(
         self, log: Sequence[Commit], discarded: Sequence[Commit], revoke_s: float
     ) -> None:
--- a/src/tanagerfront_standin/line_group.py
+++ b/src/tanagerfront_standin/line_group.py
@@ -54,6 +54,8 @@
         self.connections = 0
         self.address = address
         self.violations: list[str] = []
+        # Ids of the statements that ran.
+        self.query_ids: list[str] = []
         self._slots = trio.CapacityLimiter(group.options.slots)
         self._scope: trio.CancelScope | None = None
         self._signatures = itertools.count(1)
@@ -199,6 +201,7 @@
             raise _StatementRefused(f"READONLY {instance.name}")
         if query_id == "-":
             instance.violations.append("a statement without a query id ran")
+        instance.query_ids.append(query_id)
         await instance.hold_slot()
         if verb == "READ":
             pending = [data for item, data, _ in self._writes if item == rest[0]]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,14 @@
         self.assertEqual((), result.violations)
         self.assertGreater(result.served, 100)
 
+    def test_short_run_with_evacuations_violates_no_guarantee(self) -> None:
+        # Guards against statements in a domain that is out of service, commits that are lost when
+        # its primary moves, and a group without a primary, while VMs are killed or cut off.
+        options = SoakOptions(seed=9, seconds=16.0, vms=4, clients=6, evacuations=2)
+        result = run_soak(options)
+        self.assertEqual((), result.violations)
+        self.assertGreater(result.served, 100)
+
     def test_seeds_that_failed_before_pass(self) -> None:
         for seed in REGRESSIONS:
             self.assertEqual((), run_soak(SoakOptions(seed)).violations, f"seed {seed}")
@@ -76,6 +84,14 @@
         history.check_log([], [], 5.0)
         self.assertIn("ran with an API key revoked too long before", history.violations[0])
 
+    def test_a_statement_in_an_evacuated_domain_is_found(self) -> None:
+        history = SoakHistory()
+        history.evacuations.append(("adum", 1.0, 9.0))
+        for started_at in (5.9, 6.1, 9.1):
+            history.start_attempt("x", "primary", "k", False, started_at)
+        history.check_evacuations("adum", ["q1", "q2", "q3"], 5.0)
+        self.assertEqual(["q2 ran in adum, which was evacuated"], history.violations)
+
     def test_low_success_rate_after_the_faults_is_found(self) -> None:
         history = SoakHistory()
         history.check_recovery((10, 0), (11, 9))
