Let reads yield to writes of their priority in the queue for slots

While replicas lag, the primary gets the reads that they would serve. They now stand behind what only the primary can do, also within a priority: writes, and transactions that may write.

test_slot_queue, test_slot_admission, test_urgency_replay, test_relay: 51 tests, passed.

--- a/src/tanagerfront/slot_queue.py
+++ b/src/tanagerfront/slot_queue.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from .session_model import Execute, Urgency, Verbatim
+from .session_model import Begin, Execute, Urgency, Verbatim
 
 __all__ = [
     "DEFAULT_OBJECTIVE_S",
@@ -63,6 +63,8 @@
             return StatementKind.COMMIT
         case Verbatim(text) if text.startswith("WRITE "):
             return StatementKind.WRITE
+        case Begin(read_only=False):
+            return StatementKind.WRITE
         case Execute(_, arguments) if " " in arguments:
             # An execution of a write has a value after the item.
             return StatementKind.WRITE
@@ -151,6 +153,13 @@
 class _ClassKey(NamedTuple):
     stage: _Stage
     priority: int
+    # While replicas lag, their reads come to the primary and yield to what only it can do.
+    is_read: bool
+
+    @classmethod
+    def of(cls, request: SlotRequest, stage: _Stage) -> _ClassKey:
+        """Return the class of a statement at a stage."""
+        return cls(stage, request.priority, request.kind is StatementKind.READ)
 
 
 class Ticket:
@@ -166,7 +175,7 @@
         self.enqueued_at = now
         self.limit_at = limit_at
         self.number = number
-        self.class_key = _ClassKey(_stage(request), request.priority)
+        self.class_key = _ClassKey.of(request, _stage(request))
 
     @property
     def latest_start(self) -> float:
@@ -234,7 +243,7 @@
 
 
 class _Class:
-    """Tickets of one stage and priority, with fair queueing between organisations.
+    """Tickets of one stage, priority and kind of access, with fair queueing between organisations.
 
     Each organisation's tag grows by the service it is given. Organisations that are ahead of the
     least served one by no more than an allowance are ordered by latency objective; the others
@@ -339,7 +348,7 @@
         if ticket.class_key.stage is _Stage.IN_TIME:
             in_time_by = request.urgency.objective_at - REPLY_DELIVERY_S
             if now + self._expected_s(ticket, now) > in_time_by:
-                ticket.class_key = _ClassKey(_Stage.LATE, request.priority)
+                ticket.class_key = _ClassKey.of(request, _Stage.LATE)
         if now + self._expected_s(ticket, now) > limit_at:
             return Offer(None, Refusal.QUEUE_TOO_LONG)
         self._count_arrival(ticket.class_key, service_s, now)
@@ -358,7 +367,7 @@
             in_time_by = ticket.objective_at - REPLY_DELIVERY_S - ticket.service_s
             if ticket.class_key.stage is _Stage.IN_TIME and now > in_time_by:
                 self._remove(ticket)
-                ticket.class_key = _ClassKey(_Stage.LATE, ticket.request.priority)
+                ticket.class_key = _ClassKey.of(ticket.request, _Stage.LATE)
                 self._push(ticket)
                 continue
             self._remove(ticket, served=True)
@@ -367,7 +376,7 @@
 
     def record_admitted(self, request: SlotRequest, now: float) -> None:
         """Count a statement that needed no place in the queue."""
-        key = _ClassKey(_stage(request), request.priority)
+        key = _ClassKey.of(request, _stage(request))
         self._count_arrival(key, self.service_times.expected_s(request), now)
 
     def _count_arrival(self, key: _ClassKey, service_s: float, now: float) -> None:
