--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -411,6 +411,8 @@
                 failure = replies[-1].failure
                 if _is_refused_by_home(replies[-1]):
                     attempts.overloaded_instances.add(instance.registration.id)
+            except OverloadedError as error:
+                failure = Failure(FailureCode.OVERLOADED, str(error))
             except ConnectionLostError as error:
                 self._recorder.record_lost_answer(query, instance, error)
                 failure = Failure(FailureCode.ABORTED, str(error))
@@ -566,6 +568,7 @@
             and (
                 instance is primary
                 or not instance.leaving
+                and instance.pool.may_begin_work
                 and instance.unreachable_since is None
                 and instance is not group.primary
             )
@@ -597,7 +600,9 @@
         chosen = choose_evenly(assessments, self._services.rng)
         if chosen is None:
             return None
-        self._services.metrics.count("reads_placed", reason=chosen.reason.value)
+        self._services.metrics.count(
+            "reads_placed", instance=chosen.candidate.id, reason=chosen.reason.value
+        )
         return chosen.candidate
 
     async def _wait_for_change(self, group: Group, attempts: Attempts) -> None:
