Count no refusal for a waiting statement whose VM has left

test_docs, test_slot_admission, test_slot_report, test_relay, test_platform_relay, test_caller_session, test_instance_pool: 124 tests, passed.

--- a/src/tanagerfront/slot_admission.py
+++ b/src/tanagerfront/slot_admission.py
@@ -174,9 +174,13 @@
         waiter = self._waiter_by_ticket[offer.ticket] = _Waiter(offer.ticket)
         try:
             admitted_at = await self._wait(waiter, offer.ticket.latest_start)
-        finally:
+        except OverloadedError:
+            # What the queue itself refused is counted already.
             if not waiter.decided.is_set():
                 self._counts.refused[request.priority, Refusal.WAITED_TOO_LONG] += 1
+            raise
+        finally:
+            if not waiter.decided.is_set():
                 del self._waiter_by_ticket[offer.ticket]
                 self._queue.remove(offer.ticket)
         self._counts.admitted_after_wait[request.priority] += 1
--- a/tests/test_slot_admission.py
+++ b/tests/test_slot_admission.py
@@ -214,6 +214,8 @@
             await slots.acquire(urgent_request(1))
         slots.release(admitted_at)
         self.assertEqual(0.0, slots.expected_wait_s)
+        # Its VM has left; that is no refusal.
+        self.assertEqual({}, dict(slots.take_counts().refused))
         await slots.acquire(urgent_request(1))
         await trio.sleep(1.0)
         self.assertEqual(trio.current_time(), await slots.acquire(urgent_request(1)))
