--- a/tests/test_configuration_links.py
+++ b/tests/test_configuration_links.py
@@ -178,15 +178,22 @@
             standin.put("op/config", _configuration(2, ROUTES))
             with trio.move_on_after(IN_FORCE_WITHIN_S):
                 while {each.version for each in fleet} != {2}:
-                    self.assertTrue(all(each.confirmed_state.keys_confirmed for each in fleet))
+                    self._check_confirmed(fleet)
                     await trio.sleep(0.02)
-            self.assertEqual({2}, {each.version for each in fleet})
+            behind = {each.name: each.log.events[-5:] for each in fleet if each.version != 2}
+            self.assertEqual({}, behind)
             await trio.sleep(3 * HEARTBEAT_INTERVAL_S)
-            self.assertTrue(all(each.confirmed_state.keys_confirmed for each in fleet))
+            self._check_confirmed(fleet)
             # Only the coordinators read the value from the store.
             large = {n for n in before if self._read(fleet, n) - before[n] > 100_000}
-            self.assertLessEqual(large, set(fleet[0].sync.coordinators))
+            events = {each.name: each.log.events[-5:] for each in fleet if each.name in large}
+            self.assertLessEqual(large, set(fleet[0].sync.coordinators), events)
             nursery.cancel_scope.cancel()
 
+    def _check_confirmed(self, fleet: list[Vm]) -> None:
+        for each in fleet:
+            age_s = each.confirmed_state.confirmation_age_s
+            self.assertLess(age_s, KEYS_S, (each.name, each.log.events[-5:]))
+
     def _read(self, fleet: list[Vm], name: str) -> int:
         return next(each.link.bytes["store"] for each in fleet if each.name == name)
