Explain where a statement would go now, without sending it

Operators could not see why a VM places a statement where it does. The VM answers GET /explain at the address of its readiness probe, and `tanagerfront explain` prints it.

--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -49,11 +49,10 @@
     boottime_s,
 )
 from .session_record import AuthorisedCaller, RefusedError, SessionRecorder
+from .statement_placement import read_candidates, required_entry
 
 __all__ = ["CallerSession", "SessionServices"]
 
-# Reads use positions that are fresher than the route's maximum staleness by this much.
-STALENESS_MARGIN_S = 0.1
 # An instance at its connection limit frees a connection when a statement ends, after about this
 # time.
 RETRY_PAUSE_S = 0.01
@@ -477,22 +476,16 @@
 
     def _required_entry(
         self, caller: AuthorisedCaller, group: Group, received_boottime_s: float
-    ) -> EntryId | None:
+    ) -> EntryId:
         """Return the entry that a replica must have applied for a read.
 
         Raises LookupError if the read has to go to the primary.
         """
-        staleness_s = caller.route.max_staleness_s
-        if staleness_s is None:
-            raise LookupError("the route accepts no stale reads")
-        required = group.samples.oldest_since(
-            received_boottime_s - staleness_s + STALENESS_MARGIN_S
+        own_writes = (
+            caller.route.kind is RouteKind.READ_YOUR_WRITES and self._last_write_group == group.name
         )
-        if required is None:
-            raise LookupError("no recent position of the primary is known")
-        if caller.route.kind is not RouteKind.READ_YOUR_WRITES or self._last_write is None:
-            return required
-        return max(required, self._last_write) if self._last_write_group == group.name else required
+        session_entry = self._last_write if own_writes else None
+        return required_entry(caller.route, group, received_boottime_s, session_entry)
 
     def _usable_primary(self, group: Group) -> Instance | None:
         """Return the group's primary, None if there is none that this VM may use now."""
@@ -561,28 +554,15 @@
             after = self._required_entry(caller, group, attempts.received_boottime_s)
         except LookupError:
             return primary, None
-        eligible = [
-            instance
-            for instance in group.instances.values()
-            if instance.evacuation is None
-            and (
-                instance is primary
-                or not instance.leaving
-                and instance.pool.may_begin_work
-                and instance.unreachable_since is None
-                and instance is not group.primary
-            )
-        ]
         directory = self._services.directory
         even_load = even_load_enabled(
             caller.configuration,
             urgency_order=self._services.urgency_order,
             relayed=directory.relayed,
         )
-        candidates = [
-            directory.candidate(group, instance, caller.organisation_name, with_load=even_load)
-            for instance in eligible
-        ]
+        candidates = read_candidates(
+            directory, group, primary, caller.organisation_name, with_load=even_load
+        )
         if even_load:
             chosen = self._choose_evenly(candidates, after, attempts)
         else:
--- a/src/tanagerfront/cli.py
+++ b/src/tanagerfront/cli.py
@@ -75,6 +75,48 @@
     print(document.decode() if json else render_status(document))
 
 
+@app.command
+def explain(
+    *,
+    server: str,
+    database: str,
+    organisation: str,
+    write: bool = False,
+    after: str = "",
+    json: bool = False,
+    timeout: float = 5.0,
+) -> None:
+    """Print where a VM of the session interface would send a statement now, without sending it.
+
+    Parameters
+    ----------
+    server
+        HOST:PORT of the VM's readiness probe.
+    database
+        Name of the database that callers connect to.
+    organisation
+        Name of the organisation that would send the statement.
+    write
+        Ask for a write in place of a read.
+    after
+        Last write of the caller's session as TERM.NUMBER, on routes that read their own writes.
+    json
+        Print the JSON document in place of tables.
+    timeout
+        Seconds to wait for the answer.
+    """
+    from .explain_view import fetch_report
+    from .status_view import render_status
+
+    async def fetch() -> bytes:
+        return await fetch_report(
+            server, database, organisation, writes=write, after=after, timeout_s=timeout
+        )
+
+    document = trio.run(fetch)
+    print(document.decode() if json else render_status(document))
+
+
 def _register_config_commands() -> None:
     """Register the `config` commands, whose modules are imported on first use."""
     if importlib.util.find_spec(_CONFIG_MODULE) is not None:
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -8,12 +8,15 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple, Protocol
 
+import msgspec
 import trio
 
 from .caller_session import SessionServices
 from .confirmed_state import ConfirmedState, StalenessLimits
 from .decision_log import DecisionLog
-from .errors import KeyValueError
+from .entry_id import EntryId
+from .errors import BadRequestError, KeyValueError
+from .explain_view import EXPLAIN_PATH
 from .fleet_store import RELAY_VERSION, FleetStore, RegisteredVm
 from .fleet_sync import LEASE_TTL_S, FleetSync
 from .front_metrics import FrontMetrics
@@ -22,6 +25,7 @@
 from .instance_directory import Instance, InstanceDirectory
 from .instance_pool import Opener
 from .instance_watch import InstanceWatch
+from .placement_report import PlacementQuestion, report_placement
 from .position_exchange import positions_to_pass, record_passed_positions
 from .rate_shares import RateShares, TokenLoanRequest
 from .relay import RelayOpener, RoutingOpener
@@ -142,12 +146,19 @@
 
 
 class _ProbeHandler(ConnectionHandler):
-    """Respond to the platform's readiness probe and serve the metrics."""
+    """Respond to the platform's readiness probe, and serve the metrics and placement reports."""
 
-    def __init__(self, path: str, ready: Callable[[], bool], metrics: FrontMetrics) -> None:
+    def __init__(
+        self,
+        path: str,
+        ready: Callable[[], bool],
+        metrics: FrontMetrics,
+        services: SessionServices,
+    ) -> None:
         self._path = path
         self._ready = ready
         self._metrics = metrics
+        self._services = services
 
     async def handle(self, request: Request) -> Response:
         """Return the response to one request."""
@@ -155,8 +166,18 @@
             return Response(200 if self._ready() else 503)
         if request.path == METRICS_PATH:
             return Response(200, self._metrics.render(), content_type="text/plain; version=0.0.4")
+        if request.path == EXPLAIN_PATH:
+            return self._explain(request)
         return Response(404)
 
+    def _explain(self, request: Request) -> Response:
+        """Return the report of where a statement would go now."""
+        try:
+            question = _placement_question(request)
+            return Response(200, msgspec.json.encode(report_placement(self._services, question)))
+        except BadRequestError as error:
+            return Response(error.status, msgspec.json.encode({"error": error.message}))
+
 
 class Front:
     """The components of one VM, run until the VM is stopped."""
@@ -254,6 +275,7 @@
             self._metrics,
             self._features.urgency_order,
         )
+        self._session_services = services
         self._callers = adapters.caller_server(services)
         self._relays = adapters.relay_server(self._directory, log)
 
@@ -366,7 +388,12 @@
                 self._log.failure("lease_not_released", error=str(error))
 
     def _probe_handler(self) -> ConnectionHandler:
-        return _ProbeHandler(self._probe_path, lambda: self._confirmed_state.ready, self._metrics)
+        return _ProbeHandler(
+            self._probe_path,
+            lambda: self._confirmed_state.ready,
+            self._metrics,
+            self._session_services,
+        )
 
     async def _borrow(self, request: TokenLoanRequest, lender: str) -> int:
         return await self._peers.borrow(request, lender)
@@ -396,6 +423,19 @@
         self._log.decision(f"instance_{change}", **instance.registration._asdict())
 
 
+def _placement_question(request: Request) -> PlacementQuestion:
+    """Return the question of a request; raises BadRequestError."""
+    query = request.query
+    after = query.get("after")
+    try:
+        entry = EntryId(*(int(part) for part in after.split("."))) if after else None
+    except (TypeError, ValueError) as error:
+        raise BadRequestError(f"malformed position {after!r}; expected TERM.NUMBER") from error
+    return PlacementQuestion(
+        query.get("database", ""), query.get("organisation", ""), "writes" in query, entry
+    )
+
+
 def _staleness_limits(times: FrontTimes) -> StalenessLimits:
     # A request is refused a little before the platform's bound, because it still has to reach the
     # instance. Primaries are no longer used once the platform accepts failures of keyed requests.
--- a/tests/test_instance_watch.py
+++ b/tests/test_instance_watch.py
@@ -9,13 +9,13 @@
 
 from front_fakes import GROUP, FakeInstance, RecordingLog, configuration, registration
 from support import TestCase, trio_test
-from tanagerfront.caller_session import STALENESS_MARGIN_S
 from tanagerfront.confirmed_state import ConfirmedState, StalenessLimits
 from tanagerfront.entry_id import EntryId
 from tanagerfront.http_client import Address
 from tanagerfront.instance_directory import Instance, InstanceDirectory, PrimaryRecord
 from tanagerfront.instance_watch import InstanceWatch
 from tanagerfront.session_model import boottime_s
+from tanagerfront.statement_placement import STALENESS_MARGIN_S
 
 
 class WatchedGroup:
