Do not ask a home again at once that refuses an instance's sessions

A refusal now counts for 0.3 s, for the same instance and state of the fleet. Refusals are still raised instead of connecting directly.

The new test failed before: the stopping home was asked each time.

--- a/src/tanagerfront/relay.py
+++ b/src/tanagerfront/relay.py
@@ -53,6 +53,9 @@
 
 # A home that could not be reached is not tried again for this long.
 FAILED_HOME_BACKOFF_S = 1.0
+# A home that stops, or doesn't know the instance yet, refuses its sessions. It is not asked again
+# for this long, in which a heartbeat would tell it of a registration.
+REFUSED_HOME_BACKOFF_S = 0.3
 # Direct connections to an instance of a VM that reaches no home. A large fleet has more VMs than
 # an instance has slots, and about as many as it has connections.
 MAX_DIRECT_WITHOUT_HOME = 1
@@ -109,6 +112,8 @@
         self._relay = relay
         self._vms = vms
         self._skipped_until: dict[str, float] = {}
+        # The last refusal by a home of an instance, and until when it counts.
+        self._refusals: dict[tuple[str, str], tuple[float, InstanceRefusedError]] = {}
         # Direct connections of a VM that is no home, by id of the instance.
         self._direct_open: Counter[str] = Counter()
         # Cold instances get statements only through their homes, which count them.
@@ -142,6 +147,7 @@
         vms = self._vms()
         if vms is not self._homes_vms:
             self._homes_vms, self._homes = vms, {}
+            self._refusals.clear()
         key = registration.id, registration.failure_domain
         if key not in self._homes:
             self._homes[key] = homes(registration, vms)
@@ -159,6 +165,10 @@
         for home in relay_homes:
             if trio.current_time() < self._skipped_until.get(home.name, float("-inf")):
                 continue
+            until, known_refusal = self._refusals.get((home.name, registration.id), (0.0, None))
+            if known_refusal is not None and trio.current_time() < until:
+                refusal = known_refusal
+                continue
             try:
                 return await self._relay(home, registration, organisation)
             except TanagerfrontError as error:
@@ -167,6 +177,8 @@
                 )
                 if isinstance(error, InstanceRefusedError):
                     refusal = error
+                    until = trio.current_time() + REFUSED_HOME_BACKOFF_S
+                    self._refusals[home.name, registration.id] = until, error
                 else:
                     self._skipped_until[home.name] = trio.current_time() + FAILED_HOME_BACKOFF_S
         if refusal is not None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -198,6 +198,29 @@
             await opener(registration("i"), "a")
         self.assertEqual(([], names), (openings.direct, set(openings.relayed)))
 
+    @trio_test(mock_clock=True)
+    async def test_a_home_that_refuses_an_instance_is_not_asked_again_at_once(self) -> None:
+        # Guards against hundreds of refused sessions a second at a home that stops, each of which
+        # costs a connection between VMs, while the other home could be asked.
+        openings = RecordedOpenings()
+        vms = make_fleet(40)
+        first, second = (home.name for home in homes(registration("i"), vms))
+        own = next(other.name for other in vms if other.name not in (first, second))
+        opener = self._opener(openings, vms, own)
+        openings.refusing = {first}
+        for _ in range(3):
+            await opener(registration("i"), "a")
+        self.assertEqual([first, second, second, second], openings.relayed)
+        await trio.sleep(0.4)
+        openings.refusing = set()
+        await opener(registration("i"), "a")
+        self.assertEqual(first, openings.relayed[-1])
+        openings.refusing = {first, second}
+        for _ in range(3):
+            with self.assertRaises(InstanceRefusedError):
+                await opener(registration("i"), "a")
+        self.assertEqual(([], 7), (openings.direct, len(openings.relayed)))
+
     @trio_test(mock_clock=True)
     async def test_an_unreachable_home_is_skipped_for_a_while(self) -> None:
         # Guards against a fleet that cannot reach an instance because one home has failed.
