--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -38,7 +38,15 @@
 from .store_era import era_of
 from .supervision import run_restarting
 
-__all__ = ["CallerServer", "Front", "FrontAdapters", "FrontFeatures", "FrontTimes", "VmIdentity"]
+__all__ = [
+    "CallerServer",
+    "Front",
+    "FrontAdapters",
+    "FrontFeatures",
+    "FrontTimes",
+    "ProbeHandler",
+    "VmIdentity",
+]
 
 METRICS_PATH = "/metrics"
 # The platform takes a VM out of rotation after two probes, one per second, without a 200 response.
@@ -145,7 +153,7 @@
     changes_handler: Callable[[], ConnectionHandler]
 
 
-class _ProbeHandler(ConnectionHandler):
+class ProbeHandler(ConnectionHandler):
     """Respond to the platform's readiness probe, and serve the metrics and placement reports."""
 
     def __init__(
@@ -388,7 +396,7 @@
                 self._log.failure("lease_not_released", error=str(error))
 
     def _probe_handler(self) -> ConnectionHandler:
-        return _ProbeHandler(
+        return ProbeHandler(
             self._probe_path,
             lambda: self._confirmed_state.ready,
             self._metrics,
--- a/src/tanagerfront/instance_pool.py
+++ b/src/tanagerfront/instance_pool.py
@@ -479,9 +479,10 @@
         """
         path_changed = limits.relayed != self._limits.relayed
         self._limits = limits
-        self._path += path_changed
-        while path_changed and (connection := self._idle.take_oldest()):
-            await self._close_connection(connection)
+        if path_changed:
+            self._path += 1
+            while (connection := self._idle.take_oldest()) is not None:
+                await self._close_connection(connection)
         if limits.admission_control != (self._slot_admission is not None):
             self._slot_admission = self._new_slot_admission()
         while self._open > self._limits.max_open and (connection := self._idle.take_oldest()):
--- a/tests/test_explain_view.py
+++ b/tests/test_explain_view.py
@@ -11,7 +11,7 @@
 from support import TestCase, trio_test
 from tanagerfront.errors import ConnectionLostError, SettingsError
 from tanagerfront.explain_view import fetch_report
-from tanagerfront.front import _ProbeHandler
+from tanagerfront.front import ProbeHandler
 from tanagerfront.front_metrics import FrontMetrics
 from tanagerfront.http_server import serve_http
 from tanagerfront.session_model import RouteKind
@@ -24,7 +24,7 @@
 async def running_vm() -> AsyncIterator[str]:
     """Run the probe server of a VM and yield its address."""
     vm = await start_vm()
-    handler = _ProbeHandler("/v1/readiness", lambda: True, FrontMetrics(), vm.services)
+    handler = ProbeHandler("/v1/readiness", lambda: True, FrontMetrics(), vm.services)
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     async with trio.open_nursery() as nursery:
         nursery.start_soon(serve_http, listeners, lambda stream: handler)
