--- a/src/tanagerfront/slot_admission.py
+++ b/src/tanagerfront/slot_admission.py
@@ -16,7 +16,15 @@
 
 from .errors import OverloadedError
 from .session_model import InstanceLoad
-from .slot_queue import Refusal, SlotQueue, SlotRequest, StatementKind, Ticket
+from .slot_queue import (
+    INITIAL_SERVICE_TIME_S,
+    SERVICE_TIME_SMOOTHING,
+    Refusal,
+    SlotQueue,
+    SlotRequest,
+    StatementKind,
+    Ticket,
+)
 
 __all__ = [
     "ArrivalOrder",
@@ -30,8 +38,6 @@
 MAX_WAIT_S = 0.12
 # Statements admitted beyond the slots, so that the instance stays busy during a round trip.
 EXTRA_ADMITTED = 1
-INITIAL_SERVICE_TIME_S = 0.015
-SERVICE_TIME_SMOOTHING = 0.1
 # The longest statements take 0.3 s. After this time the reply is presumed lost and the slot free.
 MAX_SERVICE_TIME_S = 0.4
 NO_ORGANISATION = "-"
--- a/src/tanagerfront/slot_queue.py
+++ b/src/tanagerfront/slot_queue.py
@@ -18,8 +18,10 @@
 __all__ = [
     "DEFAULT_OBJECTIVE_S",
     "DEFAULT_PRIORITY",
+    "INITIAL_SERVICE_TIME_S",
     "Offer",
     "Refusal",
+    "SERVICE_TIME_SMOOTHING",
     "ServiceTimes",
     "SlotQueue",
     "SlotRequest",
