Keep acknowledged commits that only a leaving replica has

Cause: the promoter paused and asked only the instances that may stay primary, and took them for all logs that may hold an acknowledged commit. An instance that drains, has lost its registration or is being evacuated receives commits, and counts towards their acknowledgement, until it ends.

All holders are now paused and asked, and none is promoted that lacks an entry which another has. A leaving primary of such a group steps down only once a replica has its entries, an instance that has left without an answer counts until its log is elsewhere, and an old primary that returns may lead again. The choice is code of its own, without input or output.

--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -88,6 +88,9 @@
         self.unreachable_since: float | None = None
         self.unregistered_since: float | None = None
         self.draining_since: float | None = None
+        # A position of the primary after this instance had left, None if none is known: a log that
+        # has reached it has all entries of this instance.
+        self.overtaken_at: EntryId | None = None
         self.answered_at = boottime_s()
         # The order by which the instance's failure domain is out of service, None without one.
         self.evacuation: Evacuation | None = None
@@ -98,6 +101,11 @@
         """Return whether new work on the instance has to end soon."""
         return self.unregistered_since is not None or self.draining_since is not None
 
+    @property
+    def may_stay(self) -> bool:
+        """Return whether the instance may be primary for longer than until it is replaced."""
+        return not self.leaving and self.evacuation is None
+
     @property
     def leaving_since(self) -> float | None:
         """Return when the instance started to leave, None if it is not leaving."""
@@ -184,9 +192,36 @@
         return [
             instance
             for instance in self.instances.values()
-            if instance is not primary and not instance.leaving and instance.evacuation is None
+            if instance is not primary and instance.may_stay
+        ]
+
+    def log_holders(self, primary: Instance | None) -> Sequence[Instance]:
+        """Return the instances, except the given one, whose logs may have acknowledged entries.
+
+        An instance that leaves receives entries to its end. Its log then passes to the instance
+        that registers at its address.
+        """
+        occupied = {
+            instance.registration.address
+            for instance in self.instances.values()
+            if instance.unregistered_since is None
+        }
+        return [
+            instance
+            for instance in self.instances.values()
+            if instance is not primary
+            and (
+                instance.unregistered_since is None or instance.registration.address not in occupied
+            )
         ]
 
+    def record_overtaken(self) -> None:
+        """Note, for the instances that have left, a position that the primary reached since."""
+        for instance in self.instances.values():
+            since = instance.unregistered_since
+            if since is not None and instance.overtaken_at is None:
+                instance.overtaken_at = self.samples.oldest_since(since)
+
     def refuses_work(self, instance: Instance, now: float) -> bool:
         """Return whether the instance gets no new statements because of an evacuation.
 
@@ -304,7 +339,7 @@
         if is_new or instance.cold_until == float("-inf"):
             self._apply_cold_time(instance)
         instance.pool.set_registration(registration)
-        instance.unregistered_since = None
+        instance.unregistered_since = instance.overtaken_at = None
         if registration.draining and instance.draining_since is None:
             instance.draining_since = boottime_s()
             self.on_change("draining", instance)
@@ -388,10 +423,16 @@
             await instance.pool.trim()
 
     async def remove_unregistered(self, after_s: float) -> None:
-        """Remove instances that have been unregistered for `after_s` seconds, except primaries."""
+        """Remove instances that have been unregistered for `after_s` seconds, except primaries.
+
+        None is removed during a failover, which may need its log.
+        """
         now = boottime_s()
         # Instances and groups are added while the pools are closed.
         for group in tuple(self._groups.values()):
+            group.record_overtaken()
+            if group.moving_since is not None:
+                continue
             for instance in tuple(group.instances.values()):
                 unregistered_since = instance.unregistered_since
                 if (
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -16,12 +16,20 @@
 
 from .confirmed_state import CONFIRMATION_MARGIN_S, ConfirmedState
 from .decision_log import DecisionLog
-from .entry_id import EntryId
 from .errors import TanagerfrontError
 from .evacuation import concurrent_moves
 from .fleet_store import FleetStore, RegisteredVm
 from .fleet_sync import FleetSync
 from .instance_directory import Group, Instance, InstanceDirectory, PrimaryRecord
+from .promotion_choice import (
+    Blocked,
+    CatchUp,
+    InstanceReport,
+    LogHolder,
+    Promote,
+    choose_successor,
+    most_advanced,
+)
 from .session_model import GroupOptions, InstanceRegistration, InstanceRole, boottime_s
 from .session_peer_messages import Heartbeat
 from .session_peers import VmPeers
@@ -88,6 +96,7 @@
 
 # The old primary still serves when such a failover begins.
 PLANNED_REASONS = frozenset({FailoverReason.LEAVING, FailoverReason.EVACUATED})
+DEPARTURE_REASONS = frozenset({FailoverReason.LEAVING, FailoverReason.GONE})
 
 
 class PromotionOutcome(enum.Enum):
@@ -99,14 +108,6 @@
     UNKNOWN = "unknown"
 
 
-class InstanceReport(NamedTuple):
-    """Replication status of an instance; `received` is the last entry in its log."""
-
-    role: InstanceRole
-    term: int
-    received: EntryId
-
-
 class InstanceControl(Protocol):
     """Control statements to instances; each raises ConnectionLostError or DatabaseError."""
 
@@ -213,11 +214,6 @@
     return reason in PLANNED_REASONS and bool(silent_vms) and due_for_s < MAX_POSTPONEMENT_S
 
 
-def most_advanced(reports: Mapping[str, InstanceReport]) -> str | None:
-    """Return the instance whose log has the newest entry, None without reports."""
-    return max(reports, key=lambda name: reports[name].received, default=None)
-
-
 class FailoverController:
     """Monitors the primaries of all groups and runs failovers while this VM is the promoter."""
 
@@ -349,11 +345,13 @@
     async def _run_failover(self, group: Group, reason: FailoverReason) -> None:
         self._log.decision("primary_move_begins", group=group.name, reason=reason.value)
         try:
-            if reason is not FailoverReason.EVACUATED:
-                await self._run_failover_steps(group, reason)
-            elif await self._may_evacuate(group):
+            if reason is FailoverReason.EVACUATED:
+                if not await self._may_evacuate(group):
+                    return
                 self._evacuating.add(group.name)
-                await self._run_failover_steps(group, reason)
+            elif reason in DEPARTURE_REASONS and not await self._may_hand_over(group):
+                return
+            await self._run_failover_steps(group, reason)
         except Exception as error:  # a defect must not end the failovers of the other groups
             text = str(error) if isinstance(error, TanagerfrontError) else repr(error)
             self._log.failure("primary_move_failed", group=group.name, error=text)
@@ -370,12 +368,28 @@
         primary = group.primary
         if primary is None or primary.evacuation is None:
             return False
-        if not await self._has_successor_in_step(group, primary):
-            self._log.decision("no_replica_in_step", group=group.name)
-            await trio.sleep(STEP_CHECK_INTERVAL_S)
-            return False
         # Other groups may have begun meanwhile.
-        return self._evacuation_has_room()
+        return await self._is_successor_in_step(group, primary) and self._evacuation_has_room()
+
+    async def _may_hand_over(self, group: Group) -> bool:
+        """Return whether a leaving primary may be replaced now; wait a moment if not.
+
+        A replica that lacks acknowledged entries may not replace it, and can't receive them from it
+        once it has stepped down.
+        """
+        primary = group.primary
+        if primary is None or not self._options(group.name).synchronous_replicas:
+            return True
+        if primary.unreachable_since is not None or await self._request_report(primary) is None:
+            return True
+        return await self._is_successor_in_step(group, primary)
+
+    async def _is_successor_in_step(self, group: Group, primary: Instance) -> bool:
+        if await self._has_successor_in_step(group, primary):
+            return True
+        self._log.decision("no_replica_in_step", group=group.name)
+        await trio.sleep(STEP_CHECK_INTERVAL_S)
+        return False
 
     def _evacuation_has_room(self) -> bool:
         primaries = (group.primary for group in self._directory.groups.values())
@@ -411,7 +425,7 @@
             return
         # The record was written before this VM learned of it, possibly by another promoter.
         written_at = boottime_s() if group.moving_since is None else group.moving_since
-        last_entry = await self._fence_old_primary(group, old_primary, record, reason)
+        fenced = await self._fence_old_primary(old_primary, record, reason)
         # An old primary that stepped down refuses writes, but answers reads as a replica.
         await self._wait_until_old_primary_unused(record, written_at)
         options = self._options(group.name)
@@ -419,7 +433,7 @@
         if reason is FailoverReason.UNFINISHED:
             chosen = await self._promoted_in_evacuated_domain(group, old_primary)
         if chosen is None:
-            chosen = await self._choose_replica(group, old_primary, record, last_entry, options)
+            chosen = await self._choose_replica(group, old_primary, record, fenced, options)
         if chosen is None:
             self._log.failure("no_candidate", group=group.name)
             await trio.sleep(RETRY_DELAY_S)
@@ -442,6 +456,7 @@
                 "promotion_not_seen", group=group.name, instance=chosen.registration.id
             )
             return
+        chosen.record_answer(None, None)
         # A promoter that has just started may not have known the term of the old primary.
         final = record._replace(
             instance=chosen.registration.id, term=max(record.term, term), moving=False
@@ -455,7 +470,7 @@
             new=chosen.registration.id,
             term=final.term,
             token=lock.token,
-            fenced=last_entry,
+            fenced=fenced.received if fenced is not None else None,
             took_ms=round((boottime_s() - started) * 1000),
         )
 
@@ -499,26 +514,21 @@
         return written
 
     async def _fence_old_primary(
-        self,
-        group: Group,
-        old_primary: Instance | None,
-        record: PrimaryRecord,
-        reason: FailoverReason,
-    ) -> EntryId | None:
-        """Demote the old primary; return its last entry, None if it did not answer."""
+        self, old_primary: Instance | None, record: PrimaryRecord, reason: FailoverReason
+    ) -> InstanceReport | None:
+        """Demote the old primary; return its report, None if it did not answer."""
         if old_primary is None:
             return None
         if reason in PLANNED_REASONS:
             await trio.sleep(STEP_DOWN_DELAY_S)
         try:
             with trio.fail_after(CONTROL_TIMEOUT_S):
-                report = await self._control.step_down(old_primary.registration, record.term)
+                return await self._control.step_down(old_primary.registration, record.term)
         except (TanagerfrontError, trio.TooSlowError) as error:
             self._log.decision(
                 "step_down_unanswered", instance=old_primary.registration.id, error=str(error)
             )
             return None
-        return report.received
 
     async def _wait_until_old_primary_unused(
         self, record: PrimaryRecord, written_at: float
@@ -549,35 +559,47 @@
         group: Group,
         old_primary: Instance | None,
         record: PrimaryRecord,
-        last_entry: EntryId | None,
+        fenced: InstanceReport | None,
         options: GroupOptions,
     ) -> Instance | None:
-        """Return the replica to promote, None if none is safe to promote now."""
-        replicas = group.successors(old_primary)
-        deadline = trio.current_time() + (CATCH_UP_TIMEOUT_S if last_entry is not None else 0.0)
-        # An entry may have been acknowledged after only one replica received it. Without the old
-        # primary's last entry, only the set of all replicas is certain to contain every such entry.
-        pause = options.synchronous_replicas > 0 and last_entry is None
+        """Return the instance to promote, None if none is safe to promote now."""
+        synchronous = options.synchronous_replicas > 0
+        last_entry = fenced.received if fenced is not None else None
+        deadline = trio.current_time() + CATCH_UP_TIMEOUT_S
+        # Without the old primary's last entry, no replica may receive entries after its report.
+        pause_term = record.term if synchronous and last_entry is None else None
         while True:
-            reports = await self._collect_reports(replicas, record.term if pause else None)
-            promoted = [
-                name for name, report in reports.items() if report.role is InstanceRole.PRIMARY
+            instances = (
+                group.log_holders(old_primary) if synchronous else group.successors(old_primary)
+            )
+            reports = await self._collect_reports(instances, pause_term)
+            holders = [
+                LogHolder(
+                    instance.registration.id,
+                    reports.get(instance.registration.id),
+                    instance.may_stay,
+                    instance.overtaken_at,
+                )
+                for instance in instances
             ]
-            best = promoted[0] if promoted else most_advanced(reports)
-            if best is not None and (
-                promoted or last_entry is None or reports[best].received >= last_entry
+            if (
+                synchronous
+                and old_primary is not None
+                and fenced is not None
+                and fenced.role is InstanceRole.REPLICA
             ):
-                break
-            if trio.current_time() >= deadline:
-                break
+                # It can be primary again if no replica has all of its entries.
+                holders.append(LogHolder(old_primary.registration.id, fenced, stays=False))
+            match choose_successor(holders, last_entry, synchronous=synchronous):
+                case Promote(name):
+                    return group.instances.get(name)
+                case CatchUp(fallback):
+                    if trio.current_time() >= deadline:
+                        return None if fallback is None else group.instances.get(fallback)
+                case Blocked(silent):
+                    self._log.decision("acknowledged_entries_unknown", silent=list(silent))
+                    return None
             await trio.sleep(RETRY_DELAY_S)
-        if best is None:
-            return None
-        behind = last_entry is not None and reports[best].received < last_entry
-        incomplete = pause and len(reports) < len(replicas)
-        if options.synchronous_replicas > 0 and not promoted and (behind or incomplete):
-            return None
-        return group.instances.get(best)
 
     async def _promoted_in_evacuated_domain(
         self, group: Group, old_primary: Instance | None
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -72,11 +72,12 @@
     group: str = GROUP,
     born_ms: int = 1,
     revision: int = 1,
+    port: int = 9,
 ) -> InstanceRegistration:
     return InstanceRegistration(
         id=instance_id,
         group=group,
-        address=Address("127.0.0.1", 9),
+        address=Address("127.0.0.1", port),
         failure_domain=failure_domain,
         slots=2,
         draining=draining,
--- a/tests/test_instance_directory.py
+++ b/tests/test_instance_directory.py
@@ -6,7 +6,8 @@
 
 from front_fakes import GROUP, FakeInstance, registration
 from support import TestCase, trio_test
-from tanagerfront.instance_directory import InstanceDirectory
+from tanagerfront.entry_id import EntryId
+from tanagerfront.instance_directory import InstanceDirectory, PrimaryRecord
 from tanagerfront.session_model import InstanceRegistration, boottime_s
 
 
@@ -83,3 +84,56 @@
     ) -> None:
         # Guards against a second home that sees few statements and sends all its own there.
         self.assertIsNone(await self._estimated(1))
+
+
+class LogHoldersTest(TestCase):
+    async def _directory(self) -> InstanceDirectory:
+        """Return a directory with a primary and two replicas, of which `gone` is unregistered."""
+        directory = InstanceDirectory(_open, "suame")  # type: ignore[arg-type]
+        for port, name in enumerate(("p", "staying", "gone"), start=1):
+            await directory.apply(registration(name, primary=name == "p", port=port))
+        await directory.mark_unregistered("gone")
+        return directory
+
+    def _holders(self, directory: InstanceDirectory) -> set[str]:
+        group = directory.group(GROUP)
+        return {holder.registration.id for holder in group.log_holders(group.instances["p"])}
+
+    @trio_test(mock_clock=True)
+    async def test_an_unregistered_instance_is_replaced_by_the_one_at_its_address(self) -> None:
+        # Guards against a promotion without a log that has moved, and against waiting for the
+        # instance that it has moved from.
+        directory = await self._directory()
+        self.assertEqual({"staying", "gone"}, self._holders(directory))
+        await directory.apply(registration("elsewhere", port=9))
+        self.assertEqual({"staying", "gone", "elsewhere"}, self._holders(directory))
+        await directory.apply(registration("replacement", port=3))
+        self.assertEqual({"staying", "elsewhere", "replacement"}, self._holders(directory))
+
+    @trio_test(mock_clock=True)
+    async def test_only_positions_after_the_departure_show_that_it_was_overtaken(self) -> None:
+        # Guards against a promotion without commits that were acknowledged between the position
+        # and the departure.
+        directory = await self._directory()
+        group = directory.group(GROUP)
+        left_at = group.instances["gone"].unregistered_since
+        assert left_at is not None
+        group.samples.add(left_at - 1.0, EntryId(1, 5))
+        group.record_overtaken()
+        self.assertIsNone(group.instances["gone"].overtaken_at)
+        group.samples.add(left_at + 1.0, EntryId(1, 9))
+        group.samples.add(left_at + 2.0, EntryId(1, 12))
+        group.record_overtaken()
+        self.assertEqual(EntryId(1, 9), group.instances["gone"].overtaken_at)
+        await directory.apply(registration("gone", port=3))
+        self.assertIsNone(group.instances["gone"].overtaken_at)
+
+    @trio_test(mock_clock=True)
+    async def test_no_instance_is_forgotten_during_a_failover(self) -> None:
+        # Guards against a failover that waits for a log until that is forgotten, and then promotes
+        # an instance without its entries.
+        directory = await self._directory()
+        for moving, known in ((True, {"staying", "gone"}), (False, {"staying"})):
+            directory.set_primary_record(PrimaryRecord(GROUP, "p", 2, moving, 4 - moving))
+            await directory.remove_unregistered(0.0)
+            self.assertEqual(known, self._holders(directory))
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -247,8 +247,9 @@
         )
         options = {GROUP: GroupOptions(GROUP, 16, synchronous)}
         self.store.record(ConfigurationChanged(configuration(groups=options)))
-        for name in ("p", "r0", "r1"):
-            self.store.record(InstanceChanged(registration(name, primary=name == "p")))
+        for port, name in enumerate(("p", "r0", "r1"), start=1):
+            instance = registration(name, primary=name == "p", port=port)
+            self.store.record(InstanceChanged(instance))
 
     async def _borrow(self, _request: TokenLoanRequest, _lender: str) -> int:
         return UNKNOWN_LENDER
@@ -277,6 +278,13 @@
             await trio.sleep(seconds)
             nursery.cancel_scope.cancel()
 
+    def drain_replica_and_fail_primary(self, replica: str) -> Callable[[], None]:
+        def action() -> None:
+            self.store.record(InstanceChanged(registration(replica, draining=True)))
+            self.fail_primary()
+
+        return action
+
     def fail_primary(self) -> None:
         self.control.unresponsive.add("p")
         self.directory.group(GROUP).instances["p"].unreachable_since = boottime_s() - 1
@@ -414,6 +422,64 @@
         self.assertEqual([], promoter.orders)
         self.assertIn("r1", promoter.control.paused)
 
+    @trio_test(mock_clock=True)
+    async def test_a_commit_that_only_a_draining_replica_has_is_not_rolled_back(self) -> None:
+        # Guards against losing commits that were acknowledged because a replica about to leave had
+        # received them, while the other one lagged and the primary failed.
+        promoter = PromoterVm(synchronous=1)
+        promoter.control.received["r1"] = EntryId(1, 3)
+        await promoter.run_with(promoter.drain_replica_and_fail_primary("r0"), 3)
+        self.assertEqual("r0", promoter.primary)
+        self.assertIn("r0", promoter.control.paused)
+
+    @trio_test(mock_clock=True)
+    async def test_a_draining_primary_keeps_its_role_until_a_replica_has_its_entries(self) -> None:
+        # Guards against a group that loses its only complete primary: once that has stepped down,
+        # the lagging replica can't receive its entries and may not be promoted.
+        promoter = PromoterVm(synchronous=1)
+        promoter.control.received["r1"] = EntryId(1, 3)
+        await promoter.run_with(promoter.drain_replica_and_fail_primary("r0"), 5)
+        self.assertEqual(("r0", None), (promoter.primary, promoter.control.stepped_down_at))
+        promoter.control.received["r1"] = promoter.control.received["r0"]
+        await promoter.run_with(lambda: None, 2)
+        self.assertEqual("r1", promoter.primary)
+        self.assertIsNotNone(promoter.control.stepped_down_at)
+
+    @trio_test(mock_clock=True)
+    async def test_an_unregistered_replica_counts_until_another_has_its_entries(self) -> None:
+        # Guards against losing commits that only a replica has whose entry in the store expired,
+        # also when it can't be reached.
+        for silent, expected in ((False, "r0"), (True, None)):
+            promoter = PromoterVm(synchronous=1)
+            promoter.control.received["r1"] = EntryId(1, 3)
+
+            def leave(promoter: PromoterVm = promoter, silent: bool = silent) -> None:
+                replica = promoter.directory.group(GROUP).instances["r0"]
+                replica.unregistered_since = boottime_s()
+                promoter.fail_primary()
+                if silent:
+                    promoter.control.unresponsive.add("r0")
+
+            await promoter.run_with(leave, 4)
+            self.assertEqual(expected, promoter.primary)
+
+    @trio_test(mock_clock=True)
+    async def test_a_primary_that_returns_during_its_failover_leads_again(self) -> None:
+        # Guards against a group that stays without a primary for good: the only replica that has
+        # all acknowledged commits is the old primary, which came back.
+        promoter = PromoterVm(synchronous=1)
+        promoter.control.received = {"p": EntryId(1, 9), "r0": EntryId(1, 7), "r1": EntryId(1, 3)}
+
+        def fail_primary() -> None:
+            promoter.fail_primary()
+            promoter.control.unresponsive.add("r0")
+
+        await promoter.run_with(fail_primary, 3)
+        self.assertIsNone(promoter.primary)
+        promoter.control.unresponsive.clear()
+        await promoter.run_with(lambda: None, 4)
+        self.assertEqual("p", promoter.primary)
+
     @trio_test(mock_clock=True)
     async def test_failover_continues_after_a_replica_is_not_running(self) -> None:
         # Guards against a group that stays without a primary because the chosen replica stopped
