Accept nothing that a stopping VM may not finish

Cause: no part that accepts work knew when the VM would end. The new module shutdown decides it. In the second half of the grace time a statement, session or commit is accepted only if its route's timeout still fits; others are refused as not run, and the session is closed. What is in progress at the end is answered as in doubt. Callers' connections are not accepted any more while the lease is being released, a stopping home refuses statements of relayed transactions likewise, and a session closes only after 0.25 s without a statement.

--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -40,6 +40,7 @@
     Query,
     Reply,
     Rollback,
+    Route,
     RouteKind,
     SetValue,
     TransactionState,
@@ -169,6 +170,8 @@
             raise RefusedError(
                 FailureCode.UNKNOWN_DATABASE, "no route is configured for this database name"
             )
+        if self._is_too_late(route):
+            raise RefusedError(FailureCode.OVERLOADED, "this VM is stopping")
         if route.anonymous:
             return AuthorisedCaller(configuration, route, None)
         if not confirmed_state.keys_confirmed:
@@ -180,6 +183,13 @@
             raise RefusedError(FailureCode.DENIED, "the API key is unknown or was revoked")
         return AuthorisedCaller(configuration, route, configuration.organisations[name])
 
+    def _is_too_late(self, route: Route) -> bool:
+        """Return whether this VM may stop before a statement that begins now has ended."""
+        shutdown = self._services.confirmed_state.shutdown
+        return shutdown is not None and not shutdown.accepts(
+            trio.current_time(), route.statement_timeout_s
+        )
+
     async def _admit(self, caller: AuthorisedCaller) -> None:
         """Acquire a token of the organisation's token bucket; raises RefusedError."""
         if caller.organisation is None:
--- a/src/tanagerfront/confirmed_state.py
+++ b/src/tanagerfront/confirmed_state.py
@@ -11,6 +11,7 @@
 import trio
 
 from .session_model import FrontConfiguration, boottime_s
+from .shutdown import Shutdown
 from .store_era import era_of
 
 __all__ = ["CONFIRMATION_MARGIN_S", "ConfirmedState", "StalenessLimits"]
@@ -51,7 +52,8 @@
         self._suspended_at = float("-inf")
         self._awaited_revision = 0
         self._expected_until = float("-inf")
-        self.stopping = False
+        # The planned stop of this VM, None until it begins.
+        self.shutdown: Shutdown | None = None
         # Called when a primary may be used again; statements may be waiting for it.
         self.on_primaries_confirmed: Callable[[], None] = lambda: None
         self.first_configuration = trio.Event()
@@ -71,6 +73,11 @@
         """Return the current configuration, None before the first."""
         return self._configuration
 
+    @property
+    def stopping(self) -> bool:
+        """Return whether this VM is being stopped."""
+        return self.shutdown is not None
+
     @property
     def confirmation_age_s(self) -> float:
         """Return the age of the last confirmation by the store, in seconds."""
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -33,6 +33,7 @@
 from .session_model import boottime_s
 from .session_peer_messages import Heartbeat
 from .session_peers import VmPeers
+from .shutdown import Shutdown
 from .slot_admission import ArrivalOrder, UrgencyOrder
 from .slot_report import report_slot_queue
 from .store_era import era_of
@@ -54,8 +55,8 @@
 ROTATION_DELAY_S = 2.6
 # Interval at which a stopping VM closes sessions that have become idle.
 STOP_POLL_INTERVAL_S = 0.05
-# Part of the grace time that is reserved for the exit of the process.
-EXIT_MARGIN_S = 0.7
+# Time for the last replies of a stopping VM to be sent.
+LAST_REPLIES_S = 0.2
 # The VM treats its lease as ended this long before the store does. A renewal takes milliseconds;
 # the rest allows for clocks that run at different rates.
 LEASE_MARGIN_S = 0.8
@@ -113,11 +114,14 @@
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
 
-    def close_idle(self) -> None:
-        """Close the connections that wait for a statement outside a transaction."""
+    def close_waiting(self, shutdown: Shutdown) -> None:
+        """Close the connections that wait for a message for which a shutdown does not wait."""
 
-    def close_waiting(self) -> None:
-        """Close all connections that wait for a statement."""
+    def interrupt(self) -> int:
+        """Answer the statements in progress now, close all connections, and count the former."""
+
+    async def wait_closed(self) -> None:
+        """Wait until no connection is open."""
 
 
 class RelayServer(Protocol):
@@ -130,7 +134,7 @@
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
 
-    def stop(self) -> None:
+    def stop(self, shutdown: Shutdown) -> None:
         """Refuse new sessions and close those without a statement in progress."""
 
 
@@ -286,6 +290,8 @@
         self._session_services = services
         self._callers = adapters.caller_server(services)
         self._relays = adapters.relay_server(self._directory, log)
+        # Scope in which callers' connections are accepted.
+        self._accepting = trio.CancelScope()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then finish the callers' work within the grace time."""
@@ -305,7 +311,7 @@
                 nursery.start_soon(run_restarting, self._run_status, self._log)
                 nursery.start_soon(serve_http, [probes], lambda stream: self._probe_handler())
                 nursery.start_soon(serve_http, [changes], lambda stream: self._changes_handler())
-                nursery.start_soon(trio.serve_listeners, self._callers.serve, [listener])
+                nursery.start_soon(self._accept_callers, listener, nursery)
                 nursery.start_soon(trio.serve_listeners, self._relays.serve, [relays])
                 nursery.start_soon(run_restarting, self._run_reload, self._log)
                 async for signal_number in signals:
@@ -367,23 +373,29 @@
             counts[f"{path}_opened"] += instance.pool.opened_total
         return dict(counts)
 
+    async def _accept_callers(self, listener: trio.SocketListener, nursery: trio.Nursery) -> None:
+        """Accept callers' connections until the VM has stopped accepting them."""
+        with self._accepting:
+            await trio.serve_listeners(self._callers.serve, [listener], handler_nursery=nursery)
+
     async def _stop(self) -> None:
         """Finish the callers' statements and transactions within the grace time."""
-        started = trio.current_time()
-        self._confirmed_state.stopping = True
-        self._relays.stop()
+        shutdown = Shutdown(trio.current_time(), self._times.grace_s)
+        self._confirmed_state.shutdown = shutdown
+        self._relays.stop(shutdown)
         self._log.decision("stopping", open_connections=self._callers.count)
-        transaction_deadline = started + self._times.grace_s / 2
-        deadline = started + self._times.grace_s - EXIT_MARGIN_S
-        while trio.current_time() < deadline:
-            if trio.current_time() < transaction_deadline:
-                self._callers.close_idle()
-            else:
-                self._callers.close_waiting()
-            all_closed = not self._callers.count and not self._relays.count
-            if all_closed and trio.current_time() - started > ROTATION_DELAY_S:
+        rotation_ends_at = shutdown.started_at + ROTATION_DELAY_S
+        while (now := trio.current_time()) < shutdown.ends_at:
+            self._callers.close_waiting(shutdown)
+            if not self._callers.count and not self._relays.count and now > rotation_ends_at:
                 break
             await trio.sleep(STOP_POLL_INTERVAL_S)
+        # A caller that connects from now on could only be cut off.
+        self._accepting.cancel()
+        if interrupted := self._callers.interrupt():
+            self._log.failure("statements_interrupted", count=interrupted)
+        with trio.move_on_after(LAST_REPLIES_S):
+            await self._callers.wait_closed()
         lease = self._sync.lease
         if lease is None:
             return
--- a/src/tanagerfront/platform/caller_wire.py
+++ b/src/tanagerfront/platform/caller_wire.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import trio
 
 from ..caller_session import CallerSession, SessionServices
 from ..errors import BadRequestError, ConnectionLostError, TooLargeError
 from ..session_model import Connect, Failure, FailureCode, Query, Reply, TransactionState
 from ..session_record import RefusedError
+from ..shutdown import Shutdown
 from .line_stream import LineStream
 from .lines import Bye, decode_caller_line, encode_failure, encode_ready, encode_reply
 
@@ -38,13 +37,30 @@
         self._stream = stream
         self._services = services
         self._session: CallerSession | None = None
-        # Scope of the wait for a message, None while there is none; cancelled to close.
-        self.wait_scope: trio.CancelScope | None = None
-
-    @property
-    def in_transaction(self) -> bool:
-        """Return whether a transaction is open."""
-        return self._session is not None and self._session.state is not TransactionState.IDLE
+        # Scopes of the wait for a message and of a statement; None while there is none.
+        self._wait_scope: trio.CancelScope | None = None
+        self._statement_scope: trio.CancelScope | None = None
+        self._waiting_since = trio.current_time()
+        self._closing = False
+
+    def close_waiting(self, shutdown: Shutdown, now: float) -> None:
+        """Close the connection if it waits for a message and the shutdown doesn't wait for one."""
+        if self._wait_scope is None or not self._stream.idle:
+            return
+        in_transaction = (
+            self._session is not None and self._session.state is not TransactionState.IDLE
+        )
+        if shutdown.may_close(now, self._waiting_since, in_transaction=in_transaction):
+            self._closing = True
+            self._wait_scope.cancel()
+
+    def interrupt(self) -> bool:
+        """Answer the statement in progress now and close; return whether there was one."""
+        self._closing = True
+        for scope in (self._wait_scope, self._statement_scope):
+            if scope is not None:
+                scope.cancel()
+        return self._statement_scope is not None
 
     async def serve(self) -> None:
         """Serve until the caller disconnects or the VM stops."""
@@ -54,7 +70,9 @@
             while True:
                 query = await self._next_query(session)
                 if query is not None:
-                    await self._send(encode_reply(await session.execute(query)))
+                    reply = await self._execute(session, query)
+                    await self._send(encode_reply(reply))
+                    self._end_if_refused(reply)
         except _CloseConnectionError as error:
             if error.failure is not None:
                 await self._send(encode_failure(error.failure))
@@ -69,12 +87,30 @@
                 with trio.move_on_after(1):
                     await self._stream.close_gracefully()
 
+    async def _execute(self, session: CallerSession, query: Query) -> Reply:
+        """Return the reply to a statement, also if the VM stops before the statement has ended."""
+        if self._closing:
+            failure = Failure(FailureCode.OVERLOADED, "this VM is stopping")
+            return Reply(failure=failure, state=session.state)
+        with trio.CancelScope() as self._statement_scope:
+            try:
+                return await session.execute(query)
+            finally:
+                self._statement_scope = None
+        failure = Failure(FailureCode.IN_DOUBT, "this VM stops before the statement has ended")
+        return Reply(failure=failure, state=session.state)
+
+    def _end_if_refused(self, reply: Reply) -> None:
+        """End the session of a caller that has to retry at another VM."""
+        stopping = self._services.confirmed_state.stopping and reply.failure is not None
+        refused = stopping and reply.state is TransactionState.IDLE
+        if self._closing or refused:
+            raise _CloseConnectionError
+
     async def _open(self) -> CallerSession:
-        with trio.move_on_after(FIRST_MESSAGE_TIMEOUT_S) as self.wait_scope:
-            line = await self._read_line()
-        if self.wait_scope.cancelled_caught:
+        line = await self._wait_for_line(FIRST_MESSAGE_TIMEOUT_S)
+        if line is None:
             raise _CloseConnectionError
-        self.wait_scope = None
         try:
             message = decode_caller_line(line, trio.current_time())
         except BadRequestError as error:
@@ -99,16 +135,9 @@
 
     async def _next_query(self, session: CallerSession) -> Query | None:
         """Return the next statement, None after an expired transaction or a malformed message."""
-        limit_s = session.idle_limit_s
-        with trio.CancelScope() as self.wait_scope:
-            if limit_s is not None:
-                self.wait_scope.deadline = trio.current_time() + limit_s
-            line = await self._read_line()
-        expired, self.wait_scope = self.wait_scope.cancelled_caught, None
-        if expired:
-            # Without an idle limit only the stop of the VM ends the wait.
-            rolled_back = session.state is TransactionState.FAILED
-            if self._services.confirmed_state.stopping and (limit_s is None or rolled_back):
+        line = await self._wait_for_line(session.idle_limit_s)
+        if line is None:
+            if self._closing:
                 raise _CloseConnectionError
             await session.expire_transaction()
             return None
@@ -125,6 +154,19 @@
                 raise _CloseConnectionError
         raise _CloseConnectionError(Failure(FailureCode.MALFORMED, "the session is already open"))
 
+    async def _wait_for_line(self, limit_s: float | None) -> bytes | None:
+        """Return the next line, None if the time limit or `close_waiting` ended the wait."""
+        self._waiting_since = trio.current_time()
+        with trio.CancelScope() as scope:
+            if limit_s is not None:
+                scope.deadline = self._waiting_since + limit_s
+            self._wait_scope = scope
+            try:
+                return await self._read_line()
+            finally:
+                self._wait_scope = None
+        return None
+
     async def _read_line(self) -> bytes:
         try:
             return await self._stream.read_line()
@@ -144,6 +186,7 @@
     def __init__(self, services: SessionServices) -> None:
         self._services = services
         self._connections: set[_CallerConnection] = set()
+        self._changed = trio.Event()
 
     @property
     def count(self) -> int:
@@ -160,16 +203,20 @@
             self._services.log.failure("session_failed", error=repr(error))
         finally:
             self._connections.discard(connection)
+            changed, self._changed = self._changed, trio.Event()
+            changed.set()
 
-    def close_idle(self) -> None:
-        """Close the connections that wait for a statement and have no open transaction."""
-        self._cancel_waits(lambda connection: not connection.in_transaction)
+    def close_waiting(self, shutdown: Shutdown) -> None:
+        """Close the connections that wait for a message for which a shutdown does not wait."""
+        now = trio.current_time()
+        for connection in list(self._connections):
+            connection.close_waiting(shutdown, now)
 
-    def close_waiting(self) -> None:
-        """Close all connections that wait for a statement; roll open transactions back."""
-        self._cancel_waits(lambda _connection: True)
+    def interrupt(self) -> int:
+        """Answer the statements in progress now, close all connections, and count the former."""
+        return sum([connection.interrupt() for connection in self._connections])
 
-    def _cancel_waits(self, should_close: Callable[[_CallerConnection], bool]) -> None:
-        for connection in list(self._connections):
-            if connection.wait_scope is not None and should_close(connection):
-                connection.wait_scope.cancel()
+    async def wait_closed(self) -> None:
+        """Wait until no connection is open."""
+        while self._connections:
+            await self._changed.wait()
--- a/src/tanagerfront/platform/relay_wire.py
+++ b/src/tanagerfront/platform/relay_wire.py
@@ -11,6 +11,7 @@
 from ..instance_pool import InstanceStatement
 from ..relay import RelaySession
 from ..session_model import Failure, FailureCode, Reply, boottime_s
+from ..shutdown import Shutdown
 from .instance_wire import USER_TIMEOUT_MS
 from .line_stream import LineStream
 from .lines import (
@@ -25,6 +26,8 @@
 __all__ = ["RelayConnections"]
 
 FIRST_MESSAGE_TIMEOUT_S = 5.0
+# Assumed for statements of VMs that don't send how long theirs may take.
+STATEMENT_TIMEOUT_S = 1.0
 
 
 class RelayConnections:
@@ -34,7 +37,7 @@
         self._directory = directory
         self._log = log
         self._sessions_by_wait_scope: dict[trio.CancelScope, RelaySession | None] = {}
-        self._stopping = False
+        self._shutdown: Shutdown | None = None
         self._open_sessions = 0
 
     @property
@@ -42,9 +45,9 @@
         """Return the number of open sessions."""
         return self._open_sessions
 
-    def stop(self) -> None:
+    def stop(self, shutdown: Shutdown) -> None:
         """Reject new sessions and close those without a statement or transaction in progress."""
-        self._stopping = True
+        self._shutdown = shutdown
         for scope, session in list(self._sessions_by_wait_scope.items()):
             if session is None or not session.in_transaction:
                 scope.cancel()
@@ -69,11 +72,15 @@
                 message = await self._next_message(lines, session)
                 if not isinstance(message, InstanceStatement):
                     break
-                reply = await _run_until_abandoned(lines, session, message)
+                too_late = self._is_too_late(message)
+                if too_late:
+                    reply = Reply(failure=Failure(FailureCode.OVERLOADED, "the home is stopping"))
+                else:
+                    reply = await _run_until_abandoned(lines, session, message)
                 if version > 1:
                     reply = reply._replace(load=session.load)
                 await lines.send(encode_reply(reply))
-                if self._stopping and not session.in_transaction:
+                if too_late or (self._shutdown is not None and not session.in_transaction):
                     break
         except ConnectionLostError as error:
             # The other VM takes the closed connection as an unknown outcome of its statement.
@@ -86,6 +93,14 @@
                     await session.close()
                 await lines.close()
 
+    def _is_too_late(self, statement: InstanceStatement) -> bool:
+        """Return whether this VM may stop before the statement has ended."""
+        if self._shutdown is None:
+            return False
+        now, urgency = trio.current_time(), statement.urgency
+        timeout_s = STATEMENT_TIMEOUT_S if urgency is None else urgency.deadline - now
+        return not self._shutdown.accepts(now, timeout_s)
+
     async def _open(self, lines: LineStream) -> tuple[RelaySession | None, int]:
         """Open the session that the other VM asks for; return it and its protocol version."""
         message: InstanceConnect | InstanceStatement | Bye = Bye()
@@ -94,7 +109,11 @@
         if not isinstance(message, InstanceConnect):
             return None, 0
         instance = self._directory.find(message.instance)
-        if self._stopping or instance is None or instance.registration.group != message.group:
+        if (
+            self._shutdown is not None
+            or instance is None
+            or instance.registration.group != message.group
+        ):
             await lines.send(encode_failure(Failure(FailureCode.MOVED, message.instance)))
             return None, 0
         await lines.send(encode_ready(Reply()))
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -16,7 +16,8 @@
 from tanagerfront.platform import relay_wire
 from tanagerfront.platform.instance_wire import InstanceConnection, open_relay
 from tanagerfront.platform.relay_wire import RelayConnections
-from tanagerfront.session_model import Begin, TransactionState, Verbatim
+from tanagerfront.session_model import Begin, FailureCode, TransactionState, Verbatim
+from tanagerfront.shutdown import Shutdown
 
 
 class Home:
@@ -98,7 +99,7 @@
         async with running_home() as home:
             idle, busy = await home.open(), await home.open()
             await busy.run([InstanceStatement("-", Begin(False))])
-            home.relays.stop()
+            home.relays.stop(Shutdown(trio.current_time(), 6.0))
             with self.assertRaises(ConnectionLostError):
                 await idle.run(verbatim("READ 1"))
             await busy.run(verbatim("WRITE 1 x"))
@@ -109,6 +110,22 @@
             with self.assertRaises(InstanceRefusedError):
                 await home.open()
 
+    @trio_test
+    async def test_a_home_that_is_about_to_end_refuses_statements_of_open_transactions(
+        self,
+    ) -> None:
+        # Guards against a commit that is cut off with its home, so that its outcome is unknown.
+        async with running_home() as home:
+            connection = await home.open()
+            await connection.run([InstanceStatement("-", Begin(False))])
+            home.relays.stop(Shutdown(trio.current_time() - 4.5, 6.0))
+            [reply] = await connection.run(verbatim("COMMIT"))
+            assert reply.failure is not None
+            self.assertEqual(FailureCode.OVERLOADED, reply.failure.code)
+            await trio.sleep(0.05)
+            self.assertEqual((0, []), (home.relays.count, home.instance.caller_statements))
+            self.assertEqual(0, home.instance.open_now)
+
     @trio_test
     async def test_a_statement_is_cancelled_when_its_vm_disconnects(self) -> None:
         # Guards against a home whose connections and slots are all held by statements whose
