Answer requests in progress when the drain limit has passed

The test of the limit asked only that the drain ends, and that the request was still counted as busy; it now asks for the response and that nothing is left in progress, and failed before.

--- a/src/tanagerfront/caller_connections.py
+++ b/src/tanagerfront/caller_connections.py
@@ -114,6 +114,11 @@
         """Make every connection close after its current or next request."""
         self._closing = True
 
+    def interrupt(self) -> None:
+        """Answer the requests in progress now, and refuse all further ones."""
+        for handler in self._open:
+            handler.interrupt()
+
     async def close_idle(self) -> None:
         """Close the connections that have been idle for at least MIN_IDLE_S."""
         for handler in [handler for handler in self._open if handler.idle]:
--- a/src/tanagerfront/drain.py
+++ b/src/tanagerfront/drain.py
@@ -13,6 +13,8 @@
 __all__ = ["Drain", "DrainState", "DrainStatus", "DrainTiming", "DrainableConnections"]
 
 CLOSE_IDLE_INTERVAL_S = 0.02
+# Time for the last responses to be sent.
+LAST_RESPONSES_S = 0.1
 # Role locks that are not released in time expire with the lease of the VM.
 RELEASE_TIMEOUT_S = 2.0
 _log = structlog.get_logger()
@@ -79,6 +81,9 @@
     async def close_idle(self) -> None:
         """Close the connections that have no work in progress."""
 
+    def interrupt(self) -> None:
+        """Answer the requests in progress now, and refuse all further ones."""
+
 
 class Drain:
     """Shut down one VM in stages.
@@ -148,6 +153,8 @@
                 min(CLOSE_IDLE_INTERVAL_S, remaining_s)
             ):
                 _log.warning("requests_interrupted", count=self._callers.busy)
+                self._callers.interrupt()
+                await trio.sleep(LAST_RESPONSES_S)
                 return
 
     async def _shutdown_now_within(self, seconds: float) -> bool:
--- a/src/tanagerfront/entry.py
+++ b/src/tanagerfront/entry.py
@@ -45,6 +45,8 @@
         self._transaction: Transaction | None = None
         self._in_progress = False
         self._requests_refused = False
+        # Scope of the request in progress, None while there is none.
+        self._request_scope: trio.CancelScope | None = None
 
     @property
     def busy(self) -> bool:
@@ -64,6 +66,12 @@
         """Refuse all further requests because the connection is about to close."""
         self._requests_refused = True
 
+    def interrupt(self) -> None:
+        """Answer the request in progress now, and refuse all further ones."""
+        self.refuse_requests()
+        if self._request_scope is not None:
+            self._request_scope.cancel()
+
     async def handle(self, request: Request) -> Response:
         """Return the response to one request; errors become problem responses."""
         if request.method == "GET" and request.path in ("/healthz", "/readyz"):
@@ -110,9 +118,16 @@
             raise DrainingError("this connection is closing")
         call.read_headers(self._services)
         context.organisation = call.organisation
-        with trio.move_on_at(call.deadline + DEADLINE_GRACE_S):
-            body, session = await self._dispatch(call)
+        with trio.move_on_at(call.deadline + DEADLINE_GRACE_S) as self._request_scope:
+            try:
+                body, session = await self._dispatch(call)
+            finally:
+                self._request_scope = None
             return self._success_response(call, body, session)
+        if self._requests_refused:
+            raise DrainingError(
+                "this VM stops before the request has ended", executed=call.executed
+            )
         raise DeadlineExceededError("the request's deadline expired", executed=call.executed)
 
     def _success_response(self, call: Call, body: bytes, session: _Session) -> Response:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -98,7 +98,8 @@
 
     @trio_test
     async def test_drain_limit_ends_the_wait_for_a_request(self) -> None:
-        # Guards against a VM that never stops because a request never ends.
+        # Guards against a VM that never stops because a request never ends, and against a request
+        # that is cut off without an answer when the limit has passed.
         vm = DrainBench(DrainTiming(delay_s=0, limit_s=0.3))
         vm.bench.home.outcomes = [60.0]
         async with vm.serving() as nursery:
@@ -109,7 +110,10 @@
             with trio.fail_after(2):
                 await vm.drain.run()
             vm.release.assert_awaited_once()
-            self.assertEqual(1, vm.connections.busy)
+            answer = bytes(await stream.receive_some())
+            self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
+            self.assertIn(b'"executed":"unknown"', answer)
+            self.assertEqual(0, vm.connections.busy)
             await stream.aclose()
             nursery.cancel_scope.cancel()
 
