Remember a session's last write in each group

Cause: the session held one write with its group, so that a write in one group replaced what it knew of another. It now holds the last entry of each group. A write whose reply names no position had the same effect; reads in that group then go to the primary.

--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -24,6 +24,7 @@
     PooledConnection,
     slot_request,
 )
+from .own_writes import OwnWrites
 from .placement import Candidate, assess_candidates, choose_candidate, choose_evenly
 from .primary_use import expected_wait_s, primary_obstacle
 from .rate_shares import RateShares
@@ -103,8 +104,7 @@
         self._values: dict[str, str] = {}
         self._prepared: dict[str, tuple[bool, str]] = {}
         self._transaction: _Transaction | None = None
-        self._last_write: EntryId | None = None
-        self._last_write_group = ""
+        self._own_writes = OwnWrites()
         self._recorder = SessionRecorder(
             services.confirmed_state, services.log, services.metrics, connect
         )
@@ -320,7 +320,7 @@
             await instance.pool.release(connection)
         if reply.failure is None:
             if writes:
-                self._record_write(caller.route.group, reply.reached)
+                self._own_writes.record(caller.route.group, reply.reached)
             self._recorder.record_served(query, caller, instance, reply)
             return reply
         if reply.failure.code in NOT_EXECUTED_CODES:
@@ -450,7 +450,7 @@
         connection.in_transaction = False
         await instance.pool.release(connection)
         if transaction.wrote:
-            self._record_write(transaction.caller.route.group, reply.reached)
+            self._own_writes.record(transaction.caller.route.group, reply.reached)
         self._recorder.record_served(query, transaction.caller, instance, reply)
         return reply
 
@@ -491,10 +491,9 @@
 
         Raises LookupError if the read has to go to the primary.
         """
-        own_writes = (
-            caller.route.kind is RouteKind.READ_YOUR_WRITES and self._last_write_group == group.name
-        )
-        session_entry = self._last_write if own_writes else None
+        session_entry = None
+        if caller.route.kind is RouteKind.READ_YOUR_WRITES:
+            session_entry = self._own_writes.required_entry(group.name)
         return required_entry(caller.route, group, received_boottime_s, session_entry)
 
     def _usable_primary(self, group: Group) -> Instance | None:
@@ -682,10 +681,6 @@
                 "load_reading_dropped", instance=instance.registration.id, load=reply.load
             )
 
-    def _record_write(self, group: str, reached: EntryId | None) -> None:
-        self._last_write = reached
-        self._last_write_group = group
-
 
 def _is_refused_by_home(reply: Reply) -> bool:
     """Return whether the queue of an instance's home refused a statement, not the instance itself.
--- a/tests/test_caller_session.py
+++ b/tests/test_caller_session.py
@@ -33,6 +33,7 @@
     Connect,
     Failure,
     FailureCode,
+    GroupOptions,
     InstanceLoad,
     InstanceRegistration,
     Organisation,
@@ -48,6 +49,7 @@
 )
 from tanagerfront.session_record import RefusedError
 
+OTHER_GROUP = "stock"
 LIMITS = StalenessLimits(keys_s=4.5, primary_s=3.0, lease_s=4.0, leaving_s=5.5)
 
 
@@ -57,6 +59,8 @@
     def __init__(self) -> None:
         self.primary = FakeInstance("p")
         self.replicas = [FakeInstance("r1", is_primary=False), FakeInstance("r2", is_primary=False)]
+        # The primary of another group, which is not registered at the start.
+        self.other_primary = FakeInstance("other-p")
         self.log = RecordingLog()
         self.confirmed_state = ConfirmedState(LIMITS)
         self.directory = InstanceDirectory(self._open, "suame")
@@ -89,16 +93,36 @@
             await self.directory.apply(registration(instance.id, primary=instance is self.primary))
         await trio.sleep(1)
 
+    async def move_routes(self, group: str, version: int) -> None:
+        """Apply a configuration in which all routes lead to a group."""
+        current = self.confirmed_state.configuration
+        assert current is not None
+        self.confirmed_state.apply(
+            current._replace(
+                version=version,
+                routes={kind.value: route(kind)._replace(group=group) for kind in RouteKind},
+                groups={name: GroupOptions(name, 16, 0) for name in (GROUP, OTHER_GROUP)},
+            )
+        )
+        entry = registration(self.other_primary.id, primary=True, group=OTHER_GROUP)
+        await self.directory.apply(entry)
+
     def sample(self, position: EntryId | None = None) -> None:
         """Replace the samples by one of the primary's position at this moment."""
         self.group.samples.clear()
         self.group.samples.add(boottime_s(), position or self.primary.position)
 
+    def prefer_replicas(self) -> None:
+        """Let reads go to the replicas unless they need a newer entry than the sample."""
+        self.group.instances["p"].response_s = 1.0
+        self.sample(EntryId(1, 2))
+
     def session(self, kind: RouteKind, key: str = "secret") -> Caller:
         return Caller(CallerSession(self.services, Connect(kind.value, key)), self._ids)
 
     async def _open(self, registration: InstanceRegistration, organisation: str) -> Any:
-        return await self.instances[registration.id].open(registration, organisation)
+        known = self.instances | {self.other_primary.id: self.other_primary}
+        return await known[registration.id].open(registration, organisation)
 
     async def _borrow(self, _request: TokenLoanRequest, _lender: str) -> int:
         return UNKNOWN_LENDER
@@ -176,6 +200,32 @@
         self.assertTrue(all(after is not None and after >= written for after in required))
         self.assertIn("READ 1", vm.primary.caller_statements)
 
+    @trio_test(mock_clock=True)
+    async def test_a_session_keeps_sight_of_its_writes_while_its_route_changes_groups(self) -> None:
+        # Guards against a session that reads at a lagging replica without its own write, because it
+        # has written in another group since.
+        vm = await start_vm()
+        caller = vm.session(RouteKind.READ_YOUR_WRITES)
+        await caller.send("WRITE 1 x")
+        await vm.move_routes(OTHER_GROUP, 2)
+        await caller.send("WRITE 2 y")
+        await vm.move_routes(GROUP, 3)
+        vm.prefer_replicas()
+        await caller.send("READ 1")
+        self.assertEqual(["WRITE 2 y"], vm.other_primary.caller_statements)
+        self.assertEqual(["WRITE 1 x", "READ 1"], vm.primary.caller_statements)
+
+    @trio_test(mock_clock=True)
+    async def test_a_session_reads_at_the_primary_if_its_write_has_no_known_position(self) -> None:
+        # Guards against a read at a lagging replica after a write whose reply named no position.
+        vm = await start_vm()
+        vm.prefer_replicas()
+        vm.primary.answer = lambda _instance, _statement: Reply(signature=b"signed")
+        caller = vm.session(RouteKind.READ_YOUR_WRITES)
+        await caller.send("WRITE 1 x")
+        await caller.send("READ 1")
+        self.assertEqual(["WRITE 1 x", "READ 1"], vm.primary.caller_statements)
+
     @trio_test(mock_clock=True)
     async def test_the_primary_is_not_used_while_the_store_has_not_confirmed_it(self) -> None:
         # Guards against reads and writes at a primary that was replaced while this VM could not
