Use the readable entries of a list beside odd ones

Other operators reported that one odd entry among those of the instances (nested deeply, a number too large, a port out of range) stopped all machines that read the list. It can happen here: with such entries in the store before the start, VMs of the session interface never became ready, and with entries written later the task that follows the store restarted on each VM. On the HTTP interface one such entry ended the process or stopped the list of VMs.

Cause: decoders raise RecursionError for nested input, which no reader expected; numbers and addresses were not bounded where they are decoded; and the list of VMs was decoded as a whole.

All readers of documents by other processes expect these errors now. Registrations are checked when they are decoded, and an odd one names no instance to use, also on VMs that knew one by its key. The list of VMs is decoded entry by entry.

--- a/src/tanagerfront/_manifest.py
+++ b/src/tanagerfront/_manifest.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .decoding import DECODING_ERRORS
 from .errors import KeyValueError
 
 __all__ = [
@@ -82,7 +83,7 @@
 def _decode(value: bytes, struct_type: type[T]) -> T:
     try:
         return msgspec.json.decode(value, type=struct_type)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise KeyValueError(
             f"malformed {struct_type.__name__.lower()} in the key-value service: {error}"
         ) from error
--- a/src/tanagerfront/_peers_link.py
+++ b/src/tanagerfront/_peers_link.py
@@ -7,7 +7,6 @@
 import logging
 from typing import Any
 
-import msgspec
 import trio
 from grpclib.client import Channel
 from grpclib.const import Cardinality
@@ -24,6 +23,7 @@
     Waiter,
     run_until_first_ends,
 )
+from .decoding import DECODING_ERRORS
 from .errors import ConnectionLostError, OverloadedError, PeerUnreachableError
 from .http_client import Address
 from .messages import Cancel, Frame, Message
@@ -37,7 +37,7 @@
 # A stream without a reply to frames or pings for this long is replaced.
 SILENCE_TIMEOUT_S = 2.0
 CHECK_INTERVAL_S = 0.25
-STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError, msgspec.MsgspecError)
+STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError, *DECODING_ERRORS)
 
 
 _log = logging.getLogger(__name__)
--- a/src/tanagerfront/_peers_server.py
+++ b/src/tanagerfront/_peers_server.py
@@ -7,7 +7,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import msgspec
 import trio
 from grpclib.const import Cardinality, Handler
 
@@ -20,6 +19,7 @@
     Outbox,
     run_until_first_ends,
 )
+from .decoding import DECODING_ERRORS
 from .messages import Cancel, Frame, Message
 
 __all__ = ["PeerService", "ServerStream"]
@@ -106,5 +106,5 @@
 
     async def _exchange(self, stream: Any) -> None:
         vm = (stream.metadata or {}).get(VM_METADATA, "")
-        with contextlib.suppress(TimeoutError, msgspec.MsgspecError):
+        with contextlib.suppress(TimeoutError, *DECODING_ERRORS):
             await self._serve(str(vm), stream)
--- a/src/tanagerfront/caller_requests.py
+++ b/src/tanagerfront/caller_requests.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from .decoding import DECODING_ERRORS
 from .errors import BadRequestError
 from .http_server import Request
 from .messages import WireResult, WireValue
@@ -96,7 +97,7 @@
         decoded = decoder.decode(body or b"{}")
     except msgspec.ValidationError as error:
         raise BadRequestError(f"body: {error}{_invalid_param_names(body)}") from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         raise BadRequestError("body is not JSON in UTF-8") from error
     statements = getattr(decoded, "statements", None)
     if statements is not None and not 1 <= len(statements) <= MAX_STATEMENTS:
@@ -108,7 +109,7 @@
     """Return the names of parameters with an invalid type, which the decoder's message omits."""
     try:
         params = msgspec.json.decode(body, type=dict[str, Any]).get("params")
-    except (msgspec.MsgspecError, RecursionError):
+    except DECODING_ERRORS:
         return ""
     if not isinstance(params, dict):
         return ""
--- a/src/tanagerfront/databases.py
+++ b/src/tanagerfront/databases.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from .decoding import DECODING_ERRORS
 from .entry_id import EntryId
 from .errors import (
     ConnectionLostError,
@@ -133,7 +134,7 @@
     try:
         body = msgspec.json.decode(reply.body)
         name = body["error"]
-    except (msgspec.DecodeError, KeyError, TypeError):
+    except (*DECODING_ERRORS, KeyError, TypeError):
         body, name = {}, f"status {reply.status}"
     message = f"{address}: {name}"
     match name:
@@ -272,7 +273,7 @@
     def _decode_status(self, reply: HttpReply) -> tuple[InstanceStatus, int]:
         try:
             return _decode_status(reply.body)
-        except msgspec.DecodeError as error:
+        except DECODING_ERRORS as error:
             raise DatabaseError(f"{self.address} sent a malformed status") from error
 
     def _decode_execute(self, reply: HttpReply) -> ExecuteResult:
@@ -281,6 +282,6 @@
             reached = EntryId(body["entry_term"], body["position"])
             results = tuple(_decode_result(item) for item in body["results"])
             return ExecuteResult(body["term"], reached, results)
-        except (msgspec.DecodeError, KeyError, TypeError) as error:
+        except (*DECODING_ERRORS, KeyError, TypeError) as error:
             message = f"{self.address} sent a malformed answer"
             raise DatabaseError(message, executed="unknown") from error
--- a/src/tanagerfront/group_record.py
+++ b/src/tanagerfront/group_record.py
@@ -10,6 +10,7 @@
 import structlog
 import trio
 
+from .decoding import DECODING_ERRORS
 from .errors import KeyValueError, KeyValueTimeoutError
 from .kv import KeyValueStore
 
@@ -75,7 +76,7 @@
     """Decode a record from JSON; raises KeyValueError."""
     try:
         body = msgspec.json.decode(value, type=_RecordBody)
-    except msgspec.DecodeError as error:
+    except DECODING_ERRORS as error:
         raise KeyValueError("group record is malformed") from error
     reserved = TermReservation(body.reserved.term, body.reserved.vm) if body.reserved else None
     return GroupRecord(body.term, body.primary, body.promoter, body.nonce, reserved)
--- a/src/tanagerfront/kv_etcd.py
+++ b/src/tanagerfront/kv_etcd.py
@@ -257,7 +257,7 @@
 
 def _parse_reply(reply: HttpReply) -> dict[str, Any]:
     message: dict[str, Any] = {}
-    with suppress(ValueError):
+    with suppress(ValueError, RecursionError):
         message = json.loads(reply.body)
     if reply.status == 200 and message:
         return message
@@ -285,7 +285,7 @@
 def _watch_result(line: bytes) -> dict[str, Any]:
     try:
         message = json.loads(line)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise KeyValueUnavailableError("malformed line in a watch stream") from error
     result: dict[str, Any] | None = message.get("result")
     if result is None:
--- a/src/tanagerfront/platform/documents.py
+++ b/src/tanagerfront/platform/documents.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
+import ipaddress
+from typing import Annotated, TypeVar
 
 import msgspec
 
+from ..decoding import DECODING_ERRORS
 from ..errors import ConfigurationError
-from ..http_client import parse_address
+from ..http_client import Address, parse_address
 from ..instance_directory import PrimaryRecord
 from ..session_model import (
     FrontConfiguration,
@@ -34,6 +36,7 @@
     "VmRecord",
     "decode_configuration",
     "decode_evacuation",
+    "decode_address",
     "decode_instance",
     "decode_primary_record",
     "decode_promoter",
@@ -54,6 +57,11 @@
 PROMOTER_KEY = OWN_PREFIX + "promoter"
 SETTLED_ERA_KEY = OWN_PREFIX + "era"
 
+MAX_COUNT = 2**53
+MAX_SLOTS = 65_536
+MAX_SHOWN_CHARS = 40
+# A longer time until an instance is warm can only be a mistake.
+MAX_COLD_S = 86_400.0
 DEFAULT_STATEMENT_TIMEOUT_MS = 1000.0
 DEFAULT_TARGET_LATENCY_MS = 500.0
 DEFAULT_PRIORITY = 2
@@ -111,15 +119,19 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
+# Milliseconds and counts; larger ones could not be converted to other types.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+
+
 class _Instance(msgspec.Struct):
     service: str
     address: str
     zone: str
     state: str
     db_role: str
-    slots: int = 1
-    born: int = 0
-    sequence: int = 0
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)] = 1
+    born: _Count = 0
+    sequence: _Count = 0
     # Not a reason to leave out the instance if it is malformed.
     cold_remaining_ms: msgspec.Raw = msgspec.Raw(b"0")
 
@@ -170,7 +182,7 @@
     try:
         document = _configuration_decoder.decode(value)
         routes = {route.database: _route(route) for route in document.routes}
-    except (msgspec.MsgspecError, KeyError) as error:
+    except (*DECODING_ERRORS, KeyError) as error:
         raise ConfigurationError(
             f"malformed configuration at revision {revision}: {error}"
         ) from error
@@ -219,9 +231,9 @@
     try:
         document = _instance_decoder.decode(value)
         return InstanceRegistration(
-            id=instance_id,
-            group=document.service,
-            address=parse_address(document.address),
+            id=_checked_name(instance_id),
+            group=_checked_name(document.service),
+            address=decode_address(document.address),
             failure_domain=document.zone,
             slots=document.slots,
             draining=_DRAINING_BY_STATE[document.state],
@@ -231,25 +243,41 @@
             sequence=document.sequence,
             cold_remaining_s=_cold_remaining_s(document.cold_remaining_ms),
         )
-    except (msgspec.MsgspecError, KeyError, ValueError) as error:
+    except (*DECODING_ERRORS, KeyError, ValueError) as error:
         raise ConfigurationError(
             f"malformed registration of instance {instance_id!r}: {error}"
         ) from error
 
 
+def decode_address(text: str) -> Address:
+    """Return the address of a process; raises ValueError unless it has an IP address and a port."""
+    address = parse_address(text)
+    ipaddress.ip_address(address.host)
+    if address.port == 0:
+        raise ValueError("port 0 can't be connected to")
+    return address
+
+
+def _checked_name(name: str) -> str:
+    """Return a name that is one word of the line protocol; raises ValueError."""
+    if not name or " " in name or not name.isprintable():
+        raise ValueError(f"{name[:MAX_SHOWN_CHARS]!r} is not a name")
+    return name
+
+
 def _cold_remaining_s(value: msgspec.Raw) -> float | None:
     try:
         remaining_s = msgspec.json.decode(value, type=float) / 1000
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         return None
-    return remaining_s if remaining_s >= 0.0 else None
+    return remaining_s if 0.0 <= remaining_s <= MAX_COLD_S else None
 
 
 def decode_evacuation(failure_domain: str, value: bytes) -> bool:
     """Return whether an order to evacuate a failure domain is readable: an object for a name."""
     try:
         return bool(failure_domain) and isinstance(msgspec.json.decode(value), dict)
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         return False
 
 
@@ -289,5 +317,5 @@
 def _decode(decoder: msgspec.json.Decoder[_T], value: bytes) -> _T:
     try:
         return decoder.decode(value)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise ConfigurationError(str(error)) from error
--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -28,7 +28,6 @@
     VmChanged,
     VmUnregistered,
 )
-from ..http_client import parse_address
 from ..instance_directory import PrimaryRecord
 from ..kv import KeyValue, WatchEvent
 from ..session_model import FrontConfiguration
@@ -45,6 +44,7 @@
     PromoterRecord,
     SettledEraRecord,
     VmRecord,
+    decode_address,
     decode_configuration,
     decode_evacuation,
     decode_instance,
@@ -62,6 +62,8 @@
 # Limit of the store on the keys of one call.
 MAX_KEYS_PER_CALL = 32
 ALL_KEYS_PREFIX = ""
+# Errors may quote the entry, which may have a megabyte.
+MAX_ERROR_CHARS = 200
 
 
 class PlatformFleetStore:
@@ -138,7 +140,9 @@
         return FleetState(
             changes=changes,
             readable=CONFIGURATION_KEY in keys and decoded == len(groups) + 1,
-            instances=frozenset(_suffixes(keys, INSTANCE_PREFIX)),
+            instances=frozenset(
+                change.registration.id for change in changes if isinstance(change, InstanceChanged)
+            ),
             vms=frozenset(_suffixes(keys, VM_PREFIX)),
             groups=groups,
             has_promoter=PROMOTER_KEY in keys,
@@ -319,8 +323,12 @@
         try:
             change = _decode(key, value, revision)
         except (ConfigurationError, ValueError) as error:
+            text = str(error)[:MAX_ERROR_CHARS]
+            self._log.failure("unreadable_entry", key=key, revision=revision, error=text)
+            if key.startswith(INSTANCE_PREFIX):
+                # It names no instance to use, also on the VMs that knew one by this key.
+                return InstanceUnregistered(key.removeprefix(INSTANCE_PREFIX))
             # The last state that could be decoded stays in force.
-            self._log.failure("unreadable_entry", key=key, revision=revision, error=str(error))
             return None
         if isinstance(change, ConfigurationChanged):
             self._configuration = change.configuration
@@ -341,7 +349,7 @@
         if value is None:
             return VmUnregistered(key.removeprefix(VM_PREFIX))
         record = decode_vm(value)
-        host, port = parse_address(record.address)
+        host, port = decode_address(record.address)
         return VmChanged(
             RegisteredVm(
                 record.vm,
--- a/src/tanagerfront/platform/packed_changes.py
+++ b/src/tanagerfront/platform/packed_changes.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ..change_history import LARGE_VALUE_BYTES, ChangeHistory
+from ..decoding import DECODING_ERRORS
 from ..kv import WatchEvent
 
 __all__ = ["CONTENT_TYPE", "PackedPage", "decode_packed", "deflate", "encode_packed"]
@@ -77,7 +78,7 @@
         events = tuple(
             WatchEvent(change.key, _value(change), change.revision) for change in page.changes
         )
-    except (msgspec.MsgspecError, zlib.error) as error:
+    except (*DECODING_ERRORS, zlib.error) as error:
         raise ValueError(f"malformed changes: {error}") from error
     deflated = {
         change.key: change.value
--- a/src/tanagerfront/platform/store.py
+++ b/src/tanagerfront/platform/store.py
@@ -11,6 +11,7 @@
 import msgspec
 import trio
 
+from ..decoding import DECODING_ERRORS
 from ..errors import (
     ConnectionLostError,
     HistoryLostError,
@@ -94,7 +95,11 @@
 
 
 def _decode_value(text: str | None) -> bytes:
-    return base64.b64decode(text) if text else b""
+    """Return the bytes of a value, none if they can't be read."""
+    try:
+        return base64.b64decode(text) if text else b""
+    except binascii.Error:
+        return b""
 
 
 def encode_watch_response(events: Iterable[WatchEvent], revision: int) -> bytes:
@@ -295,7 +300,7 @@
         try:
             response = _response_decoder.decode(reply.body or b"{}")
             current = [self._key_value(item) for item in response.items if item.revision]
-        except (msgspec.MsgspecError, binascii.Error) as error:
+        except (*DECODING_ERRORS, binascii.Error) as error:
             raise KeyValueTimeoutError(f"malformed store response: {error}") from error
         if reply.status == PRECONDITION_FAILED:
             raise SwapConflictError(current)
--- a/src/tanagerfront/role_locks.py
+++ b/src/tanagerfront/role_locks.py
@@ -16,6 +16,7 @@
 
 from ._role_locks_lease import LeaseSettings, VmLease
 from ._role_locks_order import LockHolder, claim_order, number_to_release
+from .decoding import DECODING_ERRORS
 from .errors import KeyValueError, KeyValueTimeoutError
 from .kv import KeyValueStore
 from .membership import LiveVm, Membership
@@ -223,7 +224,7 @@
         try:
             role_lock = RoleLock.parse(key)
             record = None if value is None else msgspec.json.decode(value, type=_Record)
-        except (ValueError, msgspec.MsgspecError):
+        except (ValueError, *DECODING_ERRORS):
             _log.error("key %s or its value is not a valid role lock", key)
             return
         previous = self._entries.get(role_lock)
--- a/src/tanagerfront/session_peers.py
+++ b/src/tanagerfront/session_peers.py
@@ -7,10 +7,10 @@
 from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple
 
-import msgspec
 import trio
 
 from .decision_log import DecisionLog
+from .decoding import DECODING_ERRORS
 from .fleet_store import RegisteredVm
 from .position_exchange import PassedPosition
 from .rate_shares import LOAN_TIMEOUT_S, UNKNOWN_LENDER, RateShares, TokenLoanRequest
@@ -170,7 +170,7 @@
             try:
                 data, sender = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
                 message = decode_datagram(data)
-            except (OSError, msgspec.MsgspecError) as error:
+            except (OSError, *DECODING_ERRORS) as error:
                 self._log.failure("datagram_unreadable", error=str(error))
                 continue
             await self._receive(message, sender)
--- a/src/tanagerfront/session_tokens.py
+++ b/src/tanagerfront/session_tokens.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from .decoding import DECODING_ERRORS
 from .entry_id import ZERO, EntryId
 from .errors import SessionTokenError
 
@@ -104,7 +105,7 @@
 def _parse_entries(body: bytes) -> dict[str, EntryId]:
     try:
         parsed = msgspec.msgpack.decode(body, type=_EncodedEntries)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise SessionTokenError("the session token is malformed") from error
     if len(parsed) > MAX_GROUPS:
         raise SessionTokenError(f"the session token exceeds {MAX_GROUPS} groups")
--- a/src/tanagerfront/vm_list.py
+++ b/src/tanagerfront/vm_list.py
@@ -10,6 +10,7 @@
 import structlog
 import trio
 
+from .decoding import DECODING_ERRORS, without_deep_values
 from .errors import ConnectionLostError, UnavailableError
 from .http_client import Address, HttpConnection, parse_address
 
@@ -44,7 +45,11 @@
 
 
 class _WireList(msgspec.Struct):
-    vms: list[_WireVm]
+    vms: list[msgspec.Raw]
+
+
+class _WireId(msgspec.Struct):
+    id: str
 
 
 class VmList:
@@ -79,7 +84,7 @@
         be taken for unlisted.
         """
         try:
-            self._last = _parse_list(await self._request())
+            self._last = _parse_list(await self._request(), self.by_id)
             self._fetched_at = trio.current_time()
         except (ConnectionLostError, UnavailableError) as error:
             await self._disconnect()
@@ -102,12 +107,35 @@
             await connection.close()
 
 
-def _parse_list(body: bytes) -> tuple[ListedVm, ...]:
+def _parse_list(body: bytes, known: Mapping[str, ListedVm]) -> tuple[ListedVm, ...]:
+    """Return the listed VMs, without the entries that can't be read; raises UnavailableError.
+
+    A VM that was known keeps its last entry while the present one can't be read.
+    """
     try:
-        listed = msgspec.json.decode(body, type=_WireList)
-        return tuple(
-            ListedVm(vm.id, parse_address(vm.address), vm.failure_domain, vm.state)
-            for vm in listed.vms
-        )
-    except (msgspec.MsgspecError, ValueError) as error:
+        entries = _decode_list(body).vms
+    except DECODING_ERRORS as error:
         raise UnavailableError(f"malformed list of VMs: {error}") from error
+    listed = [vm for entry in entries if (vm := _parse_entry(entry, known)) is not None]
+    if entries and not listed:
+        raise UnavailableError("malformed list of VMs: no entry can be read")
+    return tuple(listed)
+
+
+def _decode_list(body: bytes) -> _WireList:
+    try:
+        return msgspec.json.decode(body, type=_WireList)
+    except RecursionError:
+        return msgspec.json.decode(without_deep_values(body), type=_WireList)
+
+
+def _parse_entry(entry: msgspec.Raw, known: Mapping[str, ListedVm]) -> ListedVm | None:
+    try:
+        vm = msgspec.json.decode(entry, type=_WireVm)
+        return ListedVm(vm.id, parse_address(vm.address), vm.failure_domain, vm.state)
+    except (*DECODING_ERRORS, ValueError) as error:
+        _log.warning("vm_entry_unreadable", error=str(error))
+    try:
+        return known.get(msgspec.json.decode(entry, type=_WireId).id)
+    except DECODING_ERRORS:
+        return None
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -95,9 +95,41 @@
             with self.assertRaises(ConfigurationError):
                 decode_instance("i-1", json.dumps({**REGISTRATION, field: value}).encode(), 9)
 
+    def test_values_that_can_not_be_used_make_a_registration_malformed(self) -> None:
+        # Guards against an entry by another writer that is accepted, and ends the task that later
+        # connects to it, converts its numbers or sends its name in a line.
+        for field, value in (
+            ("slots", 0),
+            ("slots", 10**30),
+            ("slots", 10**4000),
+            ("born", 10**30),
+            ("born", -1),
+            ("sequence", 10**4000),
+            ("address", "127.0.0.1:65536"),
+            ("address", "127.0.0.1:0"),
+            ("address", "127.0.0.1:-1"),
+            ("address", "127.0.0.1:" + "9" * 5000),
+            ("address", "name.example:80"),
+            ("address", "127.0.0.1\r\n:80"),
+            ("service", ""),
+            ("service", "orders x"),
+            ("service", "orders\r\nQUERY"),
+        ):
+            with self.assertRaises(ConfigurationError):
+                decode_instance("i-1", json.dumps({**REGISTRATION, field: value}).encode(), 9)
+        with self.assertRaises(ConfigurationError):
+            decode_instance("i 1", json.dumps(REGISTRATION).encode(), 9)
+
     def test_an_odd_cold_time_does_not_remove_the_instance(self) -> None:
         # Guards against an instance that serves nobody because of a field that few deployments use.
-        for value, expected in ((1500, 1.5), (None, None), ("x", None), (-1, None)):
+        for value, expected in (
+            (1500, 1.5),
+            (None, None),
+            ("x", None),
+            (-1, None),
+            (10**30, None),
+            (1e300, None),
+        ):
             entry = json.dumps({**REGISTRATION, "cold_remaining_ms": value}).encode()
             self.assertEqual(expected, decode_instance("i-1", entry, 9).cold_remaining_s)
         self.assertEqual(
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -52,6 +52,18 @@
     "db_role": "replica",
 }
 
+ODD_REGISTRATIONS = (
+    b"\xff\xfe",
+    b'{"service":"orders","odd":' + b"[" * 50_000 + b"]" * 50_000 + b"}",
+    msgspec.json.encode({**REGISTRATION, "slots": 2**63}),
+    msgspec.json.encode({**REGISTRATION, "address": "127.0.0.1:70000"}),
+)
+
+
+async def _overwrite(client: StoreClient, key: str, value: bytes) -> None:
+    current = await client.get(key)
+    await client.swap({key: current.revision if current else 0}, {key: value})
+
 
 async def _promote(_group: str, instance: str, _holder: str, _token: int) -> bool:
     return instance == "runs"
@@ -145,6 +157,27 @@
             result = await fleet.check(KnownRevisions(1, {}))
             self.assertEqual((False, ()), (result.current, tuple(result.changes)))
 
+    @trio_test
+    async def test_an_odd_instance_entry_leaves_the_others_in_use(self) -> None:
+        # Guards against a fleet that stops following the store because of one entry by another
+        # writer, and against VMs that go on using an instance which later VMs don't know.
+        for odd in ODD_REGISTRATIONS:
+            async with running_store() as (standin, client, address):
+                fleet = self._fleet(address)
+                standin.put("op/config", {"version": 3})
+                standin.put("servers/good", REGISTRATION)
+                standin.put("servers/turned", REGISTRATION)
+                revision = (await fleet.load()).revision
+                for name in ("odd", "turned"):
+                    await _overwrite(client, f"servers/{name}", odd)
+                standin.put("servers/later", REGISTRATION)
+                changes, _ = await fleet.watch(revision, 0.1)
+                self.assertEqual(
+                    ["InstanceUnregistered", "InstanceUnregistered", "InstanceChanged"],
+                    [type(change).__name__ for change in changes],
+                )
+                self.assertEqual({"good", "later"}, (await fleet.load()).instances)
+
     @trio_test
     async def test_a_check_confirms_known_revisions_or_returns_newer_values(self) -> None:
         async with running_store() as (standin, _client, address):
--- a/tests/test_session_peers.py
+++ b/tests/test_session_peers.py
@@ -134,8 +134,9 @@
         async with trio.open_nursery() as nursery:
             await fleet.start(nursery)
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
-                sender.sendto(b"\xc1 nonsense", (fleet.vms[0].host, fleet.vms[0].port))
-            await until(lambda: bool(fleet.logs[0].inputs_of("datagram_unreadable")))
+                for datagram in (b"\xc1 nonsense", b"\x91" * 50_000):
+                    sender.sendto(datagram, (fleet.vms[0].host, fleet.vms[0].port))
+            await until(lambda: len(fleet.logs[0].inputs_of("datagram_unreadable")) == 2)
             await until(lambda: bool(fleet.received))
             nursery.cancel_scope.cancel()
 
