Take an instance for promoted only in the term of its failover

Cause: the role in a report, or in the registration, was taken for the result of the promoter's own order, without its term.

The fake instance control of the tests reported every primary in term 1; it now leads the next term, as instances do, and the test of a promotion ordered before an evacuation says which term that was. Nothing is asserted less.

The new test of FailoverTest failed before.

--- a/src/tanagerfront/promotion_choice.py
+++ b/src/tanagerfront/promotion_choice.py
@@ -21,6 +21,7 @@
     "Promote",
     "PromotionChoice",
     "choose_successor",
+    "is_promoted",
     "most_advanced",
 ]
 
@@ -73,20 +74,36 @@
     return max(reports, key=lambda name: reports[name].received, default=None)
 
 
+def is_promoted(report: InstanceReport, term: int) -> bool:
+    """Return whether an instance leads the term of a failover, or a later one.
+
+    A primary that was replaced while it was cut off goes on in its old term.
+    """
+    return report.role is InstanceRole.PRIMARY and report.term >= term
+
+
 def choose_successor(
-    holders: Sequence[LogHolder], last_entry: EntryId | None, *, synchronous: bool
+    holders: Sequence[LogHolder], last_entry: EntryId | None, term: int, *, synchronous: bool
 ) -> PromotionChoice:
     """Return which instance to promote; `last_entry` is the old primary's, None if it is silent.
 
-    A synchronous group acknowledges an entry after one replica has received it, whichever that is.
-    Its new primary must have all such entries, so it may be an instance that is about to leave.
+    `term` is that of the failover. A synchronous group acknowledges an entry after one replica has
+    received it, whichever that is. Its new primary must have all such entries, so it may be an
+    instance that is about to leave.
     """
-    reports = {holder.id: holder.report for holder in holders if holder.report is not None}
-    for name, report in reports.items():
-        if report.role is InstanceRole.PRIMARY:
+    answers = {holder.id: holder.report for holder in holders if holder.report is not None}
+    for name, report in answers.items():
+        if is_promoted(report, term):
             # An earlier order has been done; a second one would give the group two primaries.
             return Promote(name)
-    staying = {holder.id: reports[holder.id] for holder in holders if _may_stay(holder)}
+    # The log of a replaced primary has entries that were rolled back. It is the last resort.
+    replicas = {
+        name: report for name, report in answers.items() if report.role is InstanceRole.REPLICA
+    }
+    reports = replicas or answers
+    staying = {
+        holder.id: reports[holder.id] for holder in holders if holder.stays and holder.id in reports
+    }
     best = most_advanced(staying)
     if last_entry is not None:
         if best is not None and staying[best].received >= last_entry:
@@ -105,10 +122,6 @@
     return Promote(most_advanced(complete) or newest)
 
 
-def _may_stay(holder: LogHolder) -> bool:
-    return holder.stays and holder.report is not None
-
-
 def _with_entry(reports: Mapping[str, InstanceReport], entry: EntryId) -> dict[str, InstanceReport]:
     """Return the reports of the instances whose logs have reached an entry."""
     return {name: report for name, report in reports.items() if report.received >= entry}
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -28,6 +28,7 @@
     LogHolder,
     Promote,
     choose_successor,
+    is_promoted,
     most_advanced,
 )
 from .session_model import GroupOptions, InstanceRegistration, InstanceRole, boottime_s
@@ -214,6 +215,13 @@
     return reason in PLANNED_REASONS and bool(silent_vms) and due_for_s < MAX_POSTPONEMENT_S
 
 
+class _Successor(NamedTuple):
+    """An instance to promote; as primary of this term or a later one it has been promoted."""
+
+    instance: Instance
+    leads_from: int
+
+
 class FailoverController:
     """Monitors the primaries of all groups and runs failovers while this VM is the promoter."""
 
@@ -429,12 +437,12 @@
         # An old primary that stepped down refuses writes, but answers reads as a replica.
         await self._wait_until_old_primary_unused(record, written_at)
         options = self._options(group.name)
-        chosen = None
+        successor = None
         if reason is FailoverReason.UNFINISHED:
-            chosen = await self._promoted_in_evacuated_domain(group, old_primary)
-        if chosen is None:
-            chosen = await self._choose_replica(group, old_primary, record, fenced, options)
-        if chosen is None:
+            successor = await self._promoted_in_evacuated_domain(group, old_primary, record)
+        if successor is None:
+            successor = await self._choose_successor(group, old_primary, record, fenced, options)
+        if successor is None:
             self._log.failure("no_candidate", group=group.name)
             await trio.sleep(RETRY_DELAY_S)
             return
@@ -446,10 +454,11 @@
             self._sync.request_check()
             await trio.sleep(RETRY_DELAY_S)
             return
+        chosen = successor.instance
         outcome = await self._order_promotion(group, chosen, lock.token)
         if outcome is not PromotionOutcome.ORDERED:
             return
-        term = await self._wait_until_promoted(chosen)
+        term = await self._wait_until_promoted(successor)
         if term is None:
             # The record stays open, and the next attempt finds out which instance was promoted.
             self._log.failure(
@@ -554,14 +563,14 @@
             unknown_vms_for_s=self._unknown_vms_for_s,
         )
 
-    async def _choose_replica(
+    async def _choose_successor(
         self,
         group: Group,
         old_primary: Instance | None,
         record: PrimaryRecord,
         fenced: InstanceReport | None,
         options: GroupOptions,
-    ) -> Instance | None:
+    ) -> _Successor | None:
         """Return the instance to promote, None if none is safe to promote now."""
         synchronous = options.synchronous_replicas > 0
         last_entry = fenced.received if fenced is not None else None
@@ -582,28 +591,23 @@
                 )
                 for instance in instances
             ]
-            if (
-                synchronous
-                and old_primary is not None
-                and fenced is not None
-                and fenced.role is InstanceRole.REPLICA
-            ):
+            if synchronous and old_primary is not None and fenced is not None:
                 # It can be primary again if no replica has all of its entries.
                 holders.append(LogHolder(old_primary.registration.id, fenced, stays=False))
-            match choose_successor(holders, last_entry, synchronous=synchronous):
+            match choose_successor(holders, last_entry, record.term, synchronous=synchronous):
                 case Promote(name):
-                    return group.instances.get(name)
+                    return _successor(group, name, holders, record)
                 case CatchUp(fallback):
                     if trio.current_time() >= deadline:
-                        return None if fallback is None else group.instances.get(fallback)
+                        return _successor(group, fallback, holders, record)
                 case Blocked(silent):
                     self._log.decision("acknowledged_entries_unknown", silent=list(silent))
                     return None
             await trio.sleep(RETRY_DELAY_S)
 
     async def _promoted_in_evacuated_domain(
-        self, group: Group, old_primary: Instance | None
-    ) -> Instance | None:
+        self, group: Group, old_primary: Instance | None, record: PrimaryRecord
+    ) -> _Successor | None:
         """Return an instance that an earlier promoter promoted before its domain was evacuated.
 
         A second promotion in the same failover would give the group two primaries.
@@ -615,8 +619,8 @@
         ]
         reports = await self._collect_reports(evacuated, None)
         for name, report in reports.items():
-            if report.role is InstanceRole.PRIMARY:
-                return group.instances.get(name)
+            if is_promoted(report, record.term):
+                return _Successor(group.instances[name], record.term)
         return None
 
     async def _collect_reports(
@@ -671,17 +675,32 @@
             chosen.record_failure()
         return outcome
 
-    async def _wait_until_promoted(self, chosen: Instance) -> int | None:
+    async def _wait_until_promoted(self, successor: _Successor) -> int | None:
         """Wait until the instance is primary; return its term, 0 if not known, None if it isn't."""
+        chosen = successor.instance
+        # A role that was registered before says nothing about the promotion.
+        registered_before = chosen.registration.role is InstanceRole.PRIMARY
         with trio.move_on_after(PROMOTION_TIMEOUT_S):
             while True:
                 report = await self._request_report(chosen)
-                if report is not None and report.role is InstanceRole.PRIMARY:
+                if report is not None and is_promoted(report, successor.leads_from):
                     return report.term
-                if chosen.registration.role is InstanceRole.PRIMARY:
-                    break
+                if not registered_before and chosen.registration.role is InstanceRole.PRIMARY:
+                    return 0
                 await trio.sleep(RETRY_DELAY_S / 2)
-        return 0 if chosen.registration.role is InstanceRole.PRIMARY else None
+        return None
+
+
+def _successor(
+    group: Group, name: str | None, holders: Sequence[LogHolder], record: PrimaryRecord
+) -> _Successor | None:
+    """Return an instance of the group by its name, None without one."""
+    instance = group.instances.get(name) if name is not None else None
+    if instance is None:
+        return None
+    reports = [holder.report for holder in holders if holder.id == name]
+    claims_role = any(report and report.role is InstanceRole.PRIMARY for report in reports)
+    return _Successor(instance, record.term if claims_role else 0)
 
 
 def build_heartbeat(
--- a/tests/test_promotion_choice.py
+++ b/tests/test_promotion_choice.py
@@ -17,6 +17,8 @@
 )
 from tanagerfront.session_model import InstanceRole
 
+# Term of the failover.
+TERM = 3
 BEHIND = EntryId(1, 4)
 NEWEST = EntryId(1, 9)
 
@@ -28,14 +30,15 @@
     stays: bool = True,
     overtaken_at: EntryId | None = None,
     role: InstanceRole = InstanceRole.REPLICA,
+    term: int = TERM - 1,
 ) -> LogHolder:
-    report = None if received is None else InstanceReport(role, 1, received)
+    report = None if received is None else InstanceReport(role, term, received)
     return LogHolder(name, report, stays, overtaken_at)
 
 
 class SilentPrimaryTest(TestCase):
     def _choose(self, *holders: LogHolder) -> Promote | CatchUp | Blocked:
-        return choose_successor(holders, None, synchronous=True)
+        return choose_successor(holders, None, TERM, synchronous=True)
 
     def test_a_leaving_replica_that_alone_has_the_newest_entries_is_promoted(self) -> None:
         # Guards against rolling back commits that were acknowledged because it had received them.
@@ -61,7 +64,7 @@
     def test_an_asynchronous_group_does_not_wait_for_silent_replicas(self) -> None:
         # Guards against an outage for a guarantee that the group does not give.
         holders = [holder("r", BEHIND), holder("silent", None)]
-        self.assertEqual(Promote("r"), choose_successor(holders, None, synchronous=False))
+        self.assertEqual(Promote("r"), choose_successor(holders, None, TERM, synchronous=False))
 
     @given(
         st.dictionaries(
@@ -89,17 +92,31 @@
     def test_a_synchronous_group_waits_for_the_last_entry(self) -> None:
         # Guards against a promotion without the last entries of a primary that stepped down.
         holders = [holder("r", BEHIND)]
-        self.assertEqual(CatchUp(None), choose_successor(holders, NEWEST, synchronous=True))
-        self.assertEqual(CatchUp("r"), choose_successor(holders, NEWEST, synchronous=False))
+        self.assertEqual(CatchUp(None), choose_successor(holders, NEWEST, TERM, synchronous=True))
+        self.assertEqual(CatchUp("r"), choose_successor(holders, NEWEST, TERM, synchronous=False))
 
     def test_an_old_primary_with_all_entries_is_the_fallback(self) -> None:
         # Guards against a group that stays without a primary because its replicas can't receive the
         # entries of a primary that came back after its failover had begun.
         holders = [holder("r", BEHIND), holder("old", NEWEST, stays=False)]
-        self.assertEqual(CatchUp("old"), choose_successor(holders, NEWEST, synchronous=True))
+        self.assertEqual(CatchUp("old"), choose_successor(holders, NEWEST, TERM, synchronous=True))
 
     def test_no_second_instance_is_promoted(self) -> None:
         # Guards against two primaries after a promoter was lost before it recorded its order.
-        primary = holder("p", BEHIND, role=InstanceRole.PRIMARY)
-        choice = choose_successor([holder("r", NEWEST), primary], None, synchronous=True)
-        self.assertEqual(Promote("p"), choice)
+        primary = holder("p", BEHIND, role=InstanceRole.PRIMARY, term=TERM)
+        for synchronous in (True, False):
+            choice = choose_successor(
+                [holder("r", NEWEST), primary], None, TERM, synchronous=synchronous
+            )
+            self.assertEqual(Promote("p"), choice)
+
+    def test_a_replaced_primary_that_still_claims_the_role_is_not_promoted_again(self) -> None:
+        # Guards against a primary that was cut off while another was promoted: its log has entries
+        # that were rolled back, and lacks those of the other one.
+        replaced = holder("a", NEWEST, role=InstanceRole.PRIMARY)
+        for synchronous in (True, False):
+            holders = [replaced, holder("c", BEHIND)]
+            choice = choose_successor(holders, None, TERM, synchronous=synchronous)
+            self.assertEqual(Promote("c"), choice)
+            alone = choose_successor([replaced], None, TERM, synchronous=synchronous)
+            self.assertEqual(Promote("a"), alone)
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -170,6 +170,8 @@
         self.unresponsive: set[str] = set()
         self.received = {"p": EntryId(1, 9), "r0": EntryId(1, 9), "r1": EntryId(1, 7)}
         self.primary_name = "p"
+        # The term that the primary leads.
+        self.term = 1
         self.stepped_down_at: float | None = None
         self.paused: list[str] = []
 
@@ -177,7 +179,7 @@
         if name in self.unresponsive:
             raise ConnectionLostError("instance does not respond", executed="no")
         role = InstanceRole.PRIMARY if name == self.primary_name else InstanceRole.REPLICA
-        return InstanceReport(role, 1, self.received[name])
+        return InstanceReport(role, self.term, self.received[name])
 
     async def report(self, registration: InstanceRegistration) -> InstanceReport:
         await trio.sleep(0.003)
@@ -259,8 +261,9 @@
         outcome = (
             self.promotion_outcomes.pop(0) if self.promotion_outcomes else PromotionOutcome.ORDERED
         )
-        if outcome is PromotionOutcome.ORDERED:
+        if outcome is PromotionOutcome.ORDERED and self.control.primary_name != instance:
             self.control.primary_name = instance
+            self.control.term += 1
         return outcome
 
     @property
@@ -480,6 +483,33 @@
         await promoter.run_with(lambda: None, 4)
         self.assertEqual("p", promoter.primary)
 
+    @trio_test(mock_clock=True)
+    async def test_a_replaced_primary_is_not_recorded_before_it_leads_the_new_term(self) -> None:
+        # Guards against writes that are acknowledged by a primary of an old term: it is the only
+        # instance that answers, still claims the role, and its promotion takes a moment.
+        promoter = PromoterVm()
+        promoter.store.record(PrimaryRecordChanged(PrimaryRecord(GROUP, "r0", 4, False, 0)))
+        promoter.control.unresponsive.update(("r0", "r1"))
+        promoter.control.term = 3
+
+        async def promote(_group: str, name: str, _holder: str, _token: int) -> PromotionOutcome:
+            promoter.orders.append((trio.current_time(), name, 0))
+            return PromotionOutcome.ORDERED
+
+        promoter.promote = promote  # type: ignore[method-assign]
+
+        def fail_primary() -> None:
+            failed = promoter.directory.group(GROUP).instances["r0"]
+            failed.unreachable_since = boottime_s() - 1
+
+        await promoter.run_with(fail_primary, 3)
+        self.assertEqual(
+            ({"p"}, None), ({name for _, name, _ in promoter.orders}, promoter.primary)
+        )
+        promoter.control.term = 5
+        await promoter.run_with(lambda: None, 5)
+        self.assertEqual("p", promoter.primary)
+
     @trio_test(mock_clock=True)
     async def test_failover_continues_after_a_replica_is_not_running(self) -> None:
         # Guards against a group that stays without a primary because the chosen replica stopped
@@ -641,7 +671,7 @@
         # Guards against two primaries: the former promoter ordered a replica whose domain was
         # evacuated before the record was written.
         promoter = self._promoter()
-        promoter.control.primary_name = "r0"
+        promoter.control.primary_name, promoter.control.term = "r0", 2
         promoter.control.unresponsive.add("p")
         promoter.control.received["r1"] = EntryId(1, 1)
         promoter.store.record(DomainEvacuated("suame", 0))
