Hold on to the instance whose promotion was ordered

Cause: an order without a reply was treated as if it had not been given, and the next attempt of the same failover chose again. The promoter now orders the same instance until the platform says that it is not running, or it does not report. An instance that leads is recorded without waiting for the reply.

Both new tests of FailoverTest failed before.

--- a/src/tanagerfront/fleet_store.py
+++ b/src/tanagerfront/fleet_store.py
@@ -292,8 +292,11 @@
     async def acquire_promoter_lock(self, vm: RegisteredVm, lease: int) -> PromoterLock | None:
         """Acquire the promoter lock; return None if another VM holds it."""
 
-    async def is_failover_current(self, lock: PromoterLock, record: PrimaryRecord) -> bool:
-        """Return whether the store still holds the lock and the record."""
+    async def record_order(self, lock: PromoterLock, record: PrimaryRecord, instance: str) -> bool:
+        """Record which instance a failover promotes; return False if lock or record has changed."""
+
+    async def ordered_instance(self, record: PrimaryRecord) -> str | None:
+        """Return the instance that was recorded for a failover, None without one."""
 
     async def settle_era(self, era: int) -> None:
         """Record that the fleet relies on the store in this era."""
--- a/src/tanagerfront/platform/documents.py
+++ b/src/tanagerfront/platform/documents.py
@@ -25,12 +25,14 @@
     "CONFIGURATION_KEY",
     "EVACUATION_PREFIX",
     "INSTANCE_ROLES",
+    "ORDER_PREFIX",
     "INSTANCE_PREFIX",
     "PRIMARY_PREFIX",
     "OWN_PREFIX",
     "PROMOTER_KEY",
     "SETTLED_ERA_KEY",
     "VM_PREFIX",
+    "OrderRecord",
     "PromoterRecord",
     "SettledEraRecord",
     "VmRecord",
@@ -38,6 +40,7 @@
     "decode_evacuation",
     "decode_address",
     "decode_instance",
+    "decode_order",
     "decode_primary_record",
     "decode_promoter",
     "decode_settled_era",
@@ -54,6 +57,8 @@
 VM_PREFIX = OWN_PREFIX + "vms/"
 # Primary records; stored keys contain "leaders/" and cannot be renamed.
 PRIMARY_PREFIX = OWN_PREFIX + "leaders/"
+# Instances whose promotion was ordered, by group.
+ORDER_PREFIX = OWN_PREFIX + "orders/"
 PROMOTER_KEY = OWN_PREFIX + "promoter"
 SETTLED_ERA_KEY = OWN_PREFIX + "era"
 
@@ -155,6 +160,13 @@
     incarnation: str
 
 
+class OrderRecord(msgspec.Struct):
+    """An instance whose promotion was ordered in the failover of a term."""
+
+    instance: str
+    term: int
+
+
 class SettledEraRecord(msgspec.Struct):
     """The newest era of the store in which the VMs have written again what it had lost."""
 
@@ -173,6 +185,7 @@
 _instance_decoder = msgspec.json.Decoder(_Instance)
 _vm_decoder = msgspec.json.Decoder(VmRecord)
 _promoter_decoder = msgspec.json.Decoder(PromoterRecord)
+_order_decoder = msgspec.json.Decoder(OrderRecord)
 _settled_era_decoder = msgspec.json.Decoder(SettledEraRecord)
 _primary_record_decoder = msgspec.json.Decoder(_PrimaryRecord)
 
@@ -291,6 +304,11 @@
     return _decode(_promoter_decoder, value)
 
 
+def decode_order(value: bytes) -> OrderRecord:
+    """Return the record of an ordered promotion; raises ConfigurationError."""
+    return _decode(_order_decoder, value)
+
+
 def decode_settled_era(value: bytes) -> int:
     """Return the newest settled era; raises ConfigurationError."""
     return _decode(_settled_era_decoder, value).era
@@ -309,7 +327,7 @@
     return msgspec.json.encode(_PrimaryRecord(group, instance, term, moving))
 
 
-def encode_record(record: VmRecord | PromoterRecord | SettledEraRecord) -> bytes:
+def encode_record(record: VmRecord | PromoterRecord | OrderRecord | SettledEraRecord) -> bytes:
     """Return the stored value of a record."""
     return msgspec.json.encode(record)
 
--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -36,11 +36,13 @@
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
     INSTANCE_PREFIX,
+    ORDER_PREFIX,
     OWN_PREFIX,
     PRIMARY_PREFIX,
     PROMOTER_KEY,
     SETTLED_ERA_KEY,
     VM_PREFIX,
+    OrderRecord,
     PromoterRecord,
     SettledEraRecord,
     VmRecord,
@@ -48,6 +50,7 @@
     decode_configuration,
     decode_evacuation,
     decode_instance,
+    decode_order,
     decode_primary_record,
     decode_promoter,
     decode_settled_era,
@@ -270,15 +273,28 @@
             return None
         return PromoterLock(vm.name, vm.incarnation, token)
 
-    async def is_failover_current(self, lock: PromoterLock, record: PrimaryRecord) -> bool:
-        """Return whether the store still holds the lock and the record."""
+    async def record_order(self, lock: PromoterLock, record: PrimaryRecord, instance: str) -> bool:
+        """Record which instance a failover promotes; return False if lock or record has changed."""
         expected = {PROMOTER_KEY: lock.token, PRIMARY_PREFIX + record.group: record.revision}
+        value = encode_record(OrderRecord(instance, record.term))
         try:
-            await self._checks.swap(expected)
+            await self._checks.swap(expected, {ORDER_PREFIX + record.group: value})
         except SwapConflictError:
             return False
         return True
 
+    async def ordered_instance(self, record: PrimaryRecord) -> str | None:
+        """Return the instance that was recorded for a failover, None without one."""
+        found = await self._checks.get(ORDER_PREFIX + record.group)
+        if found is None:
+            return None
+        try:
+            order = decode_order(found.value)
+        except ConfigurationError as error:
+            self._log.failure("unreadable_entry", key=found.key, error=str(error))
+            return None
+        return order.instance if order.term == record.term else None
+
     async def settle_era(self, era: int) -> None:
         """Record that the fleet relies on the store in this era."""
         current = await self._checks.get(SETTLED_ERA_KEY)
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -247,6 +247,8 @@
         self._own = own
         self._log = log
         self._in_progress: set[str] = set()
+        # Term of the last failover and instance ordered in it, empty if that is not running.
+        self._orders: dict[str, tuple[int, str]] = {}
         self._first_seen: dict[str, float] = {}
         self._due_since: dict[str, float] = {}
         # Groups whose primaries are being moved out of an evacuated failure domain.
@@ -439,44 +441,42 @@
         options = self._options(group.name)
         successor = None
         if reason is FailoverReason.UNFINISHED:
-            successor = await self._promoted_in_evacuated_domain(group, old_primary, record)
+            successor = await self._ordered_before(group, record)
+            if successor is None:
+                successor = await self._promoted_in_evacuated_domain(group, old_primary, record)
         if successor is None:
             successor = await self._choose_successor(group, old_primary, record, fenced, options)
         if successor is None:
             self._log.failure("no_candidate", group=group.name)
             await trio.sleep(RETRY_DELAY_S)
             return
+        chosen = successor.instance
+        instance_id = chosen.registration.id
         if not (
-            group.primary_record == record and await self._store.is_failover_current(lock, record)
+            group.primary_record == record
+            and await self._store.record_order(lock, record, instance_id)
         ):
             # The store has been restored, and VMs may use the primary of an older record again.
             self._log.failure("primary_move_outdated", group=group.name, term=record.term)
             self._sync.request_check()
             await trio.sleep(RETRY_DELAY_S)
             return
-        chosen = successor.instance
-        outcome = await self._order_promotion(group, chosen, lock.token)
-        if outcome is not PromotionOutcome.ORDERED:
-            return
-        term = await self._wait_until_promoted(successor)
+        self._orders[group.name] = record.term, instance_id
+        term = await self._promote(group, successor, lock.token, record)
         if term is None:
             # The record stays open, and the next attempt finds out which instance was promoted.
-            self._log.failure(
-                "promotion_not_seen", group=group.name, instance=chosen.registration.id
-            )
+            self._log.failure("promotion_not_seen", group=group.name, instance=instance_id)
             return
         chosen.record_answer(None, None)
         # A promoter that has just started may not have known the term of the old primary.
-        final = record._replace(
-            instance=chosen.registration.id, term=max(record.term, term), moving=False
-        )
+        final = record._replace(instance=instance_id, term=max(record.term, term), moving=False)
         await self._write_primary_record(final)
         self._log.decision(
             "primary_moved",
             group=group.name,
             reason=reason.value,
             old=old_primary.registration.id if old_primary else None,
-            new=chosen.registration.id,
+            new=instance_id,
             term=final.term,
             token=lock.token,
             fenced=fenced.received if fenced is not None else None,
@@ -605,6 +605,22 @@
                     return None
             await trio.sleep(RETRY_DELAY_S)
 
+    async def _ordered_before(self, group: Group, record: PrimaryRecord) -> _Successor | None:
+        """Return the instance that this failover has ordered already, None if it doesn't answer.
+
+        An order that was given up may still be done. One for another instance would then give the
+        group two primaries, one after the other.
+        """
+        term, instance_id = self._orders.get(group.name, (0, ""))
+        if term != record.term:
+            # Another promoter may have given the order.
+            instance_id = await self._store.ordered_instance(record) or ""
+        instance = group.instances.get(instance_id)
+        report = await self._request_report(instance) if instance is not None else None
+        if instance is None or report is None:
+            return None
+        return _Successor(instance, record.term if report.role is InstanceRole.PRIMARY else 0)
+
     async def _promoted_in_evacuated_domain(
         self, group: Group, old_primary: Instance | None, record: PrimaryRecord
     ) -> _Successor | None:
@@ -651,6 +667,28 @@
             self._log.decision("no_report", instance=instance.registration.id, error=str(error))
             return None
 
+    async def _promote(
+        self, group: Group, successor: _Successor, token: int, record: PrimaryRecord
+    ) -> int | None:
+        """Order a promotion; return the term of the new primary, 0 if not known, None without one.
+
+        The instance may lead before the platform has replied to the order.
+        """
+        term: int | None = None
+        async with trio.open_nursery() as nursery:
+
+            async def order() -> None:
+                outcome = await self._order_promotion(group, successor.instance, token)
+                if outcome is PromotionOutcome.NOT_RUNNING:
+                    self._orders[group.name] = record.term, ""
+                if outcome is not PromotionOutcome.ORDERED:
+                    nursery.cancel_scope.cancel()
+
+            nursery.start_soon(order)
+            term = await self._wait_until_promoted(successor)
+            nursery.cancel_scope.cancel()
+        return term
+
     async def _order_promotion(
         self, group: Group, chosen: Instance, token: int
     ) -> PromotionOutcome:
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -247,6 +247,7 @@
         self.revision = 1
         self.configuration: FrontConfiguration | None = None
         self.primary_records: dict[str, PrimaryRecord] = {}
+        self.orders: dict[str, tuple[int, str]] = {}
         self.registrations: dict[str, InstanceRegistration] = {}
         self.vms: dict[str, RegisteredVm] = {}
         self.evacuations: dict[str, DomainEvacuated] = {}
@@ -331,9 +332,17 @@
     def on_restored(self, callback: Callable[[int], None]) -> None:
         pass
 
-    async def is_failover_current(self, lock: PromoterLock, record: PrimaryRecord) -> bool:
-        self._call("is_failover_current")
-        return self.promoter_lock == lock and self.primary_records.get(record.group) == record
+    async def record_order(self, lock: PromoterLock, record: PrimaryRecord, instance: str) -> bool:
+        self._call("record_order")
+        current = self.promoter_lock == lock and self.primary_records.get(record.group) == record
+        if current:
+            self.orders[record.group] = record.term, instance
+        return current
+
+    async def ordered_instance(self, record: PrimaryRecord) -> str | None:
+        self._call("ordered_instance")
+        term, instance = self.orders.get(record.group, (0, ""))
+        return instance if term == record.term else None
 
     async def settle_era(self, era: int) -> None:
         self._call("settle_era")
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -202,6 +202,27 @@
             assert first is not None and again is not None
             self.assertGreater(again.token, first.token)
 
+    @trio_test
+    async def test_an_order_is_recorded_only_under_the_current_lock_and_failover(self) -> None:
+        # Guards against an order by a promoter that was replaced, or in a failover that has ended,
+        # and against one of an earlier failover that passes for one of the present.
+        async with running_store() as (_standin, _client, address):
+            fleet = self._fleet(address)
+            lease = await fleet.register(vm("a"), 5.0)
+            lock = await fleet.acquire_promoter_lock(vm("a"), lease)
+            record = await fleet.write_primary_record(PrimaryRecord("orders", "p", 2, True, 0))
+            assert lock is not None and record is not None
+            self.assertIsNone(await fleet.ordered_instance(record))
+            self.assertTrue(await fleet.record_order(lock, record, "r0"))
+            self.assertEqual("r0", await fleet.ordered_instance(record))
+            self.assertIsNone(await fleet.ordered_instance(record._replace(term=3)))
+            for outdated in (
+                (lock._replace(token=lock.token + 1), record),
+                (lock, record._replace(revision=record.revision + 1)),
+            ):
+                self.assertFalse(await fleet.record_order(*outdated, "r1"))
+            self.assertEqual("r0", await fleet.ordered_instance(record))
+
     @trio_test
     async def test_a_write_whose_reply_was_lost_is_confirmed_by_reading_it_back(self) -> None:
         async with running_store() as (standin, _client, address):
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -170,6 +170,8 @@
         self.unresponsive: set[str] = set()
         self.received = {"p": EntryId(1, 9), "r0": EntryId(1, 9), "r1": EntryId(1, 7)}
         self.primary_name = "p"
+        # Seconds until an instance reports.
+        self.delays: dict[str, float] = {}
         # The term that the primary leads.
         self.term = 1
         self.stepped_down_at: float | None = None
@@ -182,7 +184,7 @@
         return InstanceReport(role, self.term, self.received[name])
 
     async def report(self, registration: InstanceRegistration) -> InstanceReport:
-        await trio.sleep(0.003)
+        await trio.sleep(self.delays.get(registration.id, 0.003))
         return self._report(registration.id)
 
     async def pause(self, registration: InstanceRegistration, term: int) -> InstanceReport:
@@ -510,6 +512,50 @@
         await promoter.run_with(lambda: None, 5)
         self.assertEqual("p", promoter.primary)
 
+    @trio_test(mock_clock=True)
+    async def test_orders_that_were_given_up_name_the_instance_that_leads(self) -> None:
+        # Guards against an order that the platform does late, when another instance, as far
+        # advanced, has been promoted and is in use.
+        promoter = PromoterVm()
+        promoter.control.received["r1"] = promoter.control.received["r0"]
+        promote = promoter.promote
+        late = 3.0
+
+        async def promote_late(group: str, name: str, holder: str, token: int) -> PromotionOutcome:
+            nursery.start_soon(finish, group, name, holder, token)
+            # The other one reports first in the next attempt.
+            promoter.control.delays = {name: 0.02}
+            await trio.sleep(1.0)
+            return PromotionOutcome.UNKNOWN
+
+        async def finish(group: str, name: str, holder: str, token: int) -> None:
+            await trio.sleep(late)
+            await promote(group, name, holder, token)
+
+        promoter.promote = promote_late  # type: ignore[method-assign]
+        async with trio.open_nursery() as nursery:
+            await promoter.run_with(promoter.fail_primary, 9)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(1, len({name for _, name, _ in promoter.orders}))
+        self.assertEqual(promoter.control.primary_name, promoter.primary)
+
+    @trio_test(mock_clock=True)
+    async def test_the_next_promoter_holds_on_to_an_ordered_instance(self) -> None:
+        # Guards against an order of a promoter that was lost, done after its successor has chosen
+        # another instance; one that is not running is given up.
+        for outcomes, expected in (
+            ([], ["r1"]),
+            ([PromotionOutcome.NOT_RUNNING], ["r1", "r0"]),
+            ([PromotionOutcome.UNKNOWN], ["r1", "r1"]),
+        ):
+            promoter = PromoterVm()
+            promoter.promotion_outcomes = list(outcomes)
+            promoter.store.orders[GROUP] = 2, "r1"
+            promoter.store.record(PrimaryRecordChanged(PrimaryRecord(GROUP, "p", 2, True, 0)))
+            await promoter.run_with(promoter.fail_primary, 6)
+            self.assertEqual(expected, [name for _, name, _ in promoter.orders])
+            self.assertEqual(expected[-1], promoter.primary)
+
     @trio_test(mock_clock=True)
     async def test_failover_continues_after_a_replica_is_not_running(self) -> None:
         # Guards against a group that stays without a primary because the chosen replica stopped
