--- a/src/tanagerfront_lab/soak.py
+++ b/src/tanagerfront_lab/soak.py
@@ -151,6 +151,8 @@
         self.copies: deque[ModelCopy] = deque(maxlen=MAX_COPIES)
         self.api_keys = ["key-a", "key-b"]
         self.evacuated_domain: str | None = None
+        # The callers go on until the recovery after the last fault has been checked.
+        self.callers_end = False
 
     async def _promote(self, group: str, name: str, holder: str, token: int) -> bool:
         if any(
@@ -443,10 +445,10 @@
 
     # Callers
 
-    async def run_client(self, number: int, until: float) -> None:
+    async def run_client(self, number: int) -> None:
         """Run operations on items that only this client uses, over sessions that stay open."""
         rng = random.Random(f"{self.options.seed}/{number}")
-        while trio.current_time() < until:
+        while not self.callers_end:
             vm, consistency, key = (
                 rng.choice(self.vms),
                 rng.choice(_CONSISTENCIES),
@@ -459,7 +461,7 @@
                 continue
             try:
                 session = _ClientSession(self, lines, consistency, key, f"c{number}", rng)
-                while await session.operate() and trio.current_time() < until:  # noqa: ASYNC110
+                while await session.operate() and not self.callers_end:  # noqa: ASYNC110
                     await trio.sleep(rng.uniform(0.0, 0.05))
             except ConnectionLostError:
                 pass
@@ -569,7 +571,7 @@
             faults_end = trio.current_time() + options.seconds
             async with trio.open_nursery() as clients:
                 for number in range(options.clients):
-                    clients.start_soon(soak.run_client, number, faults_end + RECOVERY_LIMIT_S + 4)
+                    clients.start_soon(soak.run_client, number)
                 clients.start_soon(soak.run_restores)
                 clients.start_soon(soak.run_evacuations)
                 clients.start_soon(soak.run_odd_entries)
@@ -578,6 +580,7 @@
                 before = history.outcome_counts()
                 await trio.sleep(3.0)
                 history.check_recovery(before, history.outcome_counts())
+                soak.callers_end = True
             # A synchronous group loses no acknowledged commit.
             discarded = () if options.synchronous else soak.group.discarded
             history.check_log(_primary_log(soak.group), discarded, REVOCATION_LIMIT_S)
