--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -27,6 +27,7 @@
 from .own_writes import OwnWrites
 from .placement import Candidate, assess_candidates, choose_candidate, choose_evenly
 from .primary_use import expected_wait_s, primary_obstacle
+from .primary_writes import PrimaryWrite
 from .rate_shares import RateShares
 from .session_model import (
     NOT_EXECUTED_CODES,
@@ -298,6 +299,8 @@
         """Run a statement on a connection; return None if it may be retried."""
         instance, connection, after = placement
         attempts.sent = True
+        group = self._services.directory.group(caller.route.group)
+        write = group.writes.begin(instance.registration.id) if writes else None
         try:
             deadline = attempts.deadline if writes else attempts.read_attempt_deadline()
             statement = self._instance_statement(query, attempts.statement_urgency(writes=writes))
@@ -317,9 +320,12 @@
             code = FailureCode.IN_DOUBT if writes else FailureCode.FAILED
             raise RefusedError(code, str(error)) from error
         finally:
+            if write is not None:
+                group.writes.end(write)
             await instance.pool.release(connection)
         if reply.failure is None:
-            if writes:
+            if write is not None:
+                self._check_write(query, instance, write)
                 self._own_writes.record(caller.route.group, reply.reached)
             self._recorder.record_served(query, caller, instance, reply)
             return reply
@@ -359,18 +365,30 @@
         assert instance is not None and connection is not None
         self._check_transaction(transaction)
         urgency = urgency_of(transaction.caller.route, query.received_at, in_transaction=True)
-        deadline = urgency.deadline
+        group = self._services.directory.group(transaction.caller.route.group)
+        commits = transaction.wrote and isinstance(query.statement, Commit)
+        write = group.writes.begin(instance.registration.id) if commits else None
         try:
             reply = await self._send(
-                self._instance_statement(query, urgency), connection, instance, deadline
+                self._instance_statement(query, urgency), connection, instance, urgency.deadline
             )
         except OverloadedError as error:
             raise RefusedError(FailureCode.ABORTED, str(error)) from error
         except ConnectionLostError as error:
             self._recorder.record_lost_answer(query, instance, error)
             raise RefusedError(code_if_lost, str(error)) from error
+        finally:
+            if write is not None:
+                group.writes.end(write)
+        if write is not None and reply.failure is None:
+            self._check_write(query, instance, write)
         return reply, instance, connection
 
+    def _check_write(self, query: Query, instance: Instance, write: PrimaryWrite) -> None:
+        """Check the success of a write before it is passed on."""
+        if write.sent_before_failover:
+            self._recorder.record_late_write(query, instance)
+
     def _check_transaction(self, transaction: _Transaction) -> None:
         """Raise RefusedError if the transaction may not continue."""
         caller = self._authorise()
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -289,7 +289,12 @@
                 self._instance_unregistered_since.setdefault(instance_id, boottime_s())
             case PrimaryRecordChanged(record):
                 if self._directory.set_primary_record(record):
-                    self._log.decision("leader_recorded", **record._asdict())
+                    writes = self._directory.group(record.group).writes
+                    self._log.decision(
+                        "leader_recorded",
+                        **record._asdict(),
+                        writes_in_progress=writes.sent_before_failover,
+                    )
                     if self.is_coordinator:
                         # Renews the confirmations of all VMs, with the replies to the heartbeats
                         # that follow a new record.
--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -14,6 +14,7 @@
 from .instance_pool import InstancePool, Opener, PoolLimits
 from .placement import Candidate, LoadEstimate
 from .position_samples import PositionSamples
+from .primary_writes import PrimaryWrites
 from .session_model import GroupOptions, InstanceRegistration, InstanceRole, Reply, boottime_s
 from .slot_admission import ArrivalOrder, SlotOrder, UrgencyOrder
 
@@ -161,6 +162,7 @@
         self.name = name
         self.instances: dict[str, Instance] = {}
         self.samples = PositionSamples()
+        self.writes = PrimaryWrites()
         self.primary_record: PrimaryRecord | None = None
         # When this VM learned that the primary is moving, None while it is not.
         self.moving_since: float | None = None
@@ -458,6 +460,7 @@
         group.moving_since = boottime_s() if record.moving else None
         # Positions sampled at the previous primary may be missing from the new one's log.
         group.samples.clear()
+        group.writes.replace_primary(None if record.moving else record.instance)
         group.notify()
         return True
 
--- a/src/tanagerfront/session_record.py
+++ b/src/tanagerfront/session_record.py
@@ -104,6 +104,16 @@
             "answer_lost", request=query.id, instance=instance.registration.id, error=str(error)
         )
 
+    def record_late_write(self, query: Query, instance: Instance) -> None:
+        """Record that a write succeeded at an instance whose replacement had begun before."""
+        self._metrics.count("late_writes", instance=instance.registration.id)
+        self._log.decision(
+            "late_write",
+            request=query.id,
+            instance=instance.registration.id,
+            elapsed_ms=round((trio.current_time() - query.received_at) * 1000, 1),
+        )
+
     def record_unreachable(self, instance: Instance, error: TanagerfrontError) -> None:
         """Record that a connection to an instance could not be opened."""
         if instance.record_failure():
