--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -38,6 +38,7 @@
     PromotionOutcome,
     ReachabilityVotes,
     RecordPropagation,
+    build_heartbeat,
     decide_failover,
     is_old_primary_unused,
     is_postponed,
@@ -320,6 +321,25 @@
         self.assertEqual([], promoter.orders)
         self.assertTrue(promoter.store.primary_records[GROUP].moving)
 
+    @trio_test(mock_clock=True)
+    async def test_a_vm_that_wrote_a_newer_record_is_not_taken_for_informed_of_an_older_one(
+        self,
+    ) -> None:
+        # Guards against a VM that goes on with a replaced primary: a promoter before this one has
+        # written the record of another group without having applied the one of this group.
+        former = PromoterVm()
+        await former.sync.apply((await former.store.load()).changes)
+        former.directory.set_primary_record(PrimaryRecord("stock", "s", 2, True, 10**6))
+        promoter = PromoterVm()
+        promoter.store.record(VmChanged(vm("b", "adum")))
+        former.directory.group(GROUP).instances["p"].unreachable_since = boottime_s()
+        promoter.peers.heartbeats["b"] = build_heartbeat(
+            vm("b", "adum"), former.directory, former.sync, {}
+        )
+        await promoter.run_with(promoter.fail_primary, 1.5)
+        self.assertTrue(promoter.store.primary_records[GROUP].moving)
+        self.assertEqual([], promoter.orders)
+
     @trio_test(mock_clock=True)
     async def test_no_planned_promotion_before_every_vm_has_applied_the_record(self) -> None:
         # Guards against a VM that is cut off from all others and reads from the former primary,
