Answer writes that a replaced primary may have committed too late as in doubt

Callers had writes acknowledged that were lost: the old primary committed them after another instance had been promoted.

Cause: a VM reported the record of a failover as seen as soon as it sent no new statements to the old primary. Writes that it had sent before could still run there, on a slow instance or one with a long queue, when the old primary did not answer the step-down, and their success was passed on. A VM whose confirmation had ended did the same: the promoter waits for the end of the confirmation, not for the writes.

Now a VM follows its writes and commits in progress. It acknowledges a failover in its heartbeats (acknowledged_revision) once those at the old primary have ended, or 0.3 s after it learned of the failover, at once if it can't reach the old primary. From then on, and once its confirmation, with the promoter's margin, or its lease has ended, a success of the old primary is answered with INDOUBT, which promises nothing. The promoter waits for its own writes too. A promotion is therefore ordered only when no VM passes on a later success. Heartbeats of older builds, without the field, count as before.

--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -325,7 +325,7 @@
             await instance.pool.release(connection)
         if reply.failure is None:
             if write is not None:
-                self._check_write(query, instance, write)
+                self._require_valid_write(query, instance, write)
                 self._own_writes.record(caller.route.group, reply.reached)
             self._recorder.record_served(query, caller, instance, reply)
             return reply
@@ -381,13 +381,21 @@
             if write is not None:
                 group.writes.end(write)
         if write is not None and reply.failure is None:
-            self._check_write(query, instance, write)
+            self._require_valid_write(query, instance, write)
         return reply, instance, connection
 
-    def _check_write(self, query: Query, instance: Instance, write: PrimaryWrite) -> None:
-        """Check the success of a write before it is passed on."""
-        if write.sent_before_failover:
-            self._recorder.record_late_write(query, instance)
+    def _require_valid_write(self, query: Query, instance: Instance, write: PrimaryWrite) -> None:
+        """Raise RefusedError if a write may have succeeded after another instance was promoted."""
+        valid = (
+            self._services.confirmed_state.excludes_promotion and boottime_s() < write.valid_until
+        )
+        if write.sent_before_failover or not valid:
+            self._recorder.record_late_write(query, instance, valid=valid)
+        if not valid:
+            raise RefusedError(
+                FailureCode.IN_DOUBT,
+                "the primary may have been replaced before it executed the write",
+            )
 
     def _check_transaction(self, transaction: _Transaction) -> None:
         """Raise RefusedError if the transaction may not continue."""
--- a/src/tanagerfront/confirmed_state.py
+++ b/src/tanagerfront/confirmed_state.py
@@ -95,6 +95,15 @@
             return False
         return boottime_s() - self._primaries_confirmed_at < self._limits.primary_s
 
+    @property
+    def excludes_promotion(self) -> bool:
+        """Return whether no promotion that this VM doesn't know of can have been ordered yet.
+
+        The promoter waits for this VM until then, or until its lease has ended.
+        """
+        limit_s = self._limits.primary_s + CONFIRMATION_MARGIN_S
+        return self.lease_valid and boottime_s() - self._primaries_confirmed_at < limit_s
+
     @property
     def lease_valid(self) -> bool:
         """Return whether the VM's lease is valid, so that other VMs still count it."""
--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
@@ -57,6 +58,8 @@
 EXPECTED_SETTLING_S = SETTLING_S + 1.0
 # The entry of an instance that has left is removed from a restored store within this time.
 OUTDATED_REGISTRATION_S = 4.0
+# Interval at which a VM tests whether writes at a former primary have ended.
+WRITES_POLL_INTERVAL_S = 0.01
 # Consecutive checks, as long as each of them finds a newer state.
 MAX_CONSECUTIVE_CHECKS = 3
 
@@ -171,6 +174,8 @@
         self._announced_event = trio.Event()
         self._last_echo_at = float("-inf")
         self._announced_urgent = False
+        self._primary_replaced = trio.Event()
+        self.on_writes_ended: Callable[[], None] = lambda: None
         self.on_primary_change: Callable[[], None] = lambda: None
         self.on_evacuation_change: Callable[[str, bool], None] = lambda domain, evacuated: None
         store.on_restored(self._begin_era)
@@ -233,10 +238,34 @@
     @property
     def seen_revision(self) -> int:
         """Return a revision up to which this VM uses all primary records."""
+        return self._newest_record()
+
+    def _newest_record(self, below: float = math.inf) -> int:
+        """Return the newest revision of a primary record below a limit."""
         records = (group.primary_record for group in self._directory.groups.values())
-        revisions = [record.revision for record in records if record is not None]
+        revisions = (record.revision for record in records if record is not None)
         # Below all revisions of the era whose state this VM has loaded.
-        return max([era_start(era_of(self._revision)), *revisions])
+        oldest = era_start(era_of(self._revision))
+        return max([oldest, *(revision for revision in revisions if revision < below)])
+
+    @property
+    def acknowledged_revision(self) -> int:
+        """Return the newest revision of a record by which the promoter may replace a primary.
+
+        Lower than `seen_revision` while successes of a former primary may still be passed on.
+        """
+        return self._newest_record(self._unsettled_revision)
+
+    @property
+    def _unsettled_revision(self) -> float:
+        """Return the oldest revision of a record with writes in progress at a former primary."""
+        now = boottime_s()
+        records = (
+            group.primary_record
+            for group in self._directory.groups.values()
+            if not group.writes.settled(now)
+        )
+        return min((record.revision for record in records if record), default=math.inf)
 
     @property
     def revision(self) -> int:
@@ -256,6 +285,7 @@
                 self._run_checks,
                 self._run_lease,
                 self._run_restoration,
+                self._run_acknowledgements,
                 self._run_housekeeping,
             ):
                 nursery.start_soon(run_restarting, task, self._log)
@@ -299,6 +329,7 @@
                         # Renews the confirmations of all VMs, with the replies to the heartbeats
                         # that follow a new record.
                         self.request_check()
+                    self._primary_replaced.set()
                     self.on_primary_change()
             case VmChanged(vm):
                 known = self._vms.get(vm.name)
@@ -921,6 +952,18 @@
             await self._store.settle_era(era)
             await self.apply([EraSettled(era)])
 
+    async def _run_acknowledgements(self) -> None:
+        """Report when the last write at a former primary has ended."""
+        while True:
+            await self._primary_replaced.wait()
+            self._primary_replaced = trio.Event()
+            settled = True
+            while self._unsettled_revision < math.inf:
+                settled = False
+                await trio.sleep(WRITES_POLL_INTERVAL_S)
+            if not settled:
+                self.on_writes_ended()
+
     async def _run_housekeeping(self) -> None:
         while True:
             await trio.sleep(HOUSEKEEPING_INTERVAL_S)
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -262,6 +262,7 @@
         self._peers.on_heartbeat = self._receive_heartbeat
         self._peers.positions = lambda: positions_to_pass(self._directory, boottime_s())
         self._sync.on_primary_change = self._peers.broadcast_heartbeat
+        self._sync.on_writes_ended = self._peers.send_heartbeat
         self._failover = FailoverController(
             adapters.store,
             self._sync,
--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -14,7 +14,7 @@
 from .instance_pool import InstancePool, Opener, PoolLimits
 from .placement import Candidate, LoadEstimate
 from .position_samples import PositionSamples
-from .primary_writes import PrimaryWrites
+from .primary_writes import ANSWER_LIMIT_S, PrimaryWrites
 from .session_model import GroupOptions, InstanceRegistration, InstanceRole, Reply, boottime_s
 from .slot_admission import ArrivalOrder, SlotOrder, UrgencyOrder
 
@@ -217,6 +217,15 @@
             )
         ]
 
+    def replace_primary(self, record: PrimaryRecord, now: float) -> None:
+        """Limit how long successes of writes at a former primary are valid."""
+        if not record.moving:
+            self.writes.replace_primary(record.instance, now)
+            return
+        old_primary = self.instances.get(record.instance)
+        answers = old_primary is not None and old_primary.unreachable_since is None
+        self.writes.replace_primary(None, now + ANSWER_LIMIT_S if answers else now)
+
     def record_overtaken(self) -> None:
         """Note, for the instances that have left, a position that the primary reached since."""
         for instance in self.instances.values():
@@ -460,7 +469,7 @@
         group.moving_since = boottime_s() if record.moving else None
         # Positions sampled at the previous primary may be missing from the new one's log.
         group.samples.clear()
-        group.writes.replace_primary(None if record.moving else record.instance)
+        group.replace_primary(record, boottime_s())
         group.notify()
         return True
 
--- a/src/tanagerfront/primary_writes.py
+++ b/src/tanagerfront/primary_writes.py
@@ -7,18 +7,30 @@
 
 from __future__ import annotations
 
-__all__ = ["PrimaryWrite", "PrimaryWrites"]
+import math
+
+__all__ = ["ANSWER_LIMIT_S", "PrimaryWrite", "PrimaryWrites"]
+
+# How long a VM waits, after it has learned of a failover, for answers of the old primary. A leaving
+# primary steps down within this time, and then refuses the writes that it has not executed.
+ANSWER_LIMIT_S = 0.3
 
 
 class PrimaryWrite:
     """A single write or a commit that was sent to a primary and has not been answered."""
 
-    __slots__ = ("instance", "sent_before_failover")
+    __slots__ = ("instance", "valid_until")
 
     def __init__(self, instance: str) -> None:
         self.instance = instance
-        # Whether this VM has learned of a failover of the group since the write was sent.
-        self.sent_before_failover = False
+        # A success that arrives later may follow the promotion of another instance. In seconds of
+        # CLOCK_BOOTTIME; infinite while this VM knows of no failover.
+        self.valid_until = math.inf
+
+    @property
+    def sent_before_failover(self) -> bool:
+        """Return whether this VM has learned of a failover since the write was sent."""
+        return self.valid_until < math.inf
 
 
 class PrimaryWrites:
@@ -42,8 +54,17 @@
         """Note that a write has been answered or given up."""
         self._pending.discard(write)
 
-    def replace_primary(self, primary: str | None) -> None:
-        """Note the group's new primary, None during a failover."""
+    def replace_primary(self, primary: str | None, valid_until: float) -> None:
+        """Note the group's new primary, None during a failover.
+
+        The successes of writes at other instances are valid up to a time by CLOCK_BOOTTIME.
+        """
         for write in self._pending:
             if write.instance != primary:
-                write.sent_before_failover = True
+                write.valid_until = min(write.valid_until, valid_until)
+
+    def settled(self, now: float) -> bool:
+        """Return whether no success of a former primary will be passed on any more."""
+        return all(
+            now >= write.valid_until for write in self._pending if write.sent_before_failover
+        )
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -185,6 +185,8 @@
     acknowledged: Mapping[str, int]
     # How long VMs whose registrations a restored store has lost may still be using a primary.
     unknown_vms_for_s: float = 0.0
+    # Whether the promoter itself may still pass on successes of the old primary.
+    writes_in_progress: bool = False
 
 
 def vms_behind(propagation: RecordPropagation) -> list[str]:
@@ -198,7 +200,7 @@
 
 def is_old_primary_unused(propagation: RecordPropagation) -> bool:
     """Return whether no VM can still be using the old primary."""
-    if propagation.unknown_vms_for_s > 0.0:
+    if propagation.unknown_vms_for_s > 0.0 or propagation.writes_in_progress:
         return False
     # The promoter may not know yet of a VM that registered just before the record was written.
     return propagation.registrations_revision >= propagation.record_revision and not vms_behind(
@@ -557,10 +559,11 @@
             registrations_revision=self._sync.revision,
             other_vms=[vm.name for vm in self._sync.vms_with_lease if vm.name != self._own.name],
             acknowledged={
-                vm: heartbeat.seen_revision
+                vm: heartbeat.acknowledged
                 for vm, heartbeat in self._peers.recent_heartbeats().items()
             },
             unknown_vms_for_s=self._unknown_vms_for_s,
+            writes_in_progress=self._sync.acknowledged_revision < record.revision,
         )
 
     async def _choose_successor(
@@ -765,4 +768,5 @@
             if primary.unreachable_since is None and now - primary.answered_at < recent_s
         ],
         surplus=surplus,
+        acknowledged_revision=sync.acknowledged_revision,
     )
--- a/src/tanagerfront/session_peer_messages.py
+++ b/src/tanagerfront/session_peer_messages.py
@@ -50,6 +50,16 @@
     echo: Echo | None = None
     # Positions of primaries, only in a reply to a heartbeat.
     positions: list[PassedPosition] = msgspec.field(default_factory=list)
+    # The promoter may replace primaries by records up to this revision: they are in use, and no
+    # success of a former primary will be passed on. None from VMs of older builds.
+    acknowledged_revision: int | None = None
+
+    @property
+    def acknowledged(self) -> int:
+        """Return the acknowledged revision, or what an older build has for it."""
+        if self.acknowledged_revision is None:
+            return self.seen_revision
+        return self.acknowledged_revision
 
 
 class LoanRequest(msgspec.Struct, tag="r", array_like=True):
--- a/src/tanagerfront/session_peers.py
+++ b/src/tanagerfront/session_peers.py
@@ -79,7 +79,8 @@
         self._received: dict[str, ReceivedHeartbeat] = {}
         self._loan_ids = itertools.count(1)
         self._loans: dict[int, tuple[trio.Event, list[int]]] = {}
-        self._announcement = trio.Event()
+        self._announces = False
+        self._due = trio.Event()
         self.rates: RateShares | None = None
         self.on_heartbeat: Callable[[Heartbeat], None] = lambda heartbeat: None
         # Positions of primaries for replies to heartbeats.
@@ -102,7 +103,12 @@
 
     def broadcast_heartbeat(self) -> None:
         """Send a heartbeat to every VM now, or only to some VMs if this one is no coordinator."""
-        self._announcement.set()
+        self._announces = True
+        self._due.set()
+
+    def send_heartbeat(self) -> None:
+        """Send a heartbeat to the usual recipients now."""
+        self._due.set()
 
     async def bind(self) -> None:
         """Open the socket."""
@@ -131,15 +137,14 @@
 
     async def _run_heartbeats(self) -> None:
         while True:
-            announced = self._announcement.is_set()
-            if announced:
-                self._announcement = trio.Event()
+            announced, self._announces = self._announces, False
+            self._due = trio.Event()
             self._remove_unregistered()
             heartbeat = self._heartbeat()
             for peer in self._recipients(announced):
                 await self._send(peer, heartbeat)
             with trio.move_on_after(FOLLOW_UP_DELAY_S if announced else HEARTBEAT_INTERVAL_S):
-                await self._announcement.wait()
+                await self._due.wait()
 
     def _recipients(self, announced: bool) -> Sequence[RegisteredVm]:
         """Return the VMs that get a heartbeat; `announced` if it announces a new primary record."""
--- a/src/tanagerfront/session_record.py
+++ b/src/tanagerfront/session_record.py
@@ -104,13 +104,15 @@
             "answer_lost", request=query.id, instance=instance.registration.id, error=str(error)
         )
 
-    def record_late_write(self, query: Query, instance: Instance) -> None:
-        """Record that a write succeeded at an instance whose replacement had begun before."""
-        self._metrics.count("late_writes", instance=instance.registration.id)
+    def record_late_write(self, query: Query, instance: Instance, *, valid: bool) -> None:
+        """Record that a write succeeded at an instance whose replacement may have begun before."""
+        self._metrics.count("late_writes", instance=instance.registration.id, valid=str(valid))
         self._log.decision(
             "late_write",
             request=query.id,
             instance=instance.registration.id,
+            valid=valid,
+            confirmed_s=round(self._confirmed_state.confirmation_age_s, 3),
             elapsed_ms=round((trio.current_time() - query.received_at) * 1000, 1),
         )
 
--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -6,24 +6,31 @@
 from collections.abc import Iterator
 from unittest import mock
 
+import msgspec
 import trio
+from hypothesis import given
+from hypothesis import strategies as st
 
 from front_fakes import GROUP
 from support import TestCase, trio_test
+from tanagerfront.fleet_store import PrimaryRecordChanged
 from tanagerfront.instance_directory import PrimaryRecord
+from tanagerfront.primary_writes import ANSWER_LIMIT_S, PrimaryWrite, PrimaryWrites
 from tanagerfront.session_model import FailureCode, RouteKind, boottime_s
+from tanagerfront.session_peer_messages import Heartbeat, decode_datagram, encode_datagram
 from test_caller_session import Caller, Vm, start_vm
+from test_fleet_sync import SyncedVm
 
 
 @contextlib.contextmanager
-def boottime_of_test() -> Iterator[None]:
-    """Let CLOCK_BOOTTIME run with the test's clock."""
+def boottime_of_test(*modules: str) -> Iterator[float]:
+    """Let CLOCK_BOOTTIME run with the test's clock in some modules; return its offset."""
     offset = boottime_s() - trio.current_time()
     with contextlib.ExitStack() as patches:
-        for module in ("caller_session", "confirmed_state", "instance_directory"):
+        for module in modules:
             target = f"tanagerfront.{module}.boottime_s"
             patches.enter_context(mock.patch(target, lambda: offset + trio.current_time()))
-        yield
+        yield offset
 
 
 def record_failover(vm: Vm, *, instance: str = "p", moving: bool = True) -> None:
@@ -34,7 +41,7 @@
 
 class LateWriteTest(TestCase):
     async def _start_vm(self) -> Vm:
-        patches = boottime_of_test()
+        patches = boottime_of_test("caller_session", "confirmed_state", "instance_directory")
         patches.__enter__()
         self.addCleanup(patches.__exit__, None, None, None)
         return await start_vm()
@@ -112,3 +119,88 @@
             await trio.sleep(limits.primary_s - 1.2)
             nursery.start_soon(send)
         self.assertEqual([FailureCode.IN_DOUBT], codes)
+
+
+class AcknowledgementTest(TestCase):
+    @trio_test(mock_clock=True)
+    async def test_a_failover_is_acknowledged_when_no_late_success_can_be_passed_on(self) -> None:
+        # Guards against a promotion while a VM would still pass on what the old primary commits.
+        synced_vm = SyncedVm()
+        with boottime_of_test("fleet_sync", "instance_directory") as offset:
+            await synced_vm.sync.apply((await synced_vm.store.load()).changes)
+            group = synced_vm.directory.group(GROUP)
+            answered, silent = group.writes.begin("p"), group.writes.begin("p")
+            synced_vm.directory.set_primary_record(PrimaryRecord(GROUP, "p", 2, True, 100))
+            group.writes.end(answered)
+            self.assertEqual(100, synced_vm.sync.seen_revision)
+            self.assertGreater(100, synced_vm.sync.acknowledged_revision)
+            await trio.sleep(ANSWER_LIMIT_S + 0.01)
+            self.assertEqual(100, synced_vm.sync.acknowledged_revision)
+            self.assertLess(silent.valid_until, offset + trio.current_time())
+
+    @trio_test(mock_clock=True)
+    async def test_writes_at_an_unreachable_primary_do_not_delay_its_failover(self) -> None:
+        # Guards against a longer failover because writes at a lost primary are never answered.
+        synced_vm = SyncedVm()
+        await synced_vm.sync.apply((await synced_vm.store.load()).changes)
+        group = synced_vm.directory.group(GROUP)
+        group.instances["p"].unreachable_since = boottime_s()
+        group.writes.begin("p")
+        synced_vm.directory.set_primary_record(PrimaryRecord(GROUP, "p", 2, True, 100))
+        self.assertEqual(100, synced_vm.sync.acknowledged_revision)
+
+    @trio_test(mock_clock=True)
+    async def test_the_end_of_the_last_write_is_reported_at_once(self) -> None:
+        # Guards against a failover that waits for the next regular heartbeat.
+        synced_vm = SyncedVm()
+        reported: list[int] = []
+        synced_vm.sync.on_writes_ended = lambda: reported.append(
+            synced_vm.sync.acknowledged_revision
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await trio.sleep(1)
+            group = synced_vm.directory.group(GROUP)
+            write = group.writes.begin("p")
+            record = PrimaryRecord(GROUP, "p", 2, True, 0)
+            revision = synced_vm.store.record(PrimaryRecordChanged(record))
+            await trio.sleep(0.1)
+            self.assertEqual([], reported)
+            group.writes.end(write)
+            await trio.sleep(0.02)
+            self.assertEqual([revision], reported)
+            nursery.cancel_scope.cancel()
+
+    def test_heartbeats_of_older_builds_acknowledge_what_they_have_seen(self) -> None:
+        # Guards against a failover that waits for a VM of an older build until its lease ends.
+        new = Heartbeat("b", 1.0, 7, [], [], {}, acknowledged_revision=5)
+        fields = msgspec.msgpack.decode(encode_datagram(new))
+        for sent, acknowledged in ((fields, 5), (fields[:-1], 7)):
+            received = decode_datagram(msgspec.msgpack.encode(sent))
+            assert isinstance(received, Heartbeat)
+            self.assertEqual(acknowledged, received.acknowledged)
+
+    @given(
+        st.lists(
+            st.sampled_from(["begin", "end", "move", "record", "wait"]), min_size=1, max_size=30
+        )
+    )
+    def test_nothing_that_was_acknowledged_becomes_valid_again(self, steps: list[str]) -> None:
+        # Guards against a success that is passed on after the VM has acknowledged the failover.
+        writes, now, number = PrimaryWrites(), 0.0, 0
+        pending: list[PrimaryWrite] = []
+        for step in steps:
+            now += 0.1 if step == "wait" else 0.01
+            match step:
+                case "begin":
+                    pending.append(writes.begin(f"p{number}"))
+                case "end" if pending:
+                    writes.end(pending.pop(0))
+                case "move":
+                    writes.replace_primary(None, now + ANSWER_LIMIT_S)
+                case "record":
+                    number += 1
+                    writes.replace_primary(f"p{number}", now)
+            before_failover = [write for write in pending if write.sent_before_failover]
+            if writes.settled(now):
+                self.assertTrue(all(now >= write.valid_until for write in before_failover))
