Take no VM for informed of a record that it has not applied

A promoter that had written the record of one group counted as informed of every older record, also of other groups. While promoters change it may not have applied the record of a failover that its predecessor began: the next promoter then didn't wait for it, and the others' heartbeats, with the older record, neither stopped it from using the replaced primary nor let it ask; their replies even confirmed its primaries.

Cause: seen_revision, the newest revision of any record that a VM uses, stood for "all records up to it". A VM's own write raises it without the writes of others before it.

FleetSync now keeps the revision up to which all records have been applied, from the watch, from peers, and from a check that found all records current. What a VM acknowledges and what it compares with heartbeats of others is limited by it. seen_revision still announces the newest record. A VM that wrote a newer record itself checks the store instead of interrupting its watch, which is about to return its own record.

--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -38,7 +38,7 @@
 from .instance_directory import InstanceDirectory
 from .rate_shares import RateShares
 from .session_model import InstanceRegistration, boottime_s
-from .session_peer_messages import Echo
+from .session_peer_messages import Echo, Heartbeat
 from .store_era import SETTLING_S, EraProgress, era_of, era_start
 from .supervision import run_restarting
 
@@ -161,6 +161,9 @@
         self._reconnected = trio.Event()
         self._registered = trio.Event()
         self._revision = 0
+        # Up to this revision all primary records have been applied; records that this VM wrote
+        # itself may be newer.
+        self._records_revision = 0
         self._announced_revision = 0
         self._announcer = ""
         # Up to this revision all changes but those with large values have been applied.
@@ -237,24 +240,32 @@
 
     @property
     def seen_revision(self) -> int:
-        """Return a revision up to which this VM uses all primary records."""
+        """Return the newest revision of a primary record that this VM uses.
+
+        Older records of other groups may be missing, if this VM wrote that one itself.
+        """
         return self._newest_record()
 
-    def _newest_record(self, below: float = math.inf) -> int:
-        """Return the newest revision of a primary record below a limit."""
+    @property
+    def applied_revision(self) -> int:
+        """Return the newest revision of a record up to which this VM has applied all records."""
+        return self._newest_record(self._records_revision)
+
+    def _newest_record(self, limit: float = math.inf) -> int:
+        """Return the newest revision of a primary record up to a limit."""
         records = (group.primary_record for group in self._directory.groups.values())
         revisions = (record.revision for record in records if record is not None)
         # Below all revisions of the era whose state this VM has loaded.
         oldest = era_start(era_of(self._revision))
-        return max([oldest, *(revision for revision in revisions if revision < below)])
+        return max([oldest, *(revision for revision in revisions if revision <= limit)])
 
     @property
     def acknowledged_revision(self) -> int:
-        """Return the newest revision of a record by which the promoter may replace a primary.
+        """Return the newest revision up to which the promoter may replace primaries by records.
 
-        Lower than `seen_revision` while successes of a former primary may still be passed on.
+        All records up to it are applied, and no success of a former primary will be passed on.
         """
-        return self._newest_record(self._unsettled_revision)
+        return self._newest_record(min(self._records_revision, self._unsettled_revision - 1))
 
     @property
     def _unsettled_revision(self) -> float:
@@ -548,7 +559,7 @@
             return False
         await self.apply(found.changes)
         if found.withheld:
-            self._confirmed_state.record_applied(min(found.revision, self.seen_revision))
+            self._record_records_applied(found.revision)
             return self._request_spread(max(revision, found.revision))
         self._record_applied(found.revision)
         return self._revision >= self._announced_revision
@@ -622,8 +633,13 @@
         """Record that all changes up to a revision of the store have been applied."""
         # Two sources may be read at once.
         self._revision = max(self._revision, revision)
+        self._record_records_applied(revision)
+
+    def _record_records_applied(self, revision: int) -> None:
+        """Record that all primary records up to a revision of the store have been applied."""
+        self._records_revision = max(self._records_revision, revision)
         # A newer record that could not be decoded was not applied.
-        self._confirmed_state.record_applied(min(revision, self.seen_revision))
+        self._confirmed_state.record_applied(min(revision, self.applied_revision))
 
     async def _wait_for_announcement(self) -> None:
         """Wait until newer changes are announced or no coordinator has replied for a while."""
@@ -661,8 +677,27 @@
         ):
             self._confirm(echo.sent_at - echo.lag_s)
 
-    def record_newer_primary(self, vm: str, revision: int) -> None:
+    def record_heartbeat(self, heartbeat: Heartbeat) -> bool:
+        """Use a peer's heartbeat; return whether this VM has applied all that the peer uses.
+
+        If the peer has a newer primary record, no primary is used until that is known here.
+        """
+        if heartbeat.seen_revision > self.applied_revision:
+            # A restored store changes no primary; promotions wait until all VMs have noticed.
+            if era_of(heartbeat.seen_revision) == self._era.era:
+                self._confirmed_state.suspend_primaries(heartbeat.seen_revision)
+            self._record_newer_primary(heartbeat.vm, heartbeat.seen_revision)
+            return False
+        if heartbeat.echo is not None:
+            self.record_echo(heartbeat.vm, heartbeat.echo)
+        return True
+
+    def _record_newer_primary(self, vm: str, revision: int) -> None:
         """Record that a VM uses a newer primary record, and interrupt a wait to fetch it."""
+        if revision <= self.seen_revision:
+            # This VM wrote a record that is as new; its watch or a check returns those before.
+            self.request_check()
+            return
         self._announced_urgent = True
         if not self._record_announcement(vm, revision):
             return
@@ -835,9 +870,11 @@
         """Compare this VM's revisions with the store's; apply differences and check again."""
         for _ in range(MAX_CONSECUTIVE_CHECKS):
             requested_at = boottime_s()
-            result = await self._store.check(self._known_revisions())
+            known = self._known_revisions()
+            result = await self._store.check(known)
             self._record_connected()
             if result.current:
+                self._record_records_applied(max(known.primary_records.values(), default=0))
                 if self._era.settled:
                     self._confirm(requested_at)
                 return
--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -36,7 +36,6 @@
 from .shutdown import Shutdown
 from .slot_admission import ArrivalOrder, UrgencyOrder
 from .slot_report import report_slot_queue
-from .store_era import era_of
 from .supervision import run_restarting
 
 __all__ = [
@@ -427,14 +426,8 @@
         return build_heartbeat(self._own, self._directory, self._sync, self._rates.surpluses())
 
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Suspend the use of primaries if a peer has a newer primary record than this VM."""
-        if heartbeat.seen_revision > self._sync.seen_revision:
-            # A restored store changes no primary; promotions wait until all VMs have noticed.
-            if era_of(heartbeat.seen_revision) == self._sync.era.era:
-                self._confirmed_state.suspend_primaries(heartbeat.seen_revision)
-            self._sync.record_newer_primary(heartbeat.vm, heartbeat.seen_revision)
-        elif heartbeat.echo is not None:
-            self._sync.record_echo(heartbeat.vm, heartbeat.echo)
+        """Use what a peer reports, except positions from a VM with a newer primary record."""
+        if self._sync.record_heartbeat(heartbeat) and heartbeat.echo is not None:
             record_passed_positions(self._directory, heartbeat.echo.sent_at, heartbeat.positions)
 
     def _record_evacuation(self, failure_domain: str, evacuated: bool) -> None:
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -29,7 +29,11 @@
 from tanagerfront.instance_directory import InstanceDirectory, PrimaryRecord
 from tanagerfront.rate_shares import UNKNOWN_LENDER, RateShares, TokenLoanRequest
 from tanagerfront.session_model import InstanceRegistration, Organisation, boottime_s
-from tanagerfront.session_peer_messages import Echo
+from tanagerfront.session_peer_messages import Echo, Heartbeat
+
+
+def heartbeat(name: str, seen_revision: int, echo: Echo | None = None) -> Heartbeat:
+    return Heartbeat(name, 0.0, seen_revision, [], [], {}, echo)
 
 
 async def _no_opener(_registration: InstanceRegistration, _organisation: str) -> object:
@@ -41,6 +45,11 @@
     raise AssertionError("unreachable")
 
 
+async def _silent_watch(_after: int, _wait_s: float) -> tuple[Sequence[Change], int]:
+    await trio.sleep_forever()
+    raise AssertionError("unreachable")
+
+
 async def _no_loan(_request: TokenLoanRequest, _lender: str) -> int:
     return UNKNOWN_LENDER
 
@@ -234,7 +243,7 @@
             synced_vm.store.record(VmChanged(vm("b")))
             await synced_vm.sync.apply([VmChanged(vm("b"))])
             for _ in range(100):
-                synced_vm.sync.record_newer_primary("b", revision)
+                synced_vm.sync.record_heartbeat(heartbeat("b", revision))
                 await trio.sleep(0.01)
             nursery.cancel_scope.cancel()
         current = synced_vm.directory.group(GROUP).primary_record
@@ -242,6 +251,33 @@
         self.assertEqual(("r", revision), (current.instance, current.revision))
         self.assertLessEqual(len(synced_vm.store.call_names), 8)
 
+    @trio_test(mock_clock=True)
+    async def test_a_vm_that_wrote_a_newer_record_hears_of_an_older_one(self) -> None:
+        # Guards against a promoter that goes on with the replaced primary of one group, confirmed
+        # by the other VMs, because it has written the record of another group since. Its watch has
+        # gone silent; the check returns the record.
+        synced_vm = SyncedVm()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(synced_vm.sync.run)
+            await trio.sleep(2)
+            synced_vm.store.watch = _silent_watch  # type: ignore[method-assign]
+            await trio.sleep(6)
+            moving = PrimaryRecord(GROUP, "p", 2, True, 0)
+            revision = synced_vm.store.record(PrimaryRecordChanged(moving))
+            own = PrimaryRecord("stock", "s", 2, False, revision + 1)
+            synced_vm.directory.set_primary_record(own)
+            self.assertGreater(revision, synced_vm.sync.applied_revision)
+            echo = Echo(boottime_s(), 0.0, 2, revision)
+            self.assertFalse(synced_vm.sync.record_heartbeat(heartbeat("b", revision, echo)))
+            self.assertFalse(synced_vm.confirmed_state.primaries_confirmed)
+            await trio.sleep(0.2)
+            self.assertEqual(
+                moving._replace(revision=revision),
+                synced_vm.directory.group(GROUP).primary_record,
+            )
+            self.assertTrue(synced_vm.confirmed_state.primaries_confirmed)
+            nursery.cancel_scope.cancel()
+
     @trio_test(mock_clock=True)
     async def test_a_coordinator_confirms_a_new_record_at_once(self) -> None:
         # Guards against a fleet that uses a new primary only after the coordinators' next regular
@@ -339,7 +375,7 @@
             store.record(ConfigurationChanged(configuration(8)))
             record = PrimaryRecord(GROUP, "r", 2, False, 0)
             revision = store.record(PrimaryRecordChanged(record))
-            self.synced_vm.sync.record_newer_primary("vm-1", revision)
+            self.synced_vm.sync.record_heartbeat(heartbeat("vm-1", revision))
             await trio.sleep(0.1)
             store.set_peer_revision(revision)
             await trio.sleep(0.1)
@@ -357,7 +393,7 @@
             store.set_peer_revision(store.revision)
             record = PrimaryRecord(GROUP, "r", 2, False, 0)
             revision = store.record(PrimaryRecordChanged(record))
-            self.synced_vm.sync.record_newer_primary("vm-1", revision)
+            self.synced_vm.sync.record_heartbeat(heartbeat("vm-1", revision))
             await trio.sleep(0.5)
             nursery.cancel_scope.cancel()
         current = self.synced_vm.directory.group(GROUP).primary_record
--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -121,6 +121,14 @@
         self.assertEqual([FailureCode.IN_DOUBT], codes)
 
 
+async def begin_failover(synced_vm: SyncedVm) -> int:
+    """Let the VM read the record of a failover from the store; return its revision."""
+    record = PrimaryRecord(GROUP, "p", 2, True, 0)
+    revision = synced_vm.store.record(PrimaryRecordChanged(record))
+    await synced_vm.sync._check()
+    return revision
+
+
 class AcknowledgementTest(TestCase):
     @trio_test(mock_clock=True)
     async def test_a_failover_is_acknowledged_when_no_late_success_can_be_passed_on(self) -> None:
@@ -130,12 +138,12 @@
             await synced_vm.sync.apply((await synced_vm.store.load()).changes)
             group = synced_vm.directory.group(GROUP)
             answered, silent = group.writes.begin("p"), group.writes.begin("p")
-            synced_vm.directory.set_primary_record(PrimaryRecord(GROUP, "p", 2, True, 100))
+            revision = await begin_failover(synced_vm)
             group.writes.end(answered)
-            self.assertEqual(100, synced_vm.sync.seen_revision)
-            self.assertGreater(100, synced_vm.sync.acknowledged_revision)
+            self.assertEqual(revision, synced_vm.sync.seen_revision)
+            self.assertGreater(revision, synced_vm.sync.acknowledged_revision)
             await trio.sleep(ANSWER_LIMIT_S + 0.01)
-            self.assertEqual(100, synced_vm.sync.acknowledged_revision)
+            self.assertEqual(revision, synced_vm.sync.acknowledged_revision)
             self.assertLess(silent.valid_until, offset + trio.current_time())
 
     @trio_test(mock_clock=True)
@@ -146,8 +154,8 @@
         group = synced_vm.directory.group(GROUP)
         group.instances["p"].unreachable_since = boottime_s()
         group.writes.begin("p")
-        synced_vm.directory.set_primary_record(PrimaryRecord(GROUP, "p", 2, True, 100))
-        self.assertEqual(100, synced_vm.sync.acknowledged_revision)
+        revision = await begin_failover(synced_vm)
+        self.assertEqual(revision, synced_vm.sync.acknowledged_revision)
 
     @trio_test(mock_clock=True)
     async def test_the_end_of_the_last_write_is_reported_at_once(self) -> None:
