Take no answer of a primary for a step-down

A failover whose record has a term that isn't above the old primary's asked that primary to step down in a term that it ignores. Its answer, still as primary, was taken for the demotion and for its last entry: the promotion was ordered beside a primary that went on.

Cause: the answer's role wasn't looked at. The record's term is one above the newest entry or record that its writer knows, which is too low where a promoter has just started or the record was lost. For the same reason an instance that was replaced while it was cut off, in a term above the record's but below the old primary's, passed for the one promoted in this failover, and was promoted with its log.

Fix: an answer as primary is logged with role and term, and the step-down repeated in a term above it. An old primary that still keeps its role has no final log, so that a synchronous group pauses its replicas. An instance counts as promoted in this failover only in a term above the one the old primary reported. An old primary that this failover has ordered again, and that leads, isn't demoted: with a platform that executes orders late each attempt would undo the promotion of the one before.

Evidence: the instances of the test ignored the term of a step-down. The fourth new test guards the exception.

--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -64,6 +64,8 @@
 NO_PRIMARY_GRACE_S = 2.5
 # Control statements may wait for a slot; slower instances are ignored in a failover.
 CONTROL_TIMEOUT_S = 0.5
+# The first attempt may name too low a term; the answer to it tells the primary's term.
+STEP_DOWN_ATTEMPTS = 3
 # Time for running requests on a leaving primary to end before it steps down.
 STEP_DOWN_DELAY_S = 0.15
 # A leaving primary serves for 7 s or more. A failover that waits for a silent VM takes 3.3 s more
@@ -215,6 +217,15 @@
     return reason in PLANNED_REASONS and bool(silent_vms) and due_for_s < MAX_POSTPONEMENT_S
 
 
+class _Fence(NamedTuple):
+    """Result of the demotion of the old primary."""
+
+    # Status after the demotion, None if the old primary isn't known to have stepped down.
+    report: InstanceReport | None
+    # Lowest term in which an instance can have been promoted in this failover.
+    leads_from: int
+
+
 class _Successor(NamedTuple):
     """An instance to promote; as primary of this term or a later one it has been promoted."""
 
@@ -435,17 +446,20 @@
             return
         # The record was written before this VM learned of it, possibly by another promoter.
         written_at = boottime_s() if group.moving_since is None else group.moving_since
-        fenced = await self._fence_old_primary(old_primary, record, reason)
+        ordered = ""
+        if reason is FailoverReason.UNFINISHED:
+            ordered = await self._ordered_instance(group, record)
+        fence = await self._fence_old_primary(old_primary, record, reason, ordered)
         # An old primary that stepped down refuses writes, but answers reads as a replica.
         await self._wait_until_old_primary_unused(record, written_at)
         options = self._options(group.name)
         successor = None
         if reason is FailoverReason.UNFINISHED:
-            successor = await self._ordered_before(group, record)
+            successor = await self._ordered_before(group, ordered, fence)
             if successor is None:
-                successor = await self._promoted_in_evacuated_domain(group, old_primary, record)
+                successor = await self._promoted_in_evacuated_domain(group, old_primary, fence)
         if successor is None:
-            successor = await self._choose_successor(group, old_primary, record, fenced, options)
+            successor = await self._choose_successor(group, old_primary, record, fence, options)
         if successor is None:
             self._log.failure("no_candidate", group=group.name)
             await trio.sleep(RETRY_DELAY_S)
@@ -469,7 +483,8 @@
             return
         chosen.record_answer(None, None)
         # A promoter that has just started may not have known the term of the old primary.
-        final = record._replace(instance=instance_id, term=max(record.term, term), moving=False)
+        term = max(fence.leads_from, term)
+        final = record._replace(instance=instance_id, term=term, moving=False)
         await self._write_primary_record(final)
         self._log.decision(
             "primary_moved",
@@ -479,7 +494,7 @@
             new=instance_id,
             term=final.term,
             token=lock.token,
-            fenced=fenced.received if fenced is not None else None,
+            fenced=fence.report.received if fence.report is not None else None,
             took_ms=round((boottime_s() - started) * 1000),
         )
 
@@ -523,21 +538,41 @@
         return written
 
     async def _fence_old_primary(
-        self, old_primary: Instance | None, record: PrimaryRecord, reason: FailoverReason
-    ) -> InstanceReport | None:
-        """Demote the old primary; return its report, None if it did not answer."""
+        self,
+        old_primary: Instance | None,
+        record: PrimaryRecord,
+        reason: FailoverReason,
+        ordered: str,
+    ) -> _Fence:
+        """Demote the old primary, except if it was promoted again in this failover.
+
+        The record's term may be too low, because its writer didn't know the old primary's term.
+        """
+        leads_from = record.term
         if old_primary is None:
-            return None
+            return _Fence(None, leads_from)
         if reason in PLANNED_REASONS:
             await trio.sleep(STEP_DOWN_DELAY_S)
+        instance_id = old_primary.registration.id
         try:
             with trio.fail_after(CONTROL_TIMEOUT_S):
-                return await self._control.step_down(old_primary.registration, record.term)
+                for _ in range(STEP_DOWN_ATTEMPTS):
+                    report = await self._control.step_down(old_primary.registration, leads_from)
+                    if report.role is InstanceRole.REPLICA:
+                        return _Fence(report, leads_from)
+                    self._log.decision(
+                        "step_down_refused",
+                        instance=instance_id,
+                        asked_term=leads_from,
+                        role=report.role.value,
+                        term=report.term,
+                    )
+                    if ordered == instance_id and is_promoted(report, record.term):
+                        return _Fence(None, leads_from)
+                    leads_from = max(leads_from, report.term + 1)
         except (TanagerfrontError, trio.TooSlowError) as error:
-            self._log.decision(
-                "step_down_unanswered", instance=old_primary.registration.id, error=str(error)
-            )
-            return None
+            self._log.decision("step_down_unanswered", instance=instance_id, error=str(error))
+        return _Fence(None, leads_from)
 
     async def _wait_until_old_primary_unused(
         self, record: PrimaryRecord, written_at: float
@@ -568,11 +603,12 @@
         group: Group,
         old_primary: Instance | None,
         record: PrimaryRecord,
-        fenced: InstanceReport | None,
+        fence: _Fence,
         options: GroupOptions,
     ) -> _Successor | None:
         """Return the instance to promote, None if none is safe to promote now."""
         synchronous = options.synchronous_replicas > 0
+        fenced, leads_from = fence
         last_entry = fenced.received if fenced is not None else None
         deadline = trio.current_time() + CATCH_UP_TIMEOUT_S
         # Without the old primary's last entry, no replica may receive entries after its report.
@@ -594,35 +630,39 @@
             if synchronous and old_primary is not None and fenced is not None:
                 # It can be primary again if no replica has all of its entries.
                 holders.append(LogHolder(old_primary.registration.id, fenced, stays=False))
-            match choose_successor(holders, last_entry, record.term, synchronous=synchronous):
+            match choose_successor(holders, last_entry, leads_from, synchronous=synchronous):
                 case Promote(name):
-                    return _successor(group, name, holders, record)
+                    return _successor(group, name, holders, leads_from)
                 case CatchUp(fallback):
                     if trio.current_time() >= deadline:
-                        return _successor(group, fallback, holders, record)
+                        return _successor(group, fallback, holders, leads_from)
                 case Blocked(silent):
                     self._log.decision("acknowledged_entries_unknown", silent=list(silent))
                     return None
             await trio.sleep(RETRY_DELAY_S)
 
-    async def _ordered_before(self, group: Group, record: PrimaryRecord) -> _Successor | None:
+    async def _ordered_instance(self, group: Group, record: PrimaryRecord) -> str:
+        """Return the instance that was ordered in this failover, empty without one."""
+        term, instance_id = self._orders.get(group.name, (0, ""))
+        if term == record.term:
+            return instance_id
+        # Another promoter may have given the order.
+        return await self._store.ordered_instance(record) or ""
+
+    async def _ordered_before(self, group: Group, ordered: str, fence: _Fence) -> _Successor | None:
         """Return the instance that this failover has ordered already, None if it doesn't answer.
 
         An order that was given up may still be done. One for another instance would then give the
         group two primaries, one after the other.
         """
-        term, instance_id = self._orders.get(group.name, (0, ""))
-        if term != record.term:
-            # Another promoter may have given the order.
-            instance_id = await self._store.ordered_instance(record) or ""
-        instance = group.instances.get(instance_id)
+        instance = group.instances.get(ordered)
         report = await self._request_report(instance) if instance is not None else None
         if instance is None or report is None:
             return None
-        return _Successor(instance, record.term if report.role is InstanceRole.PRIMARY else 0)
+        return _Successor(instance, fence.leads_from if report.role is InstanceRole.PRIMARY else 0)
 
     async def _promoted_in_evacuated_domain(
-        self, group: Group, old_primary: Instance | None, record: PrimaryRecord
+        self, group: Group, old_primary: Instance | None, fence: _Fence
     ) -> _Successor | None:
         """Return an instance that an earlier promoter promoted before its domain was evacuated.
 
@@ -635,8 +675,8 @@
         ]
         reports = await self._collect_reports(evacuated, None)
         for name, report in reports.items():
-            if is_promoted(report, record.term):
-                return _Successor(group.instances[name], record.term)
+            if is_promoted(report, fence.leads_from):
+                return _Successor(group.instances[name], fence.leads_from)
         return None
 
     async def _collect_reports(
@@ -730,7 +770,7 @@
 
 
 def _successor(
-    group: Group, name: str | None, holders: Sequence[LogHolder], record: PrimaryRecord
+    group: Group, name: str | None, holders: Sequence[LogHolder], leads_from: int
 ) -> _Successor | None:
     """Return an instance of the group by its name, None without one."""
     instance = group.instances.get(name) if name is not None else None
@@ -738,7 +778,7 @@
         return None
     reports = [holder.report for holder in holders if holder.id == name]
     claims_role = any(report and report.role is InstanceRole.PRIMARY for report in reports)
-    return _Successor(instance, record.term if claims_role else 0)
+    return _Successor(instance, leads_from if claims_role else 0)
 
 
 def build_heartbeat(
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -174,6 +174,8 @@
         self.delays: dict[str, float] = {}
         # The term that the primary leads.
         self.term = 1
+        # Whether the primary refuses to step down in any term.
+        self.keeps_role = False
         self.stepped_down_at: float | None = None
         self.paused: list[str] = []
 
@@ -193,6 +195,8 @@
 
     async def step_down(self, registration: InstanceRegistration, term: int) -> InstanceReport:
         report = self._report(registration.id)
+        if report.role is InstanceRole.PRIMARY and (term <= self.term or self.keeps_role):
+            return report
         self.stepped_down_at = trio.current_time()
         self.primary_name = ""
         return report._replace(role=InstanceRole.REPLICA)
@@ -512,6 +516,78 @@
         await promoter.run_with(lambda: None, 5)
         self.assertEqual("p", promoter.primary)
 
+    @trio_test(mock_clock=True)
+    async def test_a_primary_of_an_unknown_higher_term_steps_down_before_the_promotion(
+        self,
+    ) -> None:
+        # Guards against a promotion beside a primary that goes on: the promoter has just started,
+        # doesn't know its term and takes the answer of a primary for that of a replica.
+        for synchronous in (0, 1):
+            promoter = PromoterVm(synchronous)
+            promoter.control.term = 7
+
+            def drain_primary(promoter: PromoterVm = promoter) -> None:
+                promoter.store.record(
+                    InstanceChanged(registration("p", primary=True, draining=True))
+                )
+
+            await promoter.run_with(drain_primary, 2)
+            self.assertIsNotNone(promoter.control.stepped_down_at)
+            self.assertEqual(["r0"], [name for _, name, _ in promoter.orders])
+            self.assertEqual("r0", promoter.primary)
+            self.assertEqual(8, promoter.store.primary_records[GROUP].term)
+
+    @trio_test(mock_clock=True)
+    async def test_the_log_of_a_primary_that_keeps_its_role_is_not_final(self) -> None:
+        # Guards against a promotion without commits that the old primary acknowledged after its
+        # answer, while one of its replicas still received them.
+        promoter = PromoterVm(synchronous=1)
+        promoter.control.term, promoter.control.keeps_role = 7, True
+        promoter.control.received["r1"] = promoter.control.received["r0"]
+
+        def drain_primary() -> None:
+            promoter.store.record(InstanceChanged(registration("p", primary=True, draining=True)))
+
+        await promoter.run_with(drain_primary, 0.7)
+        self.assertEqual({"r0", "r1"}, set(promoter.control.paused))
+        self.assertNotIn("p", [name for _, name, _ in promoter.orders])
+        refusals = promoter.log.inputs_of("step_down_refused")
+        self.assertEqual(("primary", 7), (refusals[0]["role"], refusals[0]["term"]))
+
+    @trio_test(mock_clock=True)
+    async def test_an_earlier_primary_is_not_the_instance_promoted_in_a_failover(self) -> None:
+        # Guards against a primary that was replaced while it was cut off, and leads again because
+        # the record's term is lower than those of both: its log lacks acknowledged commits.
+        promoter = PromoterVm()
+        promoter.control.term = 7
+        promoter.control.received |= {"r0": EntryId(5, 3), "p": EntryId(7, 9), "r1": EntryId(7, 9)}
+        report = promoter.control.report
+
+        async def report_claim(entry: InstanceRegistration) -> InstanceReport:
+            if entry.id == "r0" and promoter.control.primary_name != "r0":
+                return InstanceReport(InstanceRole.PRIMARY, 5, EntryId(5, 3))
+            return await report(entry)
+
+        promoter.control.report = report_claim  # type: ignore[method-assign]
+
+        def drain_primary() -> None:
+            promoter.store.record(InstanceChanged(registration("p", primary=True, draining=True)))
+
+        await promoter.run_with(drain_primary, 2)
+        self.assertEqual("r1", promoter.primary)
+
+    @trio_test(mock_clock=True)
+    async def test_an_old_primary_that_was_promoted_again_is_not_demoted_again(self) -> None:
+        # Guards against a group without a primary while the platform executes orders late: each
+        # attempt would demote the instance that the order of an earlier one has promoted.
+        promoter = PromoterVm(synchronous=1)
+        promoter.control.term = 2
+        promoter.control.received |= {"r0": EntryId(1, 3), "r1": EntryId(1, 3)}
+        promoter.store.orders[GROUP] = 2, "p"
+        promoter.store.record(PrimaryRecordChanged(PrimaryRecord(GROUP, "p", 2, True, 0)))
+        await promoter.run_with(lambda: None, 2)
+        self.assertEqual(("p", None), (promoter.primary, promoter.control.stepped_down_at))
+
     @trio_test(mock_clock=True)
     async def test_orders_that_were_given_up_name_the_instance_that_leads(self) -> None:
         # Guards against an order that the platform does late, when another instance, as far
