Write primary records only under the promoter lock

A promoter that had lost the lock, for example while its VM was frozen, could end a failover beside its successor: VMs used the instance that it recorded while the successor ordered another one.

Cause: a write of a record was compared with the record's revision alone. A successor goes on with the record that it finds and doesn't write it again, so that the revision says nothing about the lock. A former promoter could also begin a failover, and it logged a move although its record was refused.

Fix: the store compares the lock's token too, as for an order, so that a write that is executed late is refused as well. If the reply is lost, the record is read back first and the lock after it: with the token unchanged nobody else can have written that record. A refused write is logged with the token and ends the attempt. Records that a restored store has lost are still written without the lock.

Evidence: the two tests of the controller and the one of the store failed before; the latter lacked the parameter.

--- a/src/tanagerfront/fleet_store.py
+++ b/src/tanagerfront/fleet_store.py
@@ -301,5 +301,10 @@
     async def settle_era(self, era: int) -> None:
         """Record that the fleet relies on the store in this era."""
 
-    async def write_primary_record(self, record: PrimaryRecord) -> PrimaryRecord | None:
-        """Replace a record that is still at `record.revision`; return the new one, else None."""
+    async def write_primary_record(
+        self, record: PrimaryRecord, lock: PromoterLock | None = None
+    ) -> PrimaryRecord | None:
+        """Replace a record that is still at `record.revision`; return the new one, else None.
+
+        With a lock, also return None if the promoter lock has changed.
+        """
--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -307,14 +307,20 @@
             # Another coordinator has recorded it.
             return
 
-    async def write_primary_record(self, record: PrimaryRecord) -> PrimaryRecord | None:
-        """Replace the record at `record.revision`; return it, or None if it was not current."""
+    async def write_primary_record(
+        self, record: PrimaryRecord, lock: PromoterLock | None = None
+    ) -> PrimaryRecord | None:
+        """Replace the record at `record.revision`; return it, or None if it was not current.
+
+        With a lock, also return None if the promoter lock has changed.
+        """
         key = PRIMARY_PREFIX + record.group
+        locked = {PROMOTER_KEY: lock.token} if lock is not None else {}
         value = encode_primary_record(
             record.group, record.instance, record.term, moving=record.moving
         )
         try:
-            revision = await self._checks.swap({key: record.revision}, {key: value})
+            revision = await self._checks.swap({key: record.revision} | locked, {key: value})
         except SwapConflictError:
             return None
         except KeyValueTimeoutError:
@@ -323,6 +329,11 @@
             if current is None or current.value != value:
                 raise
             revision = current.revision
+            if lock is not None:
+                # With another lock, its holder may have written the same value.
+                holder = await self._checks.get(PROMOTER_KEY)
+                if holder is None or holder.revision != lock.token:
+                    return None
         return record._replace(revision=revision)
 
     def _changes(self, values: Iterable[KeyValue | WatchEvent]) -> Iterator[Change]:
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -18,7 +18,7 @@
 from .decision_log import DecisionLog
 from .errors import TanagerfrontError
 from .evacuation import concurrent_moves
-from .fleet_store import FleetStore, RegisteredVm
+from .fleet_store import FleetStore, PromoterLock, RegisteredVm
 from .fleet_sync import FleetSync
 from .instance_directory import Group, Instance, InstanceDirectory, PrimaryRecord
 from .promotion_choice import (
@@ -441,7 +441,7 @@
             return
         started = boottime_s()
         old_primary = self._old_primary(group)
-        record = await self._record_failover(group, old_primary)
+        record = await self._record_failover(group, old_primary, lock)
         if record is None:
             return
         # The record was written before this VM learned of it, possibly by another promoter.
@@ -485,7 +485,8 @@
         # A promoter that has just started may not have known the term of the old primary.
         term = max(fence.leads_from, term)
         final = record._replace(instance=instance_id, term=term, moving=False)
-        await self._write_primary_record(final)
+        if await self._write_primary_record(final, lock) is None:
+            return
         self._log.decision(
             "primary_moved",
             group=group.name,
@@ -509,9 +510,9 @@
         return group.primary
 
     async def _record_failover(
-        self, group: Group, old_primary: Instance | None
+        self, group: Group, old_primary: Instance | None, lock: PromoterLock
     ) -> PrimaryRecord | None:
-        """Record the start of a failover; return the record, None if another VM changed it."""
+        """Record the start of a failover; return it, None if the record or the lock has changed."""
         current = group.primary_record
         if current is not None and current.moving:
             return current
@@ -524,17 +525,20 @@
             moving=True,
             revision=current.revision if current else 0,
         )
-        written = await self._write_primary_record(record)
+        return await self._write_primary_record(record, lock)
+
+    async def _write_primary_record(
+        self, record: PrimaryRecord, lock: PromoterLock
+    ) -> PrimaryRecord | None:
+        """Write and announce a record; return None if the record or the lock has changed."""
+        written = await self._store.write_primary_record(record, lock)
         if written is None:
+            self._log.failure("primary_record_refused", token=lock.token, **record._asdict())
             self._sync.request_check()
-        return written
-
-    async def _write_primary_record(self, record: PrimaryRecord) -> PrimaryRecord | None:
-        """Write a record and announce it to the other VMs; return None if another VM changed it."""
-        written = await self._store.write_primary_record(record)
-        if written is not None:
-            self._directory.set_primary_record(written)
-            self._peers.broadcast_heartbeat()
+            await trio.sleep(RETRY_DELAY_S)
+            return None
+        self._directory.set_primary_record(written)
+        self._peers.broadcast_heartbeat()
         return written
 
     async def _fence_old_primary(
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -436,11 +436,15 @@
         assert self.promoter_lock is not None
         return self.promoter_lock if self.promoter_lock.vm == vm.name else None
 
-    async def write_primary_record(self, record: PrimaryRecord) -> PrimaryRecord | None:
+    async def write_primary_record(
+        self, record: PrimaryRecord, lock: PromoterLock | None = None
+    ) -> PrimaryRecord | None:
         self._call("write_primary_record")
         current = self.primary_records.get(record.group)
         if (current.revision if current else 0) != record.revision:
             return None
+        if lock is not None and self.promoter_lock != lock:
+            return None
         self.record(PrimaryRecordChanged(record))
         self._lose_reply_if_due()
         return self.primary_records[record.group]
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -223,6 +223,29 @@
                 self.assertFalse(await fleet.record_order(*outdated, "r1"))
             self.assertEqual("r0", await fleet.ordered_instance(record))
 
+    @trio_test
+    async def test_a_former_promoter_writes_no_record(self) -> None:
+        # Guards against a failover that a promoter begins or ends beside its successor, also when
+        # the reply to its write was lost and the record found is that of the successor.
+        async with running_store() as (standin, _client, address):
+            fleet = self._fleet(address)
+            lease = await fleet.register(vm("a"), 5.0)
+            lock = await fleet.acquire_promoter_lock(vm("a"), lease)
+            assert lock is not None
+            former = lock._replace(token=lock.token - 1)
+            record = PrimaryRecord("orders", "p", 2, True, 0)
+            self.assertIsNone(await fleet.write_primary_record(record, former))
+            written = await fleet.write_primary_record(record, lock)
+            assert written is not None
+            standin.faults = StoreFaults(response_loss_interval=1)
+            ended = await fleet.write_primary_record(written._replace(moving=False), lock)
+            assert ended is not None
+            self.assertIsNone(await fleet.write_primary_record(ended, former))
+            standin.faults = StoreFaults()
+            self.assertIsNone(await fleet.write_primary_record(ended, former))
+            # What a restored store has lost is written without the lock.
+            self.assertIsNotNone(await fleet.write_primary_record(ended))
+
     @trio_test
     async def test_a_write_whose_reply_was_lost_is_confirmed_by_reading_it_back(self) -> None:
         async with running_store() as (standin, _client, address):
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -23,6 +23,7 @@
     PrimaryRecordChanged,
     PromoterLock,
     PromoterLockAcquired,
+    RegisteredVm,
     VmChanged,
     VmUnregistered,
 )
@@ -711,6 +712,43 @@
         await promoter.run_with(promoter.fail_primary, 5)
         self.assertEqual([], promoter.orders)
 
+    @trio_test(mock_clock=True)
+    async def test_a_promoter_that_lost_the_lock_ends_no_failover(self) -> None:
+        # Guards against a promoter that resumes late and records its instance as primary, while its
+        # successor promotes another one in the same failover.
+        promoter = PromoterVm()
+        promote = promoter.promote
+
+        async def lose_lock(group: str, name: str, holder: str, token: int) -> PromotionOutcome:
+            outcome = await promote(group, name, holder, token)
+            promoter.store.record(PromoterLockAcquired(PromoterLock("b", "inc-b", 0)))
+            return outcome
+
+        promoter.promote = lose_lock  # type: ignore[method-assign]
+        await promoter.run_with(promoter.fail_primary, 3)
+        self.assertEqual(["r0"], [name for _, name, _ in promoter.orders])
+        self.assertTrue(promoter.store.primary_records[GROUP].moving)
+        self.assertEqual([], promoter.log.inputs_of("primary_moved"))
+        [refused] = promoter.log.inputs_of("primary_record_refused")
+        self.assertEqual((GROUP, False), (refused["group"], refused["moving"]))
+
+    @trio_test(mock_clock=True)
+    async def test_a_promoter_that_lost_the_lock_begins_no_failover(self) -> None:
+        # Guards against a failover that a promoter begins after its successor has taken over.
+        promoter = PromoterVm()
+        acquire = promoter.store.acquire_promoter_lock
+
+        async def lose_lock(vm: RegisteredVm, lease: int) -> PromoterLock | None:
+            lock = await acquire(vm, lease)
+            promoter.store.record(PromoterLockAcquired(PromoterLock("b", "inc-b", 0)))
+            return lock
+
+        promoter.store.acquire_promoter_lock = lose_lock  # type: ignore[method-assign]
+        await promoter.run_with(promoter.fail_primary, 3)
+        self.assertEqual(({}, []), (promoter.store.primary_records, promoter.orders))
+        [refused] = promoter.log.inputs_of("primary_record_refused")
+        self.assertEqual((GROUP, True), (refused["group"], refused["moving"]))
+
     @trio_test(mock_clock=True)
     async def test_token_grows_with_each_lock_holder(self) -> None:
         # Guards against orders of a former promoter that pass for those of the current one.
