Don't take a late registration for the result of a promotion

A failover could be recorded as done before its instance led the new term, and stay so if the order had no effect: writes were sent to a replica, or to a primary of an older term.

Cause: the wait for the promotion ended when the registered role changed to primary. A registration names no term, and one that was held up arrives late: that of an instance which claims the role of an older term, or one from before the instance became a replica.

Fix: a report is the better proof, so that the registered role counts only while the instance doesn't answer, and only for one that reported as replica when it was chosen. The new primary that the promoter alone can't reach still ends the failover, which has a test now.

Evidence: the test failed before for either claim; the one for the silent primary passed before too.

--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -760,14 +760,17 @@
     async def _wait_until_promoted(self, successor: _Successor) -> int | None:
         """Wait until the instance is primary; return its term, 0 if not known, None if it isn't."""
         chosen = successor.instance
-        # A role that was registered before says nothing about the promotion.
+        # A registered role names no term and may be old. It counts only if it has changed, for an
+        # instance that reported as replica before and is silent now.
         registered_before = chosen.registration.role is InstanceRole.PRIMARY
+        may_be_registered = not registered_before and successor.leads_from == 0
         with trio.move_on_after(PROMOTION_TIMEOUT_S):
             while True:
                 report = await self._request_report(chosen)
                 if report is not None and is_promoted(report, successor.leads_from):
                     return report.term
-                if not registered_before and chosen.registration.role is InstanceRole.PRIMARY:
+                registered = chosen.registration.role is InstanceRole.PRIMARY
+                if report is None and may_be_registered and registered:
                     return 0
                 await trio.sleep(RETRY_DELAY_S / 2)
         return None
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import trio
 from hypothesis import given
@@ -517,6 +517,62 @@
         await promoter.run_with(lambda: None, 5)
         self.assertEqual("p", promoter.primary)
 
+    @trio_test(mock_clock=True)
+    async def test_a_late_registration_of_an_old_claim_ends_no_failover(self) -> None:
+        # Guards against a record that names an instance before it leads: its registration as
+        # primary of an older term arrives only after the order.
+        for claims_role in (False, True):
+            promoter = PromoterVm()
+            report = promoter.control.report
+
+            async def report_claim(
+                entry: InstanceRegistration,
+                promoter: PromoterVm = promoter,
+                claims_role: bool = claims_role,
+                report: Callable[..., Awaitable[InstanceReport]] = report,
+            ) -> InstanceReport:
+                if entry.id == "r0" and claims_role:
+                    return InstanceReport(InstanceRole.PRIMARY, 1, EntryId(1, 9))
+                return await report(entry)
+
+            async def promote(
+                _group: str, name: str, _holder: str, _token: int, promoter: PromoterVm = promoter
+            ) -> PromotionOutcome:
+                promoter.orders.append((trio.current_time(), name, 0))
+                promoter.store.record(InstanceChanged(registration(name, primary=True, port=2)))
+                return PromotionOutcome.ORDERED
+
+            promoter.control.report = report_claim  # type: ignore[method-assign]
+            promoter.promote = promote  # type: ignore[method-assign]
+
+            def fail_primary(promoter: PromoterVm = promoter) -> None:
+                promoter.fail_primary()
+                promoter.control.unresponsive.add("r1")
+                promoter.control.primary_name = ""
+
+            promoter.store.record(PrimaryRecordChanged(PrimaryRecord(GROUP, "p", 1, False, 0)))
+            await promoter.run_with(fail_primary, 2)
+            self.assertEqual(["r0"], [name for _, name, _ in promoter.orders])
+            self.assertIsNone(promoter.primary)
+
+    @trio_test(mock_clock=True)
+    async def test_the_registered_role_ends_a_failover_whose_new_primary_is_silent(self) -> None:
+        # Guards against a group without a primary because its promoter alone can't reach it.
+        promoter = PromoterVm()
+        promote = promoter.promote
+
+        async def promote_and_cut_off(
+            group: str, name: str, holder: str, token: int
+        ) -> PromotionOutcome:
+            outcome = await promote(group, name, holder, token)
+            promoter.control.unresponsive.add(name)
+            promoter.store.record(InstanceChanged(registration(name, primary=True, port=2)))
+            return outcome
+
+        promoter.promote = promote_and_cut_off  # type: ignore[method-assign]
+        await promoter.run_with(promoter.fail_primary, 2)
+        self.assertEqual("r0", promoter.primary)
+
     @trio_test(mock_clock=True)
     async def test_a_primary_of_an_unknown_higher_term_steps_down_before_the_promotion(
         self,
