Pause replicas in a term above the one they follow

In a synchronous group whose primary didn't answer the step-down, a commit that one replica received after its report could be acknowledged, while another replica was promoted without it.

Cause: replicas are paused in the record's term. Where that isn't above the old primary's, which a promoter that has just started doesn't know, a pause has no effect; the answer to it was taken for that of a paused replica.

Fix: if the answers name the record's term or a later one, the replicas are paused once more, in a term above the newest, before one is chosen. This is left out if the failover has ordered an instance: the replicas may follow that one, and would stay paused, as no other promotion resumes them.

Evidence: the instances of the test were paused in any term.

--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -459,7 +459,9 @@
             if successor is None:
                 successor = await self._promoted_in_evacuated_domain(group, old_primary, fence)
         if successor is None:
-            successor = await self._choose_successor(group, old_primary, record, fence, options)
+            successor = await self._choose_successor(
+                group, old_primary, record, fence, ordered, options
+            )
         if successor is None:
             self._log.failure("no_candidate", group=group.name)
             await trio.sleep(RETRY_DELAY_S)
@@ -608,6 +610,7 @@
         old_primary: Instance | None,
         record: PrimaryRecord,
         fence: _Fence,
+        ordered: str,
         options: GroupOptions,
     ) -> _Successor | None:
         """Return the instance to promote, None if none is safe to promote now."""
@@ -616,12 +619,19 @@
         last_entry = fenced.received if fenced is not None else None
         deadline = trio.current_time() + CATCH_UP_TIMEOUT_S
         # Without the old primary's last entry, no replica may receive entries after its report.
-        pause_term = record.term if synchronous and last_entry is None else None
+        pause_term = leads_from if synchronous and last_entry is None else None
+        # Replicas may already follow the instance of an order.
+        was_ordered = bool(ordered) or self._orders.get(group.name, (0, ""))[0] == record.term
         while True:
             instances = (
                 group.log_holders(old_primary) if synchronous else group.successors(old_primary)
             )
             reports = await self._collect_reports(instances, pause_term)
+            newest_term = max((report.term for report in reports.values()), default=0)
+            if pause_term == leads_from and newest_term >= leads_from and not was_ordered:
+                # They follow a primary whose term was not known, and still receive.
+                pause_term = newest_term + 1
+                continue
             holders = [
                 LogHolder(
                     instance.registration.id,
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -191,8 +191,10 @@
         return self._report(registration.id)
 
     async def pause(self, registration: InstanceRegistration, term: int) -> InstanceReport:
-        self.paused.append(registration.id)
-        return self._report(registration.id)
+        report = self._report(registration.id)
+        if term > self.term:
+            self.paused.append(registration.id)
+        return report
 
     async def step_down(self, registration: InstanceRegistration, term: int) -> InstanceReport:
         report = self._report(registration.id)
@@ -432,6 +434,37 @@
         self.assertEqual([], promoter.orders)
         self.assertIn("r1", promoter.control.paused)
 
+    @trio_test(mock_clock=True)
+    async def test_replicas_of_a_silent_primary_of_an_unknown_higher_term_are_paused(self) -> None:
+        # Guards against losing a commit that one replica receives after its report, so that the
+        # silent primary acknowledges it, while the other replica is promoted.
+        promoter = PromoterVm(synchronous=1)
+        promoter.control.term = 7
+        paused: set[str] = set()
+        promote = promoter.promote
+
+        async def note_paused(group: str, name: str, holder: str, token: int) -> PromotionOutcome:
+            paused.update(promoter.control.paused)
+            return await promote(group, name, holder, token)
+
+        promoter.promote = note_paused  # type: ignore[method-assign]
+        await promoter.run_with(promoter.fail_primary, 3)
+        self.assertEqual(({"r0", "r1"}, "r0"), (paused, promoter.primary))
+
+    @trio_test(mock_clock=True)
+    async def test_replicas_of_an_instance_promoted_before_are_not_paused(self) -> None:
+        # Guards against a synchronous group that acknowledges nothing, because its replicas were
+        # paused while the instance that the former promoter had promoted was silent for a moment.
+        promoter = PromoterVm(synchronous=1)
+        promoter.control.term, promoter.control.primary_name = 2, "r1"
+        promoter.store.orders[GROUP] = 2, "r1"
+        promoter.store.record(PrimaryRecordChanged(PrimaryRecord(GROUP, "p", 2, True, 0)))
+        promoter.control.unresponsive.update(("p", "r1"))
+        await promoter.run_with(promoter.fail_primary, 2)
+        promoter.control.unresponsive.remove("r1")
+        await promoter.run_with(lambda: None, 2)
+        self.assertEqual(("r1", []), (promoter.primary, promoter.control.paused))
+
     @trio_test(mock_clock=True)
     async def test_a_commit_that_only_a_draining_replica_has_is_not_rolled_back(self) -> None:
         # Guards against losing commits that were acknowledged because a replica about to leave had
