Hold on to the order of a failover that began meanwhile

A promoter could order a second instance in a failover in which another promoter had ordered one: two primaries, one after the other.

Cause: whether a failover is resumed was decided by the reason found when the group was evaluated. Between that and the acquired lock lie reports of instances and calls of the store, in which another promoter may have begun the failover, ordered and stopped.

Fix: the record that is current once the lock is held decides.

Evidence: the test failed before, with an order for the other replica.

--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -441,20 +441,20 @@
             return
         started = boottime_s()
         old_primary = self._old_primary(group)
+        # Another promoter may have begun the failover since the reason was found.
+        resumed = group.primary_record is not None and group.primary_record.moving
         record = await self._record_failover(group, old_primary, lock)
         if record is None:
             return
         # The record was written before this VM learned of it, possibly by another promoter.
         written_at = boottime_s() if group.moving_since is None else group.moving_since
-        ordered = ""
-        if reason is FailoverReason.UNFINISHED:
-            ordered = await self._ordered_instance(group, record)
+        ordered = await self._ordered_instance(group, record) if resumed else ""
         fence = await self._fence_old_primary(old_primary, record, reason, ordered)
         # An old primary that stepped down refuses writes, but answers reads as a replica.
         await self._wait_until_old_primary_unused(record, written_at)
         options = self._options(group.name)
         successor = None
-        if reason is FailoverReason.UNFINISHED:
+        if resumed:
             successor = await self._ordered_before(group, ordered, fence)
             if successor is None:
                 successor = await self._promoted_in_evacuated_domain(group, old_primary, fence)
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -722,6 +722,26 @@
             self.assertEqual(expected, [name for _, name, _ in promoter.orders])
             self.assertEqual(expected[-1], promoter.primary)
 
+    @trio_test(mock_clock=True)
+    async def test_a_failover_begun_meanwhile_keeps_its_ordered_instance(self) -> None:
+        # Guards against a second promotion by a promoter that found the group without a failover,
+        # and acquires the lock after another one has begun the failover, ordered and stopped.
+        promoter = PromoterVm()
+        acquire = promoter.store.acquire_promoter_lock
+
+        async def acquire_late(vm: RegisteredVm, lease: int) -> PromoterLock | None:
+            if GROUP not in promoter.store.orders:
+                promoter.store.orders[GROUP] = 2, "r1"
+                record = PrimaryRecord(GROUP, "p", 2, True, 0)
+                promoter.store.record(PrimaryRecordChanged(record))
+                await trio.sleep(0.1)
+            return await acquire(vm, lease)
+
+        promoter.store.acquire_promoter_lock = acquire_late  # type: ignore[method-assign]
+        await promoter.run_with(promoter.fail_primary, 4)
+        self.assertEqual(["r1"], [name for _, name, _ in promoter.orders])
+        self.assertEqual("r1", promoter.primary)
+
     @trio_test(mock_clock=True)
     async def test_failover_continues_after_a_replica_is_not_running(self) -> None:
         # Guards against a group that stays without a primary because the chosen replica stopped
