Ask an ordered instance again before another one is chosen

The next attempt of a failover could promote another instance, while the order for the first one was still being executed: two primaries, one after the other, and rolled-back commits if the first order is done last.

Cause: the ordered instance was given up after one request for its status, which occupies a slot and is refused by a busy instance.

Fix: it is asked again for up to a second. An instance that stays silent is given up as before, which is open: nothing tells whether its order is still to be executed.

Evidence: the test, with three refusals, failed before with an order for the other replica.

--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -73,6 +73,8 @@
 MAX_POSTPONEMENT_S = 2.0
 # Replicas normally receive the last entries of a primary within milliseconds of its step-down.
 CATCH_UP_TIMEOUT_S = 1.0
+# Limit for the report of an instance that was ordered before; then another one may be chosen.
+ORDERED_REPORT_TIMEOUT_S = 1.0
 # Several times the duration of a promotion; after it, the next failover attempt checks the result.
 PROMOTION_TIMEOUT_S = 4.0
 # Interval at which the promoter tests whether a replica has caught up with an evacuated primary.
@@ -670,9 +672,14 @@
         group two primaries, one after the other.
         """
         instance = group.instances.get(ordered)
-        report = await self._request_report(instance) if instance is not None else None
-        if instance is None or report is None:
+        if instance is None:
             return None
+        deadline = trio.current_time() + ORDERED_REPORT_TIMEOUT_S
+        # It may be busy.
+        while (report := await self._request_report(instance)) is None:
+            if trio.current_time() >= deadline:
+                return None
+            await trio.sleep(RETRY_DELAY_S)
         return _Successor(instance, fence.leads_from if report.role is InstanceRole.PRIMARY else 0)
 
     async def _promoted_in_evacuated_domain(
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -29,7 +29,7 @@
 )
 from tanagerfront.fleet_sync import FleetSync
 from tanagerfront.instance_directory import Group, Instance, InstanceDirectory, PrimaryRecord
-from tanagerfront.instance_pool import InstancePool, PoolLimits
+from tanagerfront.instance_pool import InstancePool, InstanceRefusedError, PoolLimits
 from tanagerfront.rate_shares import UNKNOWN_LENDER, RateShares, TokenLoanRequest
 from tanagerfront.session_failover import (
     MAX_POSTPONEMENT_S,
@@ -44,7 +44,14 @@
     is_postponed,
     most_advanced,
 )
-from tanagerfront.session_model import GroupOptions, InstanceRegistration, InstanceRole, boottime_s
+from tanagerfront.session_model import (
+    Failure,
+    FailureCode,
+    GroupOptions,
+    InstanceRegistration,
+    InstanceRole,
+    boottime_s,
+)
 from tanagerfront.session_peer_messages import Heartbeat
 
 NOW = 1000.0
@@ -722,6 +729,27 @@
             self.assertEqual(expected, [name for _, name, _ in promoter.orders])
             self.assertEqual(expected[-1], promoter.primary)
 
+    @trio_test(mock_clock=True)
+    async def test_an_ordered_instance_that_is_busy_is_not_given_up(self) -> None:
+        # Guards against a second promotion because the instance that is being promoted refused one
+        # request for its status.
+        promoter = PromoterVm()
+        report, refusals = promoter.control.report, 3
+
+        async def refuse_first(entry: InstanceRegistration) -> InstanceReport:
+            nonlocal refusals
+            if entry.id == "r1" and refusals:
+                refusals -= 1
+                raise InstanceRefusedError(Failure(FailureCode.OVERLOADED, entry.id))
+            return await report(entry)
+
+        promoter.control.report = refuse_first  # type: ignore[method-assign]
+        promoter.store.orders[GROUP] = 2, "r1"
+        promoter.store.record(PrimaryRecordChanged(PrimaryRecord(GROUP, "p", 2, True, 0)))
+        await promoter.run_with(promoter.fail_primary, 4)
+        self.assertEqual(["r1"], [name for _, name, _ in promoter.orders])
+        self.assertEqual("r1", promoter.primary)
+
     @trio_test(mock_clock=True)
     async def test_a_failover_begun_meanwhile_keeps_its_ordered_instance(self) -> None:
         # Guards against a second promotion by a promoter that found the group without a failover,
