--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -18,7 +18,7 @@
 from .decision_log import DecisionLog
 from .errors import TanagerfrontError
 from .evacuation import concurrent_moves
-from .fleet_store import FleetStore, RegisteredVm
+from .fleet_store import FleetStore, PromoterLock, RegisteredVm
 from .fleet_sync import FleetSync
 from .instance_directory import Group, Instance, InstanceDirectory, PrimaryRecord
 from .promotion_choice import (
@@ -64,6 +64,8 @@
 NO_PRIMARY_GRACE_S = 2.5
 # Control statements may wait for a slot; slower instances are ignored in a failover.
 CONTROL_TIMEOUT_S = 0.5
+# The first attempt may name too low a term; the answer to it tells the primary's term.
+STEP_DOWN_ATTEMPTS = 3
 # Time for running requests on a leaving primary to end before it steps down.
 STEP_DOWN_DELAY_S = 0.15
 # A leaving primary serves for 7 s or more. A failover that waits for a silent VM takes 3.3 s more
@@ -71,6 +73,8 @@
 MAX_POSTPONEMENT_S = 2.0
 # Replicas normally receive the last entries of a primary within milliseconds of its step-down.
 CATCH_UP_TIMEOUT_S = 1.0
+# Limit for the report of an instance that was ordered before; then another one may be chosen.
+ORDERED_REPORT_TIMEOUT_S = 1.0
 # Several times the duration of a promotion; after it, the next failover attempt checks the result.
 PROMOTION_TIMEOUT_S = 4.0
 # Interval at which the promoter tests whether a replica has caught up with an evacuated primary.
@@ -217,6 +221,15 @@
     return reason in PLANNED_REASONS and bool(silent_vms) and due_for_s < MAX_POSTPONEMENT_S
 
 
+class _Fence(NamedTuple):
+    """Result of the demotion of the old primary."""
+
+    # Status after the demotion, None if the old primary isn't known to have stepped down.
+    report: InstanceReport | None
+    # Lowest term in which an instance can have been promoted in this failover.
+    leads_from: int
+
+
 class _Successor(NamedTuple):
     """An instance to promote; as primary of this term or a later one it has been promoted."""
 
@@ -432,22 +445,27 @@
             return
         started = boottime_s()
         old_primary = self._old_primary(group)
-        record = await self._record_failover(group, old_primary)
+        # Another promoter may have begun the failover since the reason was found.
+        resumed = group.primary_record is not None and group.primary_record.moving
+        record = await self._record_failover(group, old_primary, lock)
         if record is None:
             return
         # The record was written before this VM learned of it, possibly by another promoter.
         written_at = boottime_s() if group.moving_since is None else group.moving_since
-        fenced = await self._fence_old_primary(old_primary, record, reason)
+        ordered = await self._ordered_instance(group, record) if resumed else ""
+        fence = await self._fence_old_primary(old_primary, record, reason, ordered)
         # An old primary that stepped down refuses writes, but answers reads as a replica.
         await self._wait_until_old_primary_unused(record, written_at)
         options = self._options(group.name)
         successor = None
-        if reason is FailoverReason.UNFINISHED:
-            successor = await self._ordered_before(group, record)
+        if resumed:
+            successor = await self._ordered_before(group, ordered, fence)
             if successor is None:
-                successor = await self._promoted_in_evacuated_domain(group, old_primary, record)
+                successor = await self._promoted_in_evacuated_domain(group, old_primary, fence)
         if successor is None:
-            successor = await self._choose_successor(group, old_primary, record, fenced, options)
+            successor = await self._choose_successor(
+                group, old_primary, record, fence, ordered, options
+            )
         if successor is None:
             self._log.failure("no_candidate", group=group.name)
             await trio.sleep(RETRY_DELAY_S)
@@ -471,8 +489,10 @@
             return
         chosen.record_answer(None, None)
         # A promoter that has just started may not have known the term of the old primary.
-        final = record._replace(instance=instance_id, term=max(record.term, term), moving=False)
-        await self._write_primary_record(final)
+        term = max(fence.leads_from, term)
+        final = record._replace(instance=instance_id, term=term, moving=False)
+        if await self._write_primary_record(final, lock) is None:
+            return
         self._log.decision(
             "primary_moved",
             group=group.name,
@@ -481,7 +501,7 @@
             new=instance_id,
             term=final.term,
             token=lock.token,
-            fenced=fenced.received if fenced is not None else None,
+            fenced=fence.report.received if fence.report is not None else None,
             took_ms=round((boottime_s() - started) * 1000),
         )
 
@@ -496,9 +516,9 @@
         return group.primary
 
     async def _record_failover(
-        self, group: Group, old_primary: Instance | None
+        self, group: Group, old_primary: Instance | None, lock: PromoterLock
     ) -> PrimaryRecord | None:
-        """Record the start of a failover; return the record, None if another VM changed it."""
+        """Record the start of a failover; return it, None if the record or the lock has changed."""
         current = group.primary_record
         if current is not None and current.moving:
             return current
@@ -511,35 +531,58 @@
             moving=True,
             revision=current.revision if current else 0,
         )
-        written = await self._write_primary_record(record)
+        return await self._write_primary_record(record, lock)
+
+    async def _write_primary_record(
+        self, record: PrimaryRecord, lock: PromoterLock
+    ) -> PrimaryRecord | None:
+        """Write and announce a record; return None if the record or the lock has changed."""
+        written = await self._store.write_primary_record(record, lock)
         if written is None:
+            self._log.failure("primary_record_refused", token=lock.token, **record._asdict())
             self._sync.request_check()
-        return written
-
-    async def _write_primary_record(self, record: PrimaryRecord) -> PrimaryRecord | None:
-        """Write a record and announce it to the other VMs; return None if another VM changed it."""
-        written = await self._store.write_primary_record(record)
-        if written is not None:
-            self._directory.set_primary_record(written)
-            self._peers.broadcast_heartbeat()
+            await trio.sleep(RETRY_DELAY_S)
+            return None
+        self._directory.set_primary_record(written)
+        self._peers.broadcast_heartbeat()
         return written
 
     async def _fence_old_primary(
-        self, old_primary: Instance | None, record: PrimaryRecord, reason: FailoverReason
-    ) -> InstanceReport | None:
-        """Demote the old primary; return its report, None if it did not answer."""
+        self,
+        old_primary: Instance | None,
+        record: PrimaryRecord,
+        reason: FailoverReason,
+        ordered: str,
+    ) -> _Fence:
+        """Demote the old primary, except if it was promoted again in this failover.
+
+        The record's term may be too low, because its writer didn't know the old primary's term.
+        """
+        leads_from = record.term
         if old_primary is None:
-            return None
+            return _Fence(None, leads_from)
         if reason in PLANNED_REASONS:
             await trio.sleep(STEP_DOWN_DELAY_S)
+        instance_id = old_primary.registration.id
         try:
             with trio.fail_after(CONTROL_TIMEOUT_S):
-                return await self._control.step_down(old_primary.registration, record.term)
+                for _ in range(STEP_DOWN_ATTEMPTS):
+                    report = await self._control.step_down(old_primary.registration, leads_from)
+                    if report.role is InstanceRole.REPLICA:
+                        return _Fence(report, leads_from)
+                    self._log.decision(
+                        "step_down_refused",
+                        instance=instance_id,
+                        asked_term=leads_from,
+                        role=report.role.value,
+                        term=report.term,
+                    )
+                    if ordered == instance_id and is_promoted(report, record.term):
+                        return _Fence(None, leads_from)
+                    leads_from = max(leads_from, report.term + 1)
         except (TanagerfrontError, trio.TooSlowError) as error:
-            self._log.decision(
-                "step_down_unanswered", instance=old_primary.registration.id, error=str(error)
-            )
-            return None
+            self._log.decision("step_down_unanswered", instance=instance_id, error=str(error))
+        return _Fence(None, leads_from)
 
     async def _wait_until_old_primary_unused(
         self, record: PrimaryRecord, written_at: float
@@ -571,20 +614,29 @@
         group: Group,
         old_primary: Instance | None,
         record: PrimaryRecord,
-        fenced: InstanceReport | None,
+        fence: _Fence,
+        ordered: str,
         options: GroupOptions,
     ) -> _Successor | None:
         """Return the instance to promote, None if none is safe to promote now."""
         synchronous = options.synchronous_replicas > 0
+        fenced, leads_from = fence
         last_entry = fenced.received if fenced is not None else None
         deadline = trio.current_time() + CATCH_UP_TIMEOUT_S
         # Without the old primary's last entry, no replica may receive entries after its report.
-        pause_term = record.term if synchronous and last_entry is None else None
+        pause_term = leads_from if synchronous and last_entry is None else None
+        # Replicas may already follow the instance of an order.
+        was_ordered = bool(ordered) or self._orders.get(group.name, (0, ""))[0] == record.term
         while True:
             instances = (
                 group.log_holders(old_primary) if synchronous else group.successors(old_primary)
             )
             reports = await self._collect_reports(instances, pause_term)
+            newest_term = max((report.term for report in reports.values()), default=0)
+            if pause_term == leads_from and newest_term >= leads_from and not was_ordered:
+                # They follow a primary whose term was not known, and still receive.
+                pause_term = newest_term + 1
+                continue
             holders = [
                 LogHolder(
                     instance.registration.id,
@@ -597,35 +649,44 @@
             if synchronous and old_primary is not None and fenced is not None:
                 # It can be primary again if no replica has all of its entries.
                 holders.append(LogHolder(old_primary.registration.id, fenced, stays=False))
-            match choose_successor(holders, last_entry, record.term, synchronous=synchronous):
+            match choose_successor(holders, last_entry, leads_from, synchronous=synchronous):
                 case Promote(name):
-                    return _successor(group, name, holders, record)
+                    return _successor(group, name, holders, leads_from)
                 case CatchUp(fallback):
                     if trio.current_time() >= deadline:
-                        return _successor(group, fallback, holders, record)
+                        return _successor(group, fallback, holders, leads_from)
                 case Blocked(silent):
                     self._log.decision("acknowledged_entries_unknown", silent=list(silent))
                     return None
             await trio.sleep(RETRY_DELAY_S)
 
-    async def _ordered_before(self, group: Group, record: PrimaryRecord) -> _Successor | None:
+    async def _ordered_instance(self, group: Group, record: PrimaryRecord) -> str:
+        """Return the instance that was ordered in this failover, empty without one."""
+        term, instance_id = self._orders.get(group.name, (0, ""))
+        if term == record.term:
+            return instance_id
+        # Another promoter may have given the order.
+        return await self._store.ordered_instance(record) or ""
+
+    async def _ordered_before(self, group: Group, ordered: str, fence: _Fence) -> _Successor | None:
         """Return the instance that this failover has ordered already, None if it doesn't answer.
 
         An order that was given up may still be done. One for another instance would then give the
         group two primaries, one after the other.
         """
-        term, instance_id = self._orders.get(group.name, (0, ""))
-        if term != record.term:
-            # Another promoter may have given the order.
-            instance_id = await self._store.ordered_instance(record) or ""
-        instance = group.instances.get(instance_id)
-        report = await self._request_report(instance) if instance is not None else None
-        if instance is None or report is None:
+        instance = group.instances.get(ordered)
+        if instance is None:
             return None
-        return _Successor(instance, record.term if report.role is InstanceRole.PRIMARY else 0)
+        deadline = trio.current_time() + ORDERED_REPORT_TIMEOUT_S
+        # It may be busy.
+        while (report := await self._request_report(instance)) is None:
+            if trio.current_time() >= deadline:
+                return None
+            await trio.sleep(RETRY_DELAY_S)
+        return _Successor(instance, fence.leads_from if report.role is InstanceRole.PRIMARY else 0)
 
     async def _promoted_in_evacuated_domain(
-        self, group: Group, old_primary: Instance | None, record: PrimaryRecord
+        self, group: Group, old_primary: Instance | None, fence: _Fence
     ) -> _Successor | None:
         """Return an instance that an earlier promoter promoted before its domain was evacuated.
 
@@ -638,8 +699,8 @@
         ]
         reports = await self._collect_reports(evacuated, None)
         for name, report in reports.items():
-            if is_promoted(report, record.term):
-                return _Successor(group.instances[name], record.term)
+            if is_promoted(report, fence.leads_from):
+                return _Successor(group.instances[name], fence.leads_from)
         return None
 
     async def _collect_reports(
@@ -719,21 +780,24 @@
     async def _wait_until_promoted(self, successor: _Successor) -> int | None:
         """Wait until the instance is primary; return its term, 0 if not known, None if it isn't."""
         chosen = successor.instance
-        # A role that was registered before says nothing about the promotion.
+        # A registered role names no term and may be old. It counts only if it has changed, for an
+        # instance that reported as replica before and is silent now.
         registered_before = chosen.registration.role is InstanceRole.PRIMARY
+        may_be_registered = not registered_before and successor.leads_from == 0
         with trio.move_on_after(PROMOTION_TIMEOUT_S):
             while True:
                 report = await self._request_report(chosen)
                 if report is not None and is_promoted(report, successor.leads_from):
                     return report.term
-                if not registered_before and chosen.registration.role is InstanceRole.PRIMARY:
+                registered = chosen.registration.role is InstanceRole.PRIMARY
+                if report is None and may_be_registered and registered:
                     return 0
                 await trio.sleep(RETRY_DELAY_S / 2)
         return None
 
 
 def _successor(
-    group: Group, name: str | None, holders: Sequence[LogHolder], record: PrimaryRecord
+    group: Group, name: str | None, holders: Sequence[LogHolder], leads_from: int
 ) -> _Successor | None:
     """Return an instance of the group by its name, None without one."""
     instance = group.instances.get(name) if name is not None else None
@@ -741,7 +805,7 @@
         return None
     reports = [holder.report for holder in holders if holder.id == name]
     claims_role = any(report and report.role is InstanceRole.PRIMARY for report in reports)
-    return _Successor(instance, record.term if claims_role else 0)
+    return _Successor(instance, leads_from if claims_role else 0)
 
 
 def build_heartbeat(
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import trio
 from hypothesis import given
@@ -23,12 +23,13 @@
     PrimaryRecordChanged,
     PromoterLock,
     PromoterLockAcquired,
+    RegisteredVm,
     VmChanged,
     VmUnregistered,
 )
 from tanagerfront.fleet_sync import FleetSync
 from tanagerfront.instance_directory import Group, Instance, InstanceDirectory, PrimaryRecord
-from tanagerfront.instance_pool import InstancePool, PoolLimits
+from tanagerfront.instance_pool import InstancePool, InstanceRefusedError, PoolLimits
 from tanagerfront.rate_shares import UNKNOWN_LENDER, RateShares, TokenLoanRequest
 from tanagerfront.session_failover import (
     MAX_POSTPONEMENT_S,
@@ -44,7 +45,14 @@
     is_postponed,
     most_advanced,
 )
-from tanagerfront.session_model import GroupOptions, InstanceRegistration, InstanceRole, boottime_s
+from tanagerfront.session_model import (
+    Failure,
+    FailureCode,
+    GroupOptions,
+    InstanceRegistration,
+    InstanceRole,
+    boottime_s,
+)
 from tanagerfront.session_peer_messages import Heartbeat
 
 NOW = 1000.0
@@ -175,6 +183,8 @@
         self.delays: dict[str, float] = {}
         # The term that the primary leads.
         self.term = 1
+        # Whether the primary refuses to step down in any term.
+        self.keeps_role = False
         self.stepped_down_at: float | None = None
         self.paused: list[str] = []
 
@@ -189,11 +199,15 @@
         return self._report(registration.id)
 
     async def pause(self, registration: InstanceRegistration, term: int) -> InstanceReport:
-        self.paused.append(registration.id)
-        return self._report(registration.id)
+        report = self._report(registration.id)
+        if term > self.term:
+            self.paused.append(registration.id)
+        return report
 
     async def step_down(self, registration: InstanceRegistration, term: int) -> InstanceReport:
         report = self._report(registration.id)
+        if report.role is InstanceRole.PRIMARY and (term <= self.term or self.keeps_role):
+            return report
         self.stepped_down_at = trio.current_time()
         self.primary_name = ""
         return report._replace(role=InstanceRole.REPLICA)
@@ -447,6 +461,37 @@
         self.assertEqual([], promoter.orders)
         self.assertIn("r1", promoter.control.paused)
 
+    @trio_test(mock_clock=True)
+    async def test_replicas_of_a_silent_primary_of_an_unknown_higher_term_are_paused(self) -> None:
+        # Guards against losing a commit that one replica receives after its report, so that the
+        # silent primary acknowledges it, while the other replica is promoted.
+        promoter = PromoterVm(synchronous=1)
+        promoter.control.term = 7
+        paused: set[str] = set()
+        promote = promoter.promote
+
+        async def note_paused(group: str, name: str, holder: str, token: int) -> PromotionOutcome:
+            paused.update(promoter.control.paused)
+            return await promote(group, name, holder, token)
+
+        promoter.promote = note_paused  # type: ignore[method-assign]
+        await promoter.run_with(promoter.fail_primary, 3)
+        self.assertEqual(({"r0", "r1"}, "r0"), (paused, promoter.primary))
+
+    @trio_test(mock_clock=True)
+    async def test_replicas_of_an_instance_promoted_before_are_not_paused(self) -> None:
+        # Guards against a synchronous group that acknowledges nothing, because its replicas were
+        # paused while the instance that the former promoter had promoted was silent for a moment.
+        promoter = PromoterVm(synchronous=1)
+        promoter.control.term, promoter.control.primary_name = 2, "r1"
+        promoter.store.orders[GROUP] = 2, "r1"
+        promoter.store.record(PrimaryRecordChanged(PrimaryRecord(GROUP, "p", 2, True, 0)))
+        promoter.control.unresponsive.update(("p", "r1"))
+        await promoter.run_with(promoter.fail_primary, 2)
+        promoter.control.unresponsive.remove("r1")
+        await promoter.run_with(lambda: None, 2)
+        self.assertEqual(("r1", []), (promoter.primary, promoter.control.paused))
+
     @trio_test(mock_clock=True)
     async def test_a_commit_that_only_a_draining_replica_has_is_not_rolled_back(self) -> None:
         # Guards against losing commits that were acknowledged because a replica about to leave had
@@ -532,6 +577,134 @@
         await promoter.run_with(lambda: None, 5)
         self.assertEqual("p", promoter.primary)
 
+    @trio_test(mock_clock=True)
+    async def test_a_late_registration_of_an_old_claim_ends_no_failover(self) -> None:
+        # Guards against a record that names an instance before it leads: its registration as
+        # primary of an older term arrives only after the order.
+        for claims_role in (False, True):
+            promoter = PromoterVm()
+            report = promoter.control.report
+
+            async def report_claim(
+                entry: InstanceRegistration,
+                promoter: PromoterVm = promoter,
+                claims_role: bool = claims_role,
+                report: Callable[..., Awaitable[InstanceReport]] = report,
+            ) -> InstanceReport:
+                if entry.id == "r0" and claims_role:
+                    return InstanceReport(InstanceRole.PRIMARY, 1, EntryId(1, 9))
+                return await report(entry)
+
+            async def promote(
+                _group: str, name: str, _holder: str, _token: int, promoter: PromoterVm = promoter
+            ) -> PromotionOutcome:
+                promoter.orders.append((trio.current_time(), name, 0))
+                promoter.store.record(InstanceChanged(registration(name, primary=True, port=2)))
+                return PromotionOutcome.ORDERED
+
+            promoter.control.report = report_claim  # type: ignore[method-assign]
+            promoter.promote = promote  # type: ignore[method-assign]
+
+            def fail_primary(promoter: PromoterVm = promoter) -> None:
+                promoter.fail_primary()
+                promoter.control.unresponsive.add("r1")
+                promoter.control.primary_name = ""
+
+            promoter.store.record(PrimaryRecordChanged(PrimaryRecord(GROUP, "p", 1, False, 0)))
+            await promoter.run_with(fail_primary, 2)
+            self.assertEqual(["r0"], [name for _, name, _ in promoter.orders])
+            self.assertIsNone(promoter.primary)
+
+    @trio_test(mock_clock=True)
+    async def test_the_registered_role_ends_a_failover_whose_new_primary_is_silent(self) -> None:
+        # Guards against a group without a primary because its promoter alone can't reach it.
+        promoter = PromoterVm()
+        promote = promoter.promote
+
+        async def promote_and_cut_off(
+            group: str, name: str, holder: str, token: int
+        ) -> PromotionOutcome:
+            outcome = await promote(group, name, holder, token)
+            promoter.control.unresponsive.add(name)
+            promoter.store.record(InstanceChanged(registration(name, primary=True, port=2)))
+            return outcome
+
+        promoter.promote = promote_and_cut_off  # type: ignore[method-assign]
+        await promoter.run_with(promoter.fail_primary, 2)
+        self.assertEqual("r0", promoter.primary)
+
+    @trio_test(mock_clock=True)
+    async def test_a_primary_of_an_unknown_higher_term_steps_down_before_the_promotion(
+        self,
+    ) -> None:
+        # Guards against a promotion beside a primary that goes on: the promoter has just started,
+        # doesn't know its term and takes the answer of a primary for that of a replica.
+        for synchronous in (0, 1):
+            promoter = PromoterVm(synchronous)
+            promoter.control.term = 7
+
+            def drain_primary(promoter: PromoterVm = promoter) -> None:
+                promoter.store.record(
+                    InstanceChanged(registration("p", primary=True, draining=True))
+                )
+
+            await promoter.run_with(drain_primary, 2)
+            self.assertIsNotNone(promoter.control.stepped_down_at)
+            self.assertEqual(["r0"], [name for _, name, _ in promoter.orders])
+            self.assertEqual("r0", promoter.primary)
+            self.assertEqual(8, promoter.store.primary_records[GROUP].term)
+
+    @trio_test(mock_clock=True)
+    async def test_the_log_of_a_primary_that_keeps_its_role_is_not_final(self) -> None:
+        # Guards against a promotion without commits that the old primary acknowledged after its
+        # answer, while one of its replicas still received them.
+        promoter = PromoterVm(synchronous=1)
+        promoter.control.term, promoter.control.keeps_role = 7, True
+        promoter.control.received["r1"] = promoter.control.received["r0"]
+
+        def drain_primary() -> None:
+            promoter.store.record(InstanceChanged(registration("p", primary=True, draining=True)))
+
+        await promoter.run_with(drain_primary, 0.7)
+        self.assertEqual({"r0", "r1"}, set(promoter.control.paused))
+        self.assertNotIn("p", [name for _, name, _ in promoter.orders])
+        refusals = promoter.log.inputs_of("step_down_refused")
+        self.assertEqual(("primary", 7), (refusals[0]["role"], refusals[0]["term"]))
+
+    @trio_test(mock_clock=True)
+    async def test_an_earlier_primary_is_not_the_instance_promoted_in_a_failover(self) -> None:
+        # Guards against a primary that was replaced while it was cut off, and leads again because
+        # the record's term is lower than those of both: its log lacks acknowledged commits.
+        promoter = PromoterVm()
+        promoter.control.term = 7
+        promoter.control.received |= {"r0": EntryId(5, 3), "p": EntryId(7, 9), "r1": EntryId(7, 9)}
+        report = promoter.control.report
+
+        async def report_claim(entry: InstanceRegistration) -> InstanceReport:
+            if entry.id == "r0" and promoter.control.primary_name != "r0":
+                return InstanceReport(InstanceRole.PRIMARY, 5, EntryId(5, 3))
+            return await report(entry)
+
+        promoter.control.report = report_claim  # type: ignore[method-assign]
+
+        def drain_primary() -> None:
+            promoter.store.record(InstanceChanged(registration("p", primary=True, draining=True)))
+
+        await promoter.run_with(drain_primary, 2)
+        self.assertEqual("r1", promoter.primary)
+
+    @trio_test(mock_clock=True)
+    async def test_an_old_primary_that_was_promoted_again_is_not_demoted_again(self) -> None:
+        # Guards against a group without a primary while the platform executes orders late: each
+        # attempt would demote the instance that the order of an earlier one has promoted.
+        promoter = PromoterVm(synchronous=1)
+        promoter.control.term = 2
+        promoter.control.received |= {"r0": EntryId(1, 3), "r1": EntryId(1, 3)}
+        promoter.store.orders[GROUP] = 2, "p"
+        promoter.store.record(PrimaryRecordChanged(PrimaryRecord(GROUP, "p", 2, True, 0)))
+        await promoter.run_with(lambda: None, 2)
+        self.assertEqual(("p", None), (promoter.primary, promoter.control.stepped_down_at))
+
     @trio_test(mock_clock=True)
     async def test_orders_that_were_given_up_name_the_instance_that_leads(self) -> None:
         # Guards against an order that the platform does late, when another instance, as far
@@ -576,6 +749,47 @@
             self.assertEqual(expected, [name for _, name, _ in promoter.orders])
             self.assertEqual(expected[-1], promoter.primary)
 
+    @trio_test(mock_clock=True)
+    async def test_an_ordered_instance_that_is_busy_is_not_given_up(self) -> None:
+        # Guards against a second promotion because the instance that is being promoted refused one
+        # request for its status.
+        promoter = PromoterVm()
+        report, refusals = promoter.control.report, 3
+
+        async def refuse_first(entry: InstanceRegistration) -> InstanceReport:
+            nonlocal refusals
+            if entry.id == "r1" and refusals:
+                refusals -= 1
+                raise InstanceRefusedError(Failure(FailureCode.OVERLOADED, entry.id))
+            return await report(entry)
+
+        promoter.control.report = refuse_first  # type: ignore[method-assign]
+        promoter.store.orders[GROUP] = 2, "r1"
+        promoter.store.record(PrimaryRecordChanged(PrimaryRecord(GROUP, "p", 2, True, 0)))
+        await promoter.run_with(promoter.fail_primary, 4)
+        self.assertEqual(["r1"], [name for _, name, _ in promoter.orders])
+        self.assertEqual("r1", promoter.primary)
+
+    @trio_test(mock_clock=True)
+    async def test_a_failover_begun_meanwhile_keeps_its_ordered_instance(self) -> None:
+        # Guards against a second promotion by a promoter that found the group without a failover,
+        # and acquires the lock after another one has begun the failover, ordered and stopped.
+        promoter = PromoterVm()
+        acquire = promoter.store.acquire_promoter_lock
+
+        async def acquire_late(vm: RegisteredVm, lease: int) -> PromoterLock | None:
+            if GROUP not in promoter.store.orders:
+                promoter.store.orders[GROUP] = 2, "r1"
+                record = PrimaryRecord(GROUP, "p", 2, True, 0)
+                promoter.store.record(PrimaryRecordChanged(record))
+                await trio.sleep(0.1)
+            return await acquire(vm, lease)
+
+        promoter.store.acquire_promoter_lock = acquire_late  # type: ignore[method-assign]
+        await promoter.run_with(promoter.fail_primary, 4)
+        self.assertEqual(["r1"], [name for _, name, _ in promoter.orders])
+        self.assertEqual("r1", promoter.primary)
+
     @trio_test(mock_clock=True)
     async def test_failover_continues_after_a_replica_is_not_running(self) -> None:
         # Guards against a group that stays without a primary because the chosen replica stopped
@@ -655,6 +869,43 @@
         await promoter.run_with(promoter.fail_primary, 5)
         self.assertEqual([], promoter.orders)
 
+    @trio_test(mock_clock=True)
+    async def test_a_promoter_that_lost_the_lock_ends_no_failover(self) -> None:
+        # Guards against a promoter that resumes late and records its instance as primary, while its
+        # successor promotes another one in the same failover.
+        promoter = PromoterVm()
+        promote = promoter.promote
+
+        async def lose_lock(group: str, name: str, holder: str, token: int) -> PromotionOutcome:
+            outcome = await promote(group, name, holder, token)
+            promoter.store.record(PromoterLockAcquired(PromoterLock("b", "inc-b", 0)))
+            return outcome
+
+        promoter.promote = lose_lock  # type: ignore[method-assign]
+        await promoter.run_with(promoter.fail_primary, 3)
+        self.assertEqual(["r0"], [name for _, name, _ in promoter.orders])
+        self.assertTrue(promoter.store.primary_records[GROUP].moving)
+        self.assertEqual([], promoter.log.inputs_of("primary_moved"))
+        [refused] = promoter.log.inputs_of("primary_record_refused")
+        self.assertEqual((GROUP, False), (refused["group"], refused["moving"]))
+
+    @trio_test(mock_clock=True)
+    async def test_a_promoter_that_lost_the_lock_begins_no_failover(self) -> None:
+        # Guards against a failover that a promoter begins after its successor has taken over.
+        promoter = PromoterVm()
+        acquire = promoter.store.acquire_promoter_lock
+
+        async def lose_lock(vm: RegisteredVm, lease: int) -> PromoterLock | None:
+            lock = await acquire(vm, lease)
+            promoter.store.record(PromoterLockAcquired(PromoterLock("b", "inc-b", 0)))
+            return lock
+
+        promoter.store.acquire_promoter_lock = lose_lock  # type: ignore[method-assign]
+        await promoter.run_with(promoter.fail_primary, 3)
+        self.assertEqual(({}, []), (promoter.store.primary_records, promoter.orders))
+        [refused] = promoter.log.inputs_of("primary_record_refused")
+        self.assertEqual((GROUP, True), (refused["group"], refused["moving"]))
+
     @trio_test(mock_clock=True)
     async def test_token_grows_with_each_lock_holder(self) -> None:
         # Guards against orders of a former promoter that pass for those of the current one.
