Soak failovers of several groups while their promoter is killed

The soak had one group, whose old primary turned into a replica at the moment of a promotion, and it did not compare the time of a commit with that of a promotion: a write that an old primary committed afterwards counted as rolled back.

Options add further groups, and rounds in which primaries of some groups crash, leave or lose their new connections while they are slow and the VM with the promoter lock is killed or stopped. In these runs an old primary goes on until a second after it can reach the new one, and control statements wait for a slot or are refused as at an overloaded instance.

Two checks are added for every run: no acknowledged write was committed in an older term after a promotion had taken effect, unless its sender or the instance's link was disrupted, and no read ran on a log without a commit that had been acknowledged before, by the bounds of its kind of route.

Faults of runs with one group are drawn as before.

--- a/src/tanagerfront_lab/cli.py
+++ b/src/tanagerfront_lab/cli.py
@@ -266,6 +266,10 @@
     evacuations: int = 0,
     synchronous: bool = False,
     odd_entries: int = 0,
+    groups: int = 1,
+    promoter_kills: int = 0,
+    timeout_ms: int = 900,
+    random_faults: bool = True,
     keep: Path | None = None,
 ) -> None:
     """Run the session interface under faults and check its promises.
@@ -277,6 +281,10 @@
     evacuations: How many failure domains are taken out of service and given back, beside them.
     synchronous: Acknowledge commits after a replica has received them, and lose none.
     odd_entries: How many malformed entries of instances another writer leaves in the store.
+    groups: How many groups of instances there are.
+    promoter_kills: How often primaries are replaced while the promoter's process is ended.
+    timeout_ms: Limit for a statement.
+    random_faults: Inject faults at random times.
     keep: Directory for settings and logs of the VMs.
     """
     failed = 0
@@ -289,6 +297,10 @@
             evacuations=evacuations,
             synchronous=synchronous,
             odd_entries=odd_entries,
+            groups=groups,
+            promoter_kills=promoter_kills,
+            timeout_ms=timeout_ms,
+            random_faults=random_faults,
         )
         result = run_soak(options, keep / str(number) if keep else None)
         print(
--- a/src/tanagerfront_lab/soak.py
+++ b/src/tanagerfront_lab/soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import os
 import random
 import signal
@@ -10,7 +11,7 @@
 import sys
 import tempfile
 from collections import deque
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -19,17 +20,26 @@
 
 from tanagerfront.errors import ConnectionLostError
 from tanagerfront.http_client import Address
+from tanagerfront.platform.documents import PROMOTER_KEY
 from tanagerfront.platform.line_stream import LineStream
 from tanagerfront_standin.line_group import Commit, InstanceOptions, LineGroup, LineInstance
 from tanagerfront_standin.link import Direction, TcpLink
 from tanagerfront_standin.loopback import ReservedHost
 from tanagerfront_standin.platform_store import ModelCopy, PlatformStore, StoreFaults
 
-from .soak_history import Attempt, SoakHistory
+from .soak_history import Attempt, Origin, SoakHistory
 
-__all__ = ["SoakOptions", "SoakResult", "run_soak"]
+__all__ = [
+    "ClientSession",
+    "Soak",
+    "SoakOptions",
+    "SoakResult",
+    "check_histories",
+    "open_soak",
+    "run_soak",
+]
 
-GROUP = "orders"
+GROUPS = ("orders", "stock", "bookings", "readings")
 FAILURE_DOMAINS = ("suame", "adum", "ayeduase")
 # Error codes which guarantee that the refused operation has no effect.
 NOT_APPLIED_CODES = frozenset({"BUSY", "ABORTED", "LAGGING", "READONLY", "MOVED", "CONNLIMIT"})
@@ -43,10 +53,15 @@
 HEARTBEAT_INTERVAL_S = 0.4
 # A draining instance serves for this long.
 DRAIN_LIMIT_S = 7.0
+# VMs treat an instance as gone this long after its entry was removed.
+INSTANCE_GRACE_S = 2.0
 # More than the decoders allow.
 ODD_NESTING = 5_000
 # Time after the last fault within which callers must be served again.
 RECOVERY_LIMIT_S = 12.0
+MAX_STALENESS_S = 1.5
+# How long an old primary goes on after it can reach the new one, where promoters are killed.
+TAKEOVER_S = 1.0
 # The oldest copy from which the store is restored is 8 s old.
 COPY_INTERVAL_S = 0.5
 MAX_COPIES = 16
@@ -71,6 +86,13 @@
     synchronous: bool = False
     # Entries of instances by another writer, which can't be read or used.
     odd_entries: int = 0
+    # At most as many as GROUPS; each has its own instances.
+    groups: int = 1
+    # How often primaries of several groups are replaced while the promoter is killed or stopped.
+    # Old primaries may be slow, or refuse control statements, and go on until they notice.
+    promoter_kills: int = 0
+    timeout_ms: int = 900
+    random_faults: bool = True
 
 
 class SoakResult(NamedTuple):
@@ -127,21 +149,29 @@
             await trio.to_thread.run_sync(self.process.wait)
 
 
-class _Soak:
-    """State of one soak run: the group, the store, the VMs and the recorded history."""
+class Soak:
+    """State of one soak run: the groups, the store, the VMs and the recorded history."""
 
     def __init__(
         self, options: SoakOptions, directory: Path, hosts: Sequence[ReservedHost]
     ) -> None:
         self.options = options
         self.rng = random.Random(options.seed)
-        self.group = LineGroup(GROUP, hosts[-1], InstanceOptions(synchronous=options.synchronous))
+        instance_options = InstanceOptions(
+            synchronous=options.synchronous,
+            takeover_s=TAKEOVER_S if options.promoter_kills else 0.0,
+            controls_need_slot=bool(options.promoter_kills),
+        )
+        self.groups = [
+            LineGroup(name, hosts[-1], instance_options) for name in GROUPS[: options.groups]
+        ]
         self.draining: set[str] = set()
         self.store = PlatformStore(self._promote)
         self.vms = [_Vm(hosts[number].name, number, directory) for number in range(options.vms)]
         self.store_links: dict[str, TcpLink] = {}
-        self.instance_links: dict[str, TcpLink] = {}
-        self.addresses: dict[str, Address] = {}
+        # Links to the instances, and their addresses, by the addresses of the instances' own.
+        self.instance_links: dict[Address, TcpLink] = {}
+        self.addresses: dict[Address, Address] = {}
         self.unregistered: set[str] = set()
         self.history = SoakHistory()
         self.faults: list[str] = []
@@ -151,6 +181,7 @@
         self.copies: deque[ModelCopy] = deque(maxlen=MAX_COPIES)
         self.api_keys = ["key-a", "key-b"]
         self.evacuated_domain: str | None = None
+        self._session_numbers = itertools.count(1)
         # The callers go on until the recovery after the last fault has been checked.
         self.callers_end = False
 
@@ -162,7 +193,16 @@
             self.history.record_violation(f"fencing token {token} was used by two holders")
         if any(token < used_token for _, _, _, used_token in self.store.promotions):
             self.history.record_violation(f"fencing token {token} is lower than an earlier one")
-        return await self.group.promote(name)
+        return await next(one for one in self.groups if one.name == group).promote(name)
+
+    @property
+    def instances(self) -> list[LineInstance]:
+        """Return the instances of all groups."""
+        return [instance for group in self.groups for instance in group.instances]
+
+    def _choose_group(self) -> LineGroup:
+        # Without a choice, none is drawn: runs with one group keep their faults.
+        return self.rng.choice(self.groups) if len(self.groups) > 1 else self.groups[0]
 
     def configure(self) -> None:
         """Store a new version of the operator's configuration."""
@@ -172,14 +212,15 @@
     def _put_configuration(self) -> None:
         routes = [
             {
-                "name": f"r-{consistency}",
-                "database": consistency,
+                "name": f"r-{_database(group.name, consistency)}",
+                "database": _database(group.name, consistency),
                 "type": consistency,
-                "service": GROUP,
-                "timeout_ms": 900,
+                "service": group.name,
+                "timeout_ms": self.options.timeout_ms,
                 "target_latency_ms": 200,
-                "max_staleness_ms": 1500,
+                "max_staleness_ms": MAX_STALENESS_S * 1000,
             }
+            for group in self.groups
             for consistency in ("primary", "bounded", "read_your_writes")
         ]
         self.store.put(
@@ -189,10 +230,11 @@
                 "routes": routes,
                 "services": [
                     {
-                        "name": GROUP,
-                        "max_connections": self.group.options.connections,
-                        "sync_replicas": int(self.group.options.synchronous),
+                        "name": group.name,
+                        "max_connections": group.options.connections,
+                        "sync_replicas": int(group.options.synchronous),
                     }
+                    for group in self.groups
                 ],
                 "limits": {"tx_idle_ms": 2000},
                 "tenants": [{**ORGANISATION, "api_keys": self.api_keys}],
@@ -202,12 +244,12 @@
     async def run_registration(self) -> None:
         """Update the registrations of the instances in the store whenever their state changes."""
         while True:
-            for number, instance in enumerate(self.group.instances):
+            for number, instance in enumerate(self.instances):
                 entry = {
-                    "service": GROUP,
-                    "address": str(self.addresses[instance.name]),
-                    "zone": FAILURE_DOMAINS[number],
-                    "slots": self.group.options.slots,
+                    "service": instance.group.name,
+                    "address": str(self.addresses[instance.address]),
+                    "zone": FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)],
+                    "slots": instance.group.options.slots,
                     "state": "draining" if instance.name in self.draining else "ready",
                     "db_role": "primary" if instance.is_primary else "replica",
                     "born": 1,
@@ -233,11 +275,12 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the group, the store and the VMs; wait until every VM accepts sessions."""
-        await nursery.start(self.group.run)
+        for group in self.groups:
+            await nursery.start(group.run)
         store = await nursery.start(self.store.run, Address("127.0.0.1", 0))
-        for instance in self.group.instances:
-            link = self.instance_links[instance.name] = TcpLink(instance.address)
-            self.addresses[instance.name] = await nursery.start(link.run)
+        for instance in self.instances:
+            link = self.instance_links[instance.address] = TcpLink(instance.address)
+            self.addresses[instance.address] = await nursery.start(link.run)
         self.configure()
         nursery.start_soon(self.run_registration)
         nursery.start_soon(self.run_copies)
@@ -254,12 +297,16 @@
 
     async def _is_ready(self, vm: _Vm) -> bool:
         try:
-            lines = await _connect(vm, "primary", self.api_keys[0])
+            lines = await self.connect(vm, GROUPS[0], "primary")
         except (OSError, ConnectionLostError):
             return False
         await lines.close()
         return True
 
+    async def connect(self, vm: _Vm, group: str, consistency: str) -> LineStream:
+        """Open a session with a key that stays valid; raises OSError or ConnectionLostError."""
+        return await _connect(vm, _database(group, consistency), self.api_keys[0])
+
     # Fault methods: their names, without underscores at the ends, are printed.
 
     async def run_faults(self, until: float) -> None:
@@ -305,9 +352,11 @@
 
     async def _pause_vm(self, seconds: float) -> None:
         vm = self.rng.choice(self.vms)
+        paused_at = trio.current_time()
         vm.send_signal(signal.SIGSTOP)
         await trio.sleep(seconds)
         vm.send_signal(signal.SIGCONT)
+        self.history.disruptions.append((vm.name, paused_at, trio.current_time()))
 
     async def _cut_store(self, seconds: float) -> None:
         link = self.store_links[self.rng.choice(self.vms).name]
@@ -318,6 +367,12 @@
     async def _silence(self, seconds: float) -> None:
         links = [*self.store_links.values(), *self.instance_links.values()]
         link = self.rng.choice(links)
+        now = trio.current_time()
+        self.history.disruptions += [
+            (instance.name, now, now + self.options.timeout_ms / 1000)
+            for instance in self.instances
+            if self.instance_links[instance.address] is link
+        ]
         if self.rng.random() < 0.5:
             link.silence_existing()
         else:
@@ -368,7 +423,7 @@
         ]
         for number in range(self.options.odd_entries):
             await trio.sleep(rng.uniform(0.2, 2.0))
-            entry = {"service": GROUP, "address": "127.0.0.1:9", "zone": FAILURE_DOMAINS[0]}
+            entry = {"service": GROUPS[0], "address": "127.0.0.1:9", "zone": FAILURE_DOMAINS[0]}
             entry |= {"state": "ready", "db_role": "primary"} | rng.choice(odd_members)
             self.faults.append(f"odd_entry {number}")
             self.store.put(f"servers/odd-{number}", entry)
@@ -385,45 +440,110 @@
             if domain != self.evacuated_domain:
                 self.store.delete(f"op/evacuate/{domain}")
         # Differs from every registration, so that each is written, or deleted, again.
-        self.registered = {instance.name: "restored" for instance in self.group.instances}
+        self.registered = {instance.name: "restored" for instance in self.instances}
         self.store.faults = StoreFaults()
 
     async def _crash(self, instance: LineInstance, seconds: float) -> None:
-        if not all(instance.running for instance in self.group.instances):
+        if not all(other.running for other in instance.group.instances):
             return
         instance.crash()
         await trio.sleep(seconds)
-        await self.group.restart(instance)
+        await instance.group.restart(instance)
 
     async def _crash_instance(self, seconds: float) -> None:
-        await self._crash(self.rng.choice(self.group.instances), seconds)
+        await self._crash(self.rng.choice(self._choose_group().instances), seconds)
 
     async def _crash_primary(self, seconds: float) -> None:
-        primary = next((instance for instance in self.group.instances if instance.is_primary), None)
+        primary = self._choose_group().primary
         if primary is not None:
             await self._crash(primary, seconds)
 
     async def _cut_instance(self, seconds: float) -> None:
-        instance = self.rng.choice(self.group.instances)
-        self.instance_links[instance.name].cut()
+        instance = self.rng.choice(self._choose_group().instances)
+        cut_at = trio.current_time()
+        self.instance_links[instance.address].cut()
         if self.rng.random() < 0.3:
             self.unregistered.add(instance.name)
         await trio.sleep(seconds)
         self.unregistered.discard(instance.name)
-        self.instance_links[instance.name].restore()
+        self.instance_links[instance.address].restore()
+        self.history.disruptions.append((instance.name, cut_at, trio.current_time()))
+
+    async def run_promoter_kills(self) -> None:
+        """Replace primaries and end the promoter's process, again and again."""
+        rng = random.Random(f"{self.options.seed}/promoter-kills")
+        interval_s = self.options.seconds / (self.options.promoter_kills + 1)
+        async with trio.open_nursery() as nursery:
+            for _ in range(self.options.promoter_kills):
+                for group in rng.sample(self.groups, rng.randint(1, len(self.groups))):
+                    nursery.start_soon(self._replace_primary, group, rng)
+                nursery.start_soon(self._end_promoter, rng)
+                await trio.sleep(interval_s)
+
+    async def _end_promoter(self, rng: random.Random) -> None:
+        """Kill or stop the VM that holds the promoter lock, and start it again."""
+        await trio.sleep(rng.uniform(0.0, 2.0))
+        lock = self.store.get(PROMOTER_KEY)
+        vm = next((vm for vm in self.vms if lock is not None and vm.name == lock["vm"]), None)
+        if vm is None:
+            return
+        signal_number = rng.choice([signal.SIGKILL, signal.SIGKILL, signal.SIGTERM])
+        self.faults.append(f"end_promoter {vm.name} {signal_number.name}")
+        vm.send_signal(signal_number)
+        await vm.wait_stopped()
+        await trio.sleep(rng.uniform(0.0, 0.5))
+        if vm.process is not None and vm.process.poll() is not None:
+            vm.start()
+
+    async def _replace_primary(self, group: LineGroup, rng: random.Random) -> None:
+        """Let a primary that is slow at the time crash, leave, or lose its new connections."""
+        primary = group.primary
+        if primary is None or not all(instance.running for instance in group.instances):
+            return
+        if any(instance.isolated or instance.name in self.draining for instance in group.instances):
+            return
+        fault = rng.choice([self._crash, self._release, self._isolate])
+        self.faults.append(f"{fault.__name__.strip('_')} {primary.name}")
+        primary.slow_s = rng.uniform(0.0, 0.9) * self.options.timeout_ms / 1000
+        await trio.sleep(rng.uniform(0.0, 0.5))
+        await fault(primary, rng.uniform(0.5, 3.0))
+        primary.slow_s = 0.0
+
+    async def _release(self, instance: LineInstance, seconds: float) -> None:
+        """Let an instance drain and end; another one takes over its address and log."""
+        old_name = instance.name
+        self.draining.add(old_name)
+        await trio.sleep(DRAIN_LIMIT_S)
+        await self._crash(instance, seconds / 4)
+        self.draining.discard(old_name)
+        instance.name = f"{old_name}+"
+        self.registered.pop(old_name, None)
+        self.store.delete(f"servers/{old_name}")
+
+    async def _isolate(self, instance: LineInstance, seconds: float) -> None:
+        """Cut an instance off from the others and from new connections, perhaps from the store."""
+        instance.isolated = True
+        self.instance_links[instance.address].hold_new()
+        if seconds > 2.0:
+            self.unregistered.add(instance.name)
+        await trio.sleep(INSTANCE_GRACE_S + seconds)
+        self.unregistered.discard(instance.name)
+        self.instance_links[instance.address].restore()
+        instance.isolated = False
 
     async def _miss_commits(self, seconds: float) -> None:
         """Let one replica receive nothing for a while; another one goes on receiving."""
-        if any(instance.replication_paused for instance in self.group.instances):
+        group = self._choose_group()
+        if any(instance.replication_paused for instance in group.instances):
             return
-        replica = self.rng.choice([one for one in self.group.instances if not one.is_primary])
+        replica = self.rng.choice([one for one in group.instances if not one.is_primary])
         replica.replication_paused = True
         await trio.sleep(seconds)
-        self.group.resume_replication(replica)
+        group.resume_replication(replica)
 
     async def _replace_instance(self, seconds: float) -> None:
         """Let an instance drain and end; another process takes over its address and log."""
-        instance = self.rng.choice(self.group.instances)
+        instance = self.rng.choice(self._choose_group().instances)
         if self.draining:
             return
         self.draining.add(instance.name)
@@ -454,13 +574,15 @@
                 rng.choice(_CONSISTENCIES),
                 rng.choice(self.api_keys),
             )
+            group = rng.choice(self.groups).name if len(self.groups) > 1 else GROUPS[0]
             try:
-                lines = await _connect(vm, consistency, key)
+                lines = await _connect(vm, _database(group, consistency), key)
             except (OSError, ConnectionLostError):
                 await trio.sleep(0.05)
                 continue
             try:
-                session = _ClientSession(self, lines, consistency, key, f"c{number}", rng)
+                origin = Origin(group, vm.name, next(self._session_numbers))
+                session = ClientSession(self, lines, consistency, key, f"c{number}", origin, rng)
                 while await session.operate() and not self.callers_end:  # noqa: ASYNC110
                     await trio.sleep(rng.uniform(0.0, 0.05))
             except ConnectionLostError:
@@ -472,28 +594,33 @@
 _CONSISTENCIES = ("primary", "read_your_writes", "bounded")
 
 
-async def _connect(vm: _Vm, consistency: str, key: str) -> LineStream:
+def _database(group: str, consistency: str) -> str:
+    return consistency if group == GROUPS[0] else f"{consistency}-{group}"
+
+
+async def _connect(vm: _Vm, database: str, key: str) -> LineStream:
     """Open a session; raises OSError or ConnectionLostError."""
     with trio.move_on_after(2.0):
         stream = await trio.open_tcp_stream(vm.host, vm.front_port)
         lines = LineStream(stream)
-        await lines.send(f"CONNECT {consistency} {key}\r\n".encode())
+        await lines.send(f"CONNECT {database} {key}\r\n".encode())
         if (await lines.read_line()).startswith(b"READY I"):
             return lines
         await lines.close()
     raise ConnectionLostError("VM did not open a session", executed="no")
 
 
-class _ClientSession:
+class ClientSession:
     """A client's session, which records the outcome of its operations."""
 
     def __init__(
         self,
-        soak: _Soak,
+        soak: Soak,
         lines: LineStream,
         consistency: str,
         key: str,
         owner: str,
+        origin: Origin,
         rng: random.Random,
     ) -> None:
         self._soak = soak
@@ -501,33 +628,39 @@
         self._consistency = consistency
         self._key = key
         self._owner = owner
+        self._origin = origin
         self._rng = rng
 
     async def operate(self) -> bool:
         """Run one operation; return whether the session can be used again."""
         history = self._soak.history
-        item = f"{self._owner}-{self._rng.randrange(3)}"
+        item = f"{self._origin.group}-{self._owner}-{self._rng.randrange(3)}"
         is_write = self._consistency != "bounded" and self._rng.random() < 0.4
         transaction = self._rng.random() < 0.3
         attempt = history.start_attempt(
-            item, self._consistency, self._key, is_write, trio.current_time()
+            item, self._consistency, self._key, is_write, trio.current_time(), self._origin
         )
         texts = [f"WRITE {item} {attempt.data}" if is_write else f"READ {item}"]
         if transaction:
             texts = ["BEGIN" if is_write else "BEGIN READ", *texts, "COMMIT"]
+        return await self.run(attempt, texts)
+
+    async def run(self, attempt: Attempt, texts: Sequence[str]) -> bool:
+        """Send queries and record the outcome; return whether the session can be used again."""
+        history = self._soak.history
         rows: list[str] = []
         for text in texts:
-            code, found_rows, state = await self._send(attempt, text)
+            code, found_rows, state = await self.send(attempt, text)
             rows += found_rows
             if code is not None:
                 history.record_rejection(attempt, not_applied=code in NOT_APPLIED_CODES)
                 return code not in ("DENIED", "TIMEOUT") and (
-                    state == "I" or (await self._send(attempt, "ROLLBACK"))[2] == "I"
+                    state == "I" or (await self.send(attempt, "ROLLBACK"))[2] == "I"
                 )
         history.record_success(attempt, rows, trio.current_time())
         return True
 
-    async def _send(self, attempt: Attempt, text: str) -> tuple[str | None, list[str], str]:
+    async def send(self, attempt: Attempt, text: str) -> tuple[str | None, list[str], str]:
         """Send a query; return its error code, its rows and the state of the session.
 
         Raises ConnectionLostError if no complete reply arrives in time.
@@ -552,50 +685,65 @@
     return primary.log
 
 
-async def _run(options: SoakOptions, directory: Path) -> SoakResult:
+@contextlib.asynccontextmanager
+async def open_soak(options: SoakOptions, directory: Path) -> AsyncIterator[Soak]:
+    """Run the group, the store and the VMs of a soak for the duration of a block."""
     with contextlib.ExitStack() as stack:
         # One host for each VM and one for the instances. A VM or an instance that restarts binds
         # its ports again, so that runs at the same time, with any seeds, must not share them.
         hosts = [stack.enter_context(ReservedHost()) for _ in range(options.vms + 1)]
-        return await _run_on(options, directory, hosts)
+        soak = Soak(options, directory, hosts)
+        try:
+            async with trio.open_nursery() as nursery:
+                await soak.start(nursery)
+                yield soak
+                nursery.cancel_scope.cancel()
+        finally:
+            for vm in soak.vms:
+                vm.send_signal(signal.SIGCONT)
+                vm.send_signal(signal.SIGKILL)
+                if vm.process is not None:
+                    vm.process.wait()
+
+
+def check_histories(soak: Soak) -> None:
+    """Compare the operations with what the instances of all groups have seen."""
+    history = soak.history
+    for group in soak.groups:
+        log = _primary_log(group)
+        # A synchronous group loses no acknowledged commit.
+        discarded = () if soak.options.synchronous else group.discarded
+        history.check_log(log, discarded, REVOCATION_LIMIT_S, group.name)
+        history.check_promotions(group.commits, group.promotions)
+        for number, instance in enumerate(group.instances):
+            history.violations += instance.violations
+            history.check_reads(instance.reads, log, MAX_STALENESS_S)
+            history.check_evacuations(
+                FAILURE_DOMAINS[number], instance.query_ids, EVACUATION_LIMIT_S
+            )
 
 
-async def _run_on(
-    options: SoakOptions, directory: Path, hosts: Sequence[ReservedHost]
-) -> SoakResult:
-    soak = _Soak(options, directory, hosts)
-    history = soak.history
-    try:
-        async with trio.open_nursery() as nursery:
-            await soak.start(nursery)
-            faults_end = trio.current_time() + options.seconds
-            async with trio.open_nursery() as clients:
-                for number in range(options.clients):
-                    clients.start_soon(soak.run_client, number)
-                clients.start_soon(soak.run_restores)
-                clients.start_soon(soak.run_evacuations)
-                clients.start_soon(soak.run_odd_entries)
-                await soak.run_faults(faults_end)
-                await trio.sleep(RECOVERY_LIMIT_S)
-                before = history.outcome_counts()
-                await trio.sleep(3.0)
-                history.check_recovery(before, history.outcome_counts())
-                soak.callers_end = True
-            # A synchronous group loses no acknowledged commit.
-            discarded = () if options.synchronous else soak.group.discarded
-            history.check_log(_primary_log(soak.group), discarded, REVOCATION_LIMIT_S)
-            for number, instance in enumerate(soak.group.instances):
-                history.violations += instance.violations
-                history.check_evacuations(
-                    FAILURE_DOMAINS[number], instance.query_ids, EVACUATION_LIMIT_S
-                )
-            nursery.cancel_scope.cancel()
-    finally:
-        for vm in soak.vms:
-            vm.send_signal(signal.SIGCONT)
-            vm.send_signal(signal.SIGKILL)
-            if vm.process is not None:
-                vm.process.wait()
+async def _run(options: SoakOptions, directory: Path) -> SoakResult:
+    async with open_soak(options, directory) as soak:
+        history = soak.history
+        faults_end = trio.current_time() + options.seconds
+        async with trio.open_nursery() as clients:
+            for number in range(options.clients):
+                clients.start_soon(soak.run_client, number)
+            clients.start_soon(soak.run_restores)
+            clients.start_soon(soak.run_evacuations)
+            clients.start_soon(soak.run_odd_entries)
+            async with trio.open_nursery() as faults:
+                faults.start_soon(soak.run_promoter_kills)
+                if options.random_faults:
+                    await soak.run_faults(faults_end)
+            await trio.sleep_until(faults_end)
+            await trio.sleep(RECOVERY_LIMIT_S)
+            before = history.outcome_counts()
+            await trio.sleep(3.0)
+            history.check_recovery(before, history.outcome_counts())
+            soak.callers_end = True
+        check_histories(soak)
     served, refused = history.outcome_counts()
     return SoakResult(options.seed, served, refused, tuple(soak.faults), tuple(history.violations))
 
--- a/src/tanagerfront_standin/line_group.py
+++ b/src/tanagerfront_standin/line_group.py
@@ -15,7 +15,7 @@
 
 from .loopback import ReservedHost
 
-__all__ = ["Commit", "InstanceOptions", "LineGroup", "LineInstance"]
+__all__ = ["Commit", "InstanceOptions", "LineGroup", "LineInstance", "Promotion", "ReadRun"]
 
 
 class InstanceOptions(NamedTuple):
@@ -29,13 +29,36 @@
     connections: int = 16
     # Whether a commit is acknowledged only once a replica has received it.
     synchronous: bool = False
+    # How long an old primary goes on after it can reach the new one.
+    takeover_s: float = 0.0
+    # Control statements wait for a slot, and are refused if as many others wait as there are slots.
+    controls_need_slot: bool = False
 
 
 class Commit(NamedTuple):
-    """One commit: its log entry and the writes (item, data, id of the statement)."""
+    """One commit: its log entry, the writes (item, data, id of the statement), where and when."""
 
     entry: EntryId
     writes: tuple[tuple[str, str, str], ...]
+    instance: str = ""
+    at: float = 0.0
+
+
+class Promotion(NamedTuple):
+    """A promotion that took effect at a time: the instance leads the term."""
+
+    instance: str
+    term: int
+    at: float
+
+
+class ReadRun(NamedTuple):
+    """A read that ran at an instance whose log ended with `position`."""
+
+    query_id: str
+    instance: str
+    position: EntryId
+    at: float
 
 
 class _StatementRefused(Exception):  # noqa: N818
@@ -53,11 +76,16 @@
         self.term = 1
         self.paused_term = 0
         self.replication_paused = False
+        # Neither receives from other instances, nor sends to them, nor learns of a promotion.
+        self.isolated = False
+        # Time that each statement takes beyond the usual.
+        self.slow_s = 0.0
         self.connections = 0
         self.address = address
         self.violations: list[str] = []
         # Ids of the statements that ran.
         self.query_ids: list[str] = []
+        self.reads: list[ReadRun] = []
         self._slots = trio.CapacityLimiter(group.options.slots)
         self._scope: trio.CancelScope | None = None
         self._signatures = itertools.count(1)
@@ -104,10 +132,24 @@
             with trio.CancelScope(shield=True):
                 await lines.close()
 
+    @property
+    def busy_slots(self) -> int:
+        """Return how many slots are in use."""
+        return int(self._slots.borrowed_tokens)
+
     async def hold_slot(self) -> None:
         """Occupy a slot for the duration of one statement."""
         async with self._slots:
-            await trio.sleep(self.group.options.statement_s)
+            await trio.sleep(self.group.options.statement_s + self.slow_s)
+
+    async def hold_control_slot(self) -> None:
+        """Wait for a free slot, if control statements need one; refuse them while many wait."""
+        if not self.group.options.controls_need_slot:
+            return
+        if self._slots.statistics().tasks_waiting >= self.group.options.slots:
+            raise _StatementRefused(f"BUSY {self.name}")
+        async with self._slots:
+            pass
 
     def next_signature(self) -> str:
         """Return a unique signature, which shows that this instance ran a statement."""
@@ -187,6 +229,7 @@
             case "READ" | "WRITE":
                 return await self._access_item(query_id, verb, rest)
             case "STATUS" | "PAUSE" | "STEPDOWN":
+                await instance.hold_control_slot()
                 return [self._run_control(verb, rest)], "-"
         instance.violations.append(f"unexpected statement {text!r}")
         raise _StatementRefused("MALFORMED what")
@@ -206,6 +249,8 @@
         instance.query_ids.append(query_id)
         await instance.hold_slot()
         if verb == "READ":
+            run = ReadRun(query_id, instance.name, instance.position, trio.current_time())
+            instance.reads.append(run)
             pending = [data for item, data, _ in self._writes if item == rest[0]]
             return [pending[-1] if pending else instance.value(rest[0])], instance.next_signature()
         if not instance.is_primary:
@@ -250,9 +295,17 @@
             LineInstance(f"{name}-{number}", self, host.next_address()) for number in range(3)
         ]
         self.instances[0].is_primary = True
+        self.commits: list[Commit] = []
+        self.promotions: list[Promotion] = []
         self.discarded: list[Commit] = []
         self._nursery: trio.Nursery | None = None
 
+    @property
+    def primary(self) -> LineInstance | None:
+        """Return the primary of the newest term, None without one."""
+        primaries = [instance for instance in self.instances if instance.is_primary]
+        return max(primaries, key=lambda instance: instance.term, default=None)
+
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Run all instances until cancelled."""
         async with trio.open_nursery() as self._nursery:
@@ -264,9 +317,9 @@
     async def restart(self, instance: LineInstance) -> None:
         """Restart a crashed instance with its log, as a replica if a newer primary exists."""
         assert self._nursery is not None
-        if any(other.is_primary and other.term > instance.term for other in self.instances):
+        primary = self.primary
+        if primary is not None and primary.term > instance.term:
             instance.is_primary = False
-            primary = next(other for other in self.instances if other.is_primary)
             self._copy_log(instance, primary)
         await self._nursery.start(instance.run)
 
@@ -274,7 +327,8 @@
         """Append the writes to the primary's log, replicate it, and wait as the options say."""
         assert self._nursery is not None
         entry = EntryId(primary.term, primary.position.position + 1)
-        commit = Commit(entry, writes)
+        commit = Commit(entry, writes, primary.name, trio.current_time())
+        self.commits.append(commit)
         primary.log.append(commit)
         for replica in self.instances:
             if replica is not primary:
@@ -298,6 +352,8 @@
         await trio.sleep(self.options.lag_s)
         if (
             replica.replication_paused
+            or replica.isolated
+            or primary.isolated
             or replica.is_primary
             or not primary.running
             or not replica.running
@@ -319,14 +375,35 @@
         target = next((instance for instance in self.instances if instance.name == name), None)
         if target is None or not target.running:
             return False
-        if target.is_primary:
+        if target is self.primary:
             return True
         await trio.sleep(self.options.promote_s)
         target.term = max(instance.term for instance in self.instances) + 1
         target.is_primary = True
+        self.promotions.append(Promotion(name, target.term, trio.current_time()))
+        assert self._nursery is not None
         for other in self.instances:
-            if other is not target and other.running:
+            if other is target or not other.running:
                 # An old primary that is not running becomes a replica when it is restarted.
-                other.is_primary = False
-                self._copy_log(other, target)
+                continue
+            if other.isolated or (other.is_primary and self.options.takeover_s):
+                self._nursery.start_soon(self._follow_later, other)
+            else:
+                self._follow(other)
         return True
+
+    async def _follow_later(self, instance: LineInstance) -> None:
+        """Follow the new primary some time after it can be reached."""
+        reached_since = trio.current_time()
+        while instance.isolated or trio.current_time() < reached_since + self.options.takeover_s:
+            await trio.sleep(self.options.lag_s)
+            if instance.isolated:
+                reached_since = trio.current_time()
+        self._follow(instance)
+
+    def _follow(self, instance: LineInstance) -> None:
+        """Make an instance a replica of the primary of the newest term."""
+        primary = self.primary
+        if primary is not None and primary is not instance and instance.running:
+            instance.is_primary = False
+            self._copy_log(instance, primary)
--- a/src/tanagerfront_standin/link.py
+++ b/src/tanagerfront_standin/link.py
@@ -38,6 +38,7 @@
     def __init__(self, target: Address) -> None:
         self._target = target
         self._cut: frozenset[Direction] = frozenset()
+        self._holds_new = False
         self._delay_s = 0.0
         self._connections: set[_ForwardedConnection] = set()
         self._changed = trio.Event()
@@ -57,8 +58,13 @@
         self._cut = frozenset(directions)
         self._wake_waiters()
 
+    def hold_new(self) -> None:
+        """Hold back the bytes of new connections; those that are open go on."""
+        self._holds_new = True
+
     def restore(self) -> None:
         """Deliver the bytes held back and resume forwarding, except on silenced connections."""
+        self._holds_new = False
         self.cut_directions()
 
     def silence_existing(self) -> None:
@@ -83,6 +89,8 @@
         connection = _ForwardedConnection(client)
         self._connections.add(connection)
         try:
+            while self._holds_new:
+                await self._changed.wait()
             await self._wait_until_forwarding(connection, Direction.TO_TARGET)
             target = await trio.open_tcp_stream(*self._target)
             async with target, trio.open_nursery() as nursery:
--- a/src/tanagerfront_standin/platform_store.py
+++ b/src/tanagerfront_standin/platform_store.py
@@ -98,6 +98,11 @@
         }
         self._model.txn({"success": [{"request_put": {**put, "lease": str(lease)}}]})
 
+    def get(self, key: str) -> dict[str, Any] | None:
+        """Return a key's value directly, None without one."""
+        found = self._range(key.encode(), b"")
+        return msgspec.json.decode(_bytes(found[0]["value"])) if found else None
+
     def delete(self, key: str) -> None:
         """Delete a key directly, as an instance that unregisters would."""
         deletion = {"key": _encode_base64(key.encode())}
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -46,6 +46,19 @@
 
 
 class LinkTest(TestCase):
+    @trio_test
+    async def test_new_connections_are_held_while_open_ones_go_on(self) -> None:
+        # Guards against a simulated fault that also harms the connections that are open.
+        async with open_link() as (link, address, _):
+            stream = await trio.open_tcp_stream(*address)
+            self.assertEqual(b"1", await exchange(stream, b"1"))
+            link.hold_new()
+            new = await trio.open_tcp_stream(*address)
+            self.assertIsNone(await exchange(new, b"2"))
+            self.assertEqual(b"3", await exchange(stream, b"3"))
+            link.restore()
+            self.assertEqual(b"2", bytes(await new.receive_some()))
+
     @trio_test
     async def test_cut_holds_bytes_back_until_restored(self) -> None:
         # Guards against a simulated partition that causes a connection error, or that drops bytes
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,8 +5,8 @@
 from support import TestCase
 from tanagerfront.entry_id import EntryId
 from tanagerfront_lab.soak import SoakOptions, run_soak
-from tanagerfront_lab.soak_history import SoakHistory
-from tanagerfront_standin.line_group import Commit
+from tanagerfront_lab.soak_history import Origin, SoakHistory
+from tanagerfront_standin.line_group import Commit, Promotion, ReadRun
 
 # Seeds that failed before, each with its cause. None so far.
 REGRESSIONS: tuple[int, ...] = ()
@@ -102,6 +102,55 @@
         history.check_evacuations("adum", ["q1", "q2", "q3"], 5.0)
         self.assertEqual(["q2 ran in adum, which was evacuated"], history.violations)
 
+    def test_write_acknowledged_after_a_promotion_is_found(self) -> None:
+        history = SoakHistory()
+        query_id, commit = self._write(history)
+        late = commit._replace(instance="p", at=2.0)
+        promotions = [Promotion("r", 2, 1.5)]
+        history.check_promotions([late], promotions)
+        self.assertEqual([], history.violations)
+        history.record_success(history._attempts[query_id], [], 2.1)
+        history.check_promotions([late._replace(at=1.4)], promotions)
+        history.check_promotions([late._replace(entry=EntryId(2, 1))], promotions)
+        self.assertEqual([], history.violations)
+        history.check_promotions([late], promotions)
+        self.assertIn("after the promotion of r to term 2 at 1.500", history.violations[0])
+
+    def test_write_that_a_frozen_vm_sent_late_is_allowed_after_a_promotion(self) -> None:
+        history = SoakHistory()
+        attempt = history.start_attempt("x", "primary", "k", True, 1.0, Origin("", "vm-1"))
+        commit = Commit(EntryId(1, 1), (("x", attempt.data, attempt.id),), "p", 2.0)
+        history.record_success(attempt, [], 2.1)
+        history.disruptions.append(("vm-1", 1.2, 1.9))
+        history.check_promotions([commit], [Promotion("r", 2, 1.5)])
+        self.assertEqual([], history.violations)
+
+    def test_read_on_a_log_without_an_acknowledged_commit_is_found(self) -> None:
+        cases = [
+            # Kind of route, start of the read, session of the write, whether it is a violation.
+            ("primary", 1.1, 1, True),
+            ("primary", 0.9, 1, False),
+            ("bounded", 2.4, 2, False),
+            ("bounded", 2.6, 2, True),
+            ("read_your_writes", 1.1, 1, False),
+            ("read_your_writes", 1.1, 2, True),
+            ("read_your_writes", 2.6, 1, True),
+        ]
+        for consistency, started_at, session, violated in cases:
+            history = SoakHistory()
+            write = history.start_attempt("x", "primary", "k", True, 0.5, Origin("", "", session))
+            history.record_success(write, [], 1.0)
+            log = [Commit(EntryId(2, 1), (("x", write.data, write.id),))]
+            read = history.start_attempt(
+                "y", consistency, "k", False, started_at, Origin("", "", 2)
+            )
+            history.record_success(read, ["-"], 3.0)
+            for position in (EntryId(2, 1), EntryId(1, 9)):
+                history.check_reads([ReadRun(read.id, "p", position, 2.0)], log, 1.5)
+            self.assertEqual(int(violated), len(history.violations), (consistency, started_at))
+            if violated:
+                self.assertIn("ran at p at 2.000 on log 1.9, without 2.1", history.violations[0])
+
     def test_low_success_rate_after_the_faults_is_found(self) -> None:
         history = SoakHistory()
         history.check_recovery((10, 0), (11, 9))
