--- a/src/tanagerfront_lab/soak.py
+++ b/src/tanagerfront_lab/soak.py
@@ -218,7 +218,7 @@
                 "service": group.name,
                 "timeout_ms": self.options.timeout_ms,
                 "target_latency_ms": 200,
-                "max_staleness_ms": MAX_STALENESS_S * 1000,
+                "max_staleness_ms": int(MAX_STALENESS_S * 1000),
             }
             for group in self.groups
             for consistency in ("primary", "bounded", "read_your_writes")
@@ -546,10 +546,11 @@
         instance = self.rng.choice(self._choose_group().instances)
         if self.draining:
             return
-        self.draining.add(instance.name)
+        name = instance.name
+        self.draining.add(name)
         await trio.sleep(DRAIN_LIMIT_S)
         await self._crash(instance, seconds / 4)
-        self.draining.discard(instance.name)
+        self.draining.discard(name)
 
     async def _revoke(self, seconds: float) -> None:
         key = f"key-{self.rng.randrange(1000)}"
