Compare the arrival of statements with an evacuation in the soak

The check compared the time at which the client began.

It is as strict: a statement that began before the bound and arrives after it, which passed, is found now.

--- a/src/tanagerfront_lab/soak.py
+++ b/src/tanagerfront_lab/soak.py
@@ -720,7 +720,7 @@
             history.violations += instance.violations
             history.check_reads(instance.reads, log, MAX_STALENESS_S)
             history.check_evacuations(
-                FAILURE_DOMAINS[number], instance.query_ids, EVACUATION_LIMIT_S
+                FAILURE_DOMAINS[number], instance.arrivals, EVACUATION_LIMIT_S
             )
 
 
--- a/src/tanagerfront_standin/line_group.py
+++ b/src/tanagerfront_standin/line_group.py
@@ -15,7 +15,15 @@
 
 from .loopback import ReservedHost
 
-__all__ = ["Commit", "InstanceOptions", "LineGroup", "LineInstance", "Promotion", "ReadRun"]
+__all__ = [
+    "Arrival",
+    "Commit",
+    "InstanceOptions",
+    "LineGroup",
+    "LineInstance",
+    "Promotion",
+    "ReadRun",
+]
 
 
 class InstanceOptions(NamedTuple):
@@ -44,6 +52,13 @@
     at: float = 0.0
 
 
+class Arrival(NamedTuple):
+    """A statement of a caller and the time at which an instance received it."""
+
+    query_id: str
+    at: float
+
+
 class Promotion(NamedTuple):
     """A promotion that took effect at a time: the instance leads the term."""
 
@@ -83,8 +98,7 @@
         self.connections = 0
         self.address = address
         self.violations: list[str] = []
-        # Ids of the statements that ran.
-        self.query_ids: list[str] = []
+        self.arrivals: list[Arrival] = []
         self.reads: list[ReadRun] = []
         self._slots = trio.CapacityLimiter(group.options.slots)
         self._scope: trio.CancelScope | None = None
@@ -246,7 +260,7 @@
             raise _StatementRefused(f"READONLY {instance.name}")
         if query_id == "-":
             instance.violations.append("a statement without a query id ran")
-        instance.query_ids.append(query_id)
+        instance.arrivals.append(Arrival(query_id, trio.current_time()))
         await instance.hold_slot()
         if verb == "READ":
             run = ReadRun(query_id, instance.name, instance.position, trio.current_time())
