Take no primary below a reported term for the promoted one

An instance counts as promoted only if no other one reports a later term. The new test failed before: the replaced primary was chosen.

--- a/src/tanagerfront/promotion_choice.py
+++ b/src/tanagerfront/promotion_choice.py
@@ -92,8 +92,10 @@
     instance that is about to leave.
     """
     answers = {holder.id: holder.report for holder in holders if holder.report is not None}
+    # A primary below a reported term has been replaced, whatever the failover's term is.
+    promoted_from = max([term, *(report.term for report in answers.values())])
     for name, report in answers.items():
-        if is_promoted(report, term):
+        if is_promoted(report, promoted_from):
             # An earlier order has been done; a second one would give the group two primaries.
             return Promote(name)
     # The log of a replaced primary has entries that were rolled back. It is the last resort.
--- a/tests/test_promotion_choice.py
+++ b/tests/test_promotion_choice.py
@@ -110,6 +110,15 @@
             )
             self.assertEqual(Promote("p"), choice)
 
+    def test_a_primary_below_a_reported_term_does_not_count_as_promoted(self) -> None:
+        # Guards against writes at a replaced primary, where the failover's term is too low because
+        # a record was lost.
+        replaced = holder("replaced", BEHIND, role=InstanceRole.PRIMARY, term=TERM)
+        replica = holder("replica", NEWEST, term=TERM + 1)
+        for synchronous in (True, False):
+            choice = choose_successor([replaced, replica], None, TERM, synchronous=synchronous)
+            self.assertEqual(Promote("replica"), choice)
+
     def test_a_replaced_primary_that_still_claims_the_role_is_not_promoted_again(self) -> None:
         # Guards against a primary that was cut off while another was promoted: its log has entries
         # that were rolled back, and lacks those of the other one.
