Limit writes in progress at every failover, also in read-only transactions

A VM that missed the time of another primary kept its writes valid when the first one was promoted again, as only the instance was compared; any newer record limits them now, unless it is the same one written again. A transaction that began as read-only could write at a replaced primary, because the use of the primary is checked for others only; it is checked from the first write on.

The writes of earlier failovers are kept apart, so that heartbeats, which ask whether they have ended, don't go through all writes in progress.

--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -300,7 +300,7 @@
         instance, connection, after = placement
         attempts.sent = True
         group = self._services.directory.group(caller.route.group)
-        write = group.writes.begin(instance.registration.id) if writes else None
+        write = group.writes.begin() if writes else None
         try:
             deadline = attempts.deadline if writes else attempts.read_attempt_deadline()
             statement = self._instance_statement(query, attempts.statement_urgency(writes=writes))
@@ -367,7 +367,7 @@
         urgency = urgency_of(transaction.caller.route, query.received_at, in_transaction=True)
         group = self._services.directory.group(transaction.caller.route.group)
         commits = transaction.wrote and isinstance(query.statement, Commit)
-        write = group.writes.begin(instance.registration.id) if commits else None
+        write = group.writes.begin() if commits else None
         try:
             reply = await self._send(
                 self._instance_statement(query, urgency), connection, instance, urgency.deadline
@@ -413,7 +413,7 @@
             raise RefusedError(
                 FailureCode.ABORTED, "the transaction's instance was taken out of service"
             )
-        if transaction.read_only:
+        if transaction.read_only and not transaction.wrote:
             return
         group = self._services.directory.group(transaction.caller.route.group)
         if self._usable_primary(group) is not transaction.instance:
--- a/src/tanagerfront/instance_directory.py
+++ b/src/tanagerfront/instance_directory.py
@@ -217,14 +217,19 @@
             )
         ]
 
-    def replace_primary(self, record: PrimaryRecord, now: float) -> None:
-        """Limit how long successes of writes at a former primary are valid."""
-        if not record.moving:
-            self.writes.replace_primary(record.instance, now)
+    def _limit_writes(self, known: PrimaryRecord | None, record: PrimaryRecord) -> None:
+        """Limit how long the successes of writes in progress are valid under a new record."""
+        if known is not None and record.progress == known.progress:
+            # The record was written again after the store had lost it.
             return
-        old_primary = self.instances.get(record.instance)
+        old_primary = self.instances.get(record.instance) if record.moving else None
         answers = old_primary is not None and old_primary.unreachable_since is None
-        self.writes.replace_primary(None, now + ANSWER_LIMIT_S if answers else now)
+        self.writes.limit(boottime_s() + (ANSWER_LIMIT_S if answers else 0.0))
+
+    def set_primary_record(self, record: PrimaryRecord) -> None:
+        """Set a newer primary record."""
+        self._limit_writes(self.primary_record, record)
+        self.primary_record = record
 
     def record_overtaken(self) -> None:
         """Note, for the instances that have left, a position that the primary reached since."""
@@ -464,12 +469,11 @@
         if known is not None and known.progress > record.progress:
             self._keep_record(group, known, record.revision)
             return False
-        group.primary_record = record
         self._unrecorded.pop(group.name, None)
+        group.set_primary_record(record)
         group.moving_since = boottime_s() if record.moving else None
         # Positions sampled at the previous primary may be missing from the new one's log.
         group.samples.clear()
-        group.replace_primary(record, boottime_s())
         group.notify()
         return True
 
--- a/src/tanagerfront/primary_writes.py
+++ b/src/tanagerfront/primary_writes.py
@@ -19,10 +19,9 @@
 class PrimaryWrite:
     """A single write or a commit that was sent to a primary and has not been answered."""
 
-    __slots__ = ("instance", "valid_until")
+    __slots__ = ("valid_until",)
 
-    def __init__(self, instance: str) -> None:
-        self.instance = instance
+    def __init__(self) -> None:
         # A success that arrives later may follow the promotion of another instance. In seconds of
         # CLOCK_BOOTTIME; infinite while this VM knows of no failover.
         self.valid_until = math.inf
@@ -37,34 +36,33 @@
     """The writes in progress at the primaries of one group."""
 
     def __init__(self) -> None:
-        self._pending: set[PrimaryWrite] = set()
+        self._current: set[PrimaryWrite] = set()
+        # Those that were sent before the last failover began.
+        self._earlier: set[PrimaryWrite] = set()
 
     @property
     def sent_before_failover(self) -> int:
         """Return how many of the writes in progress were sent before the last failover began."""
-        return sum(write.sent_before_failover for write in self._pending)
+        return len(self._earlier)
 
-    def begin(self, instance: str) -> PrimaryWrite:
-        """Note a write that is about to be sent to an instance."""
-        write = PrimaryWrite(instance)
-        self._pending.add(write)
+    def begin(self) -> PrimaryWrite:
+        """Note a write that is about to be sent to the primary."""
+        write = PrimaryWrite()
+        self._current.add(write)
         return write
 
     def end(self, write: PrimaryWrite) -> None:
         """Note that a write has been answered or given up."""
-        self._pending.discard(write)
-
-    def replace_primary(self, primary: str | None, valid_until: float) -> None:
-        """Note the group's new primary, None during a failover.
+        self._current.discard(write)
+        self._earlier.discard(write)
 
-        The successes of writes at other instances are valid up to a time by CLOCK_BOOTTIME.
-        """
-        for write in self._pending:
-            if write.instance != primary:
-                write.valid_until = min(write.valid_until, valid_until)
+    def limit(self, valid_until: float) -> None:
+        """Limit the validity of the writes in progress, by CLOCK_BOOTTIME: a failover has begun."""
+        self._earlier |= self._current
+        self._current.clear()
+        for write in self._earlier:
+            write.valid_until = min(write.valid_until, valid_until)
 
     def settled(self, now: float) -> bool:
         """Return whether no success of a former primary will be passed on any more."""
-        return all(
-            now >= write.valid_until for write in self._pending if write.sent_before_failover
-        )
+        return all(now >= write.valid_until for write in self._earlier)
--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -91,6 +91,33 @@
         )
         self.assertEqual(FailureCode.IN_DOUBT, code)
 
+    @trio_test(mock_clock=True)
+    async def test_a_write_is_in_doubt_if_its_primary_was_replaced_and_promoted_again(
+        self,
+    ) -> None:
+        # Guards against the same loss at a VM that missed the time of another primary.
+        vm = await self._start_vm()
+        record_failover(vm, instance="p", moving=False)
+        write = vm.group.writes.begin()
+        again = PrimaryRecord(GROUP, "p", 4, False, 300)
+        self.assertTrue(vm.directory.set_primary_record(again))
+        self.assertTrue(write.sent_before_failover)
+        other = vm.group.writes.begin()
+        # A record that was written again after the store had lost it replaces nothing.
+        self.assertTrue(vm.directory.set_primary_record(again._replace(revision=400)))
+        self.assertFalse(other.sent_before_failover)
+
+    @trio_test(mock_clock=True)
+    async def test_a_write_in_a_read_only_transaction_needs_a_current_primary(self) -> None:
+        # Guards against the same loss for a write in a transaction that began as read-only.
+        vm = await self._start_vm()
+        caller = vm.session(RouteKind.PRIMARY)
+        await caller.send("BEGIN READ")
+        await caller.send("READ 1")
+        record_failover(vm)
+        self.assertEqual(FailureCode.ABORTED, await caller.code("WRITE 1 x"))
+        self.assertNotIn("WRITE 1 x", vm.primary.caller_statements)
+
     @trio_test(mock_clock=True)
     async def test_a_write_answered_before_the_vm_has_let_go_of_it_succeeds(self) -> None:
         # Guards against doubt about writes that a leaving primary ends before it steps down.
@@ -137,7 +164,7 @@
         with boottime_of_test("fleet_sync", "instance_directory") as offset:
             await synced_vm.sync.apply((await synced_vm.store.load()).changes)
             group = synced_vm.directory.group(GROUP)
-            answered, silent = group.writes.begin("p"), group.writes.begin("p")
+            answered, silent = group.writes.begin(), group.writes.begin()
             revision = await begin_failover(synced_vm)
             group.writes.end(answered)
             self.assertEqual(revision, synced_vm.sync.seen_revision)
@@ -153,10 +180,25 @@
         await synced_vm.sync.apply((await synced_vm.store.load()).changes)
         group = synced_vm.directory.group(GROUP)
         group.instances["p"].unreachable_since = boottime_s()
-        group.writes.begin("p")
+        group.writes.begin()
         revision = await begin_failover(synced_vm)
         self.assertEqual(revision, synced_vm.sync.acknowledged_revision)
 
+    @trio_test(mock_clock=True)
+    async def test_a_record_that_a_vm_refuses_to_apply_is_not_acknowledged(self) -> None:
+        # Guards against a VM that goes on with its newer record while a failover that a restored
+        # store began from an older one is thought to be known to it.
+        synced_vm = SyncedVm()
+        await synced_vm.sync.apply((await synced_vm.store.load()).changes)
+        synced_vm.directory.set_primary_record(PrimaryRecord(GROUP, "p", 7, False, 50))
+        record = PrimaryRecord(GROUP, "r", 6, True, 0)
+        synced_vm.store.revision = 100
+        revision = synced_vm.store.record(PrimaryRecordChanged(record))
+        await synced_vm.sync._check()
+        self.assertEqual(revision, synced_vm.sync.seen_revision)
+        self.assertGreater(revision, synced_vm.sync.acknowledged_revision)
+        self.assertGreater(revision, synced_vm.sync.applied_revision)
+
     @trio_test(mock_clock=True)
     async def test_the_end_of_the_last_write_is_reported_at_once(self) -> None:
         # Guards against a failover that waits for the next regular heartbeat.
@@ -169,7 +211,7 @@
             nursery.start_soon(synced_vm.sync.run)
             await trio.sleep(1)
             group = synced_vm.directory.group(GROUP)
-            write = group.writes.begin("p")
+            write = group.writes.begin()
             record = PrimaryRecord(GROUP, "p", 2, True, 0)
             revision = synced_vm.store.record(PrimaryRecordChanged(record))
             await trio.sleep(0.1)
@@ -195,20 +237,20 @@
     )
     def test_nothing_that_was_acknowledged_becomes_valid_again(self, steps: list[str]) -> None:
         # Guards against a success that is passed on after the VM has acknowledged the failover.
-        writes, now, number = PrimaryWrites(), 0.0, 0
+        writes, now = PrimaryWrites(), 0.0
         pending: list[PrimaryWrite] = []
         for step in steps:
             now += 0.1 if step == "wait" else 0.01
             match step:
                 case "begin":
-                    pending.append(writes.begin(f"p{number}"))
+                    pending.append(writes.begin())
                 case "end" if pending:
                     writes.end(pending.pop(0))
                 case "move":
-                    writes.replace_primary(None, now + ANSWER_LIMIT_S)
+                    writes.limit(now + ANSWER_LIMIT_S)
                 case "record":
-                    number += 1
-                    writes.replace_primary(f"p{number}", now)
+                    writes.limit(now)
             before_failover = [write for write in pending if write.sent_before_failover]
-            if writes.settled(now):
-                self.assertTrue(all(now >= write.valid_until for write in before_failover))
+            self.assertEqual(
+                all(now >= write.valid_until for write in before_failover), writes.settled(now)
+            )
