Acknowledge no record that a VM refuses to apply, and poll for no check in vain

A restored store may hold an older record than a VM knows, by which a promoter begins a failover. The VM kept its own, and acknowledged the other's revision; what it acknowledges stays below such a record now.

A heartbeat with a record that this VM wrote itself suspended its primaries until its watch had returned it, and if the store didn't answer, the peer was never asked. It confirms nothing any more, suspends nothing, and is fetched from the peer while the store is lost.

--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -249,7 +249,19 @@
     @property
     def applied_revision(self) -> int:
         """Return the newest revision of a record up to which this VM has applied all records."""
-        return self._newest_record(self._records_revision)
+        return self._newest_record(self._applied_limit)
+
+    @property
+    def _applied_limit(self) -> int:
+        # A restored store may hold older records than this VM knows, which it doesn't apply.
+        refused = (
+            record.revision - 1
+            for record in (
+                self._directory.group(name).primary_record for name in self._directory.unrecorded
+            )
+            if record is not None and record.revision
+        )
+        return min([self._records_revision, *refused])
 
     def _newest_record(self, limit: float = math.inf) -> int:
         """Return the newest revision of a primary record up to a limit."""
@@ -265,7 +277,7 @@
 
         All records up to it are applied, and no success of a former primary will be passed on.
         """
-        return self._newest_record(min(self._records_revision, self._unsettled_revision - 1))
+        return self._newest_record(min(self._applied_limit, self._unsettled_revision - 1))
 
     @property
     def _unsettled_revision(self) -> float:
@@ -683,9 +695,6 @@
         If the peer has a newer primary record, no primary is used until that is known here.
         """
         if heartbeat.seen_revision > self.applied_revision:
-            # A restored store changes no primary; promotions wait until all VMs have noticed.
-            if era_of(heartbeat.seen_revision) == self._era.era:
-                self._confirmed_state.suspend_primaries(heartbeat.seen_revision)
             self._record_newer_primary(heartbeat.vm, heartbeat.seen_revision)
             return False
         if heartbeat.echo is not None:
@@ -694,7 +703,10 @@
 
     def _record_newer_primary(self, vm: str, revision: int) -> None:
         """Record that a VM uses a newer primary record, and interrupt a wait to fetch it."""
-        if revision <= self.seen_revision:
+        if revision > self.seen_revision and era_of(revision) == self._era.era:
+            # A restored store changes no primary; promotions wait until all VMs have noticed.
+            self._confirmed_state.suspend_primaries(revision)
+        elif self._connected:
             # This VM wrote a record that is as new; its watch or a check returns those before.
             self.request_check()
             return
@@ -834,19 +846,18 @@
                     await self._check_requested.wait()
 
     def _check_is_due(self) -> bool:
+        if self._check_requested.is_set():
+            self._check_requested = trio.Event()
+            self._check_deferred = True
         if not self._loaded:
             return False
         if not self._era.settled:
             # Nothing can be confirmed; a check only probes a store that does not answer.
             return not self._connected
-        requested = self._check_requested.is_set()
-        if requested:
-            self._check_requested = trio.Event()
         if self._store.receives_large_changes:
             # Nothing is confirmed until they are applied, and the reply would contain them again.
-            self._check_deferred = self._check_deferred or requested
             return False
-        requested, self._check_deferred = requested or self._check_deferred, False
+        requested, self._check_deferred = self._check_deferred, False
         # The other VMs are confirmed by coordinators and check the store only when that fails.
         limit_s = self._timing.fallback_check_interval_s
         if self.is_coordinator:
