--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -571,7 +571,7 @@
             return False
         await self.apply(found.changes)
         if found.withheld:
-            self._record_records_applied(found.revision)
+            self._advance_applied_records(found.revision)
             return self._request_spread(max(revision, found.revision))
         self._record_applied(found.revision)
         return self._revision >= self._announced_revision
@@ -645,9 +645,9 @@
         """Record that all changes up to a revision of the store have been applied."""
         # Two sources may be read at once.
         self._revision = max(self._revision, revision)
-        self._record_records_applied(revision)
+        self._advance_applied_records(revision)
 
-    def _record_records_applied(self, revision: int) -> None:
+    def _advance_applied_records(self, revision: int) -> None:
         """Record that all primary records up to a revision of the store have been applied."""
         self._records_revision = max(self._records_revision, revision)
         # A newer record that could not be decoded was not applied.
@@ -885,7 +885,7 @@
             result = await self._store.check(known)
             self._record_connected()
             if result.current:
-                self._record_records_applied(max(known.primary_records.values(), default=0))
+                self._advance_applied_records(max(known.primary_records.values(), default=0))
                 if self._era.settled:
                     self._confirm(requested_at)
                 return
