--- a/src/tanagerfront/fleet_sync.py
+++ b/src/tanagerfront/fleet_sync.py
@@ -692,7 +692,7 @@
     def record_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Use a peer's heartbeat; return whether this VM has applied all that the peer uses.
 
-        If the peer has a newer primary record, no primary is used until that is known here.
+        While the peer has a newer primary record than any that is known here, no primary is used.
         """
         if heartbeat.seen_revision > self.applied_revision:
             self._record_newer_primary(heartbeat.vm, heartbeat.seen_revision)
