--- a/review/8/case.py
+++ b/review/8/case.py
@@ -39,6 +39,8 @@
 async def case(record: Record, trouble: bool) -> bool:
     async with Deployment(record, VMS) as deployment:
         await deployment.wait_ready()
+        # The VMs learn of each other and divide the rates.
+        await asyncio.sleep(3)
         primary = deployment.group.instances[0]
         if trouble:
             # The primary runs one COMMIT and its answer is lost.
