--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -345,11 +345,19 @@
     async def crash(self) -> None:
         """End as a killed process does: connections are reset, and its entry expires."""
         self.server.close()
-        self.is_primary = False
         for writer in self._writers:
             writer.transport.abort()
         self.group.record.add(f"{self.name}: crashes")
 
+    async def restart(self) -> None:
+        """Come back with the log, as a replica if another instance was promoted."""
+        self.is_primary = self.is_primary and not any(
+            other.is_primary and other.term > self.term for other in self.group.instances
+        )
+        await self.run()
+        self.register()
+        self.group.record.add(f"{self.name}: is back with its log up to {self.position}")
+
     def register(self) -> None:
         """Write the entry of the instance to the store, which accepts it at once."""
         self._sequence += 1
@@ -490,8 +498,9 @@
 
     def _control(self, verb: str, term: list[str]) -> str:
         instance = self.instance
-        if verb == "STEPDOWN" and int(term[0]) > instance.term:
+        if verb == "STEPDOWN" and int(term[0]) > instance.term and instance.is_primary:
             instance.is_primary = False
+            instance.register()
         role = "primary" if instance.is_primary else "replica"
         position = ".".join(map(str, instance.position))
         return f"ROW {role} {instance.term} {position} {instance.term} 0 0 {instance.connections}"
@@ -524,9 +533,11 @@
     async def crash(self, instance: Instance) -> None:
         """Crash an instance; its entry in the store ends after three heartbeat intervals."""
         await instance.crash()
-        asyncio.get_running_loop().call_later(
-            3 * HEARTBEAT_S, self.platform.delete, f"servers/{instance.name}"
-        )
+        asyncio.get_running_loop().call_later(3 * HEARTBEAT_S, self._expire, instance)
+
+    def _expire(self, instance: Instance) -> None:
+        if not instance.server.is_serving():
+            self.platform.delete(f"servers/{instance.name}")
 
     def commit(self, primary: Instance, writes: list[str]) -> None:
         entry = (primary.term, primary.position[1] + 1)
