--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""REFUSED: a caller that ends a transaction with a lost COMMIT is told that nothing was kept."""
+"""ONE: an order of a promoter that lost its lock arrives after that of the next one."""
 
 from __future__ import annotations
 
@@ -11,60 +11,62 @@
 from deployment import Caller, Deployment, Record, run_case  # noqa: E402
 
 VMS = 3
-TRANSACTIONS = 20
-# Of the answers of the primary; of 20 commits this one's answer is lost.
-LOST_COMMIT = 10
-DEADLINE_S = 1.2
-# What our pages call promises.
-PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MOVED", "CONNLIMIT")
+PARTITION_S = 5.5
+OBSERVED_S = 12.0
 
 
-async def run_transaction(caller: Caller, number: int) -> tuple[str, list[str]]:
-    """Run a transaction and end it; return the id of its write and the answers to its end."""
-    write = f"w{number}"
-    for query_id, text in ((f"b{number}", "BEGIN"), (write, f"WRITE 1a d{number}")):
-        result = await caller.query(query_id, text, DEADLINE_S)
-        if result is None or not result.startswith("COMPLETE"):
-            raise RuntimeError(f"{text}: {result}")
-    answers = []
-    # In state E the transaction has to be ended once more.
-    for attempt in range(2):
-        result = await caller.query(f"c{number}-{attempt}", "COMMIT", DEADLINE_S)
-        answers.append(result or "no answer")
-        if caller.state == "I" or result in (None, "CLOSED"):
-            break
-    return write, answers
+async def write(deployment: Deployment, record: Record) -> None:
+    """Let a caller at each VM write every 0.2 s."""
+    number = 0
+    while True:
+        for vm in deployment.vms:
+            number += 1
+            caller = Caller(vm, record, f"caller{number}")
+            try:
+                if await caller.connect("tickets", "key-tenant0") is None:
+                    await caller.query(f"w{number}", f"WRITE 1a d{number}", 1.2)
+                caller.close()
+            except (OSError, TimeoutError, asyncio.IncompleteReadError):
+                pass
+        await asyncio.sleep(0.2)
 
 
 async def case(record: Record, trouble: bool) -> bool:
     async with Deployment(record, VMS) as deployment:
         await deployment.wait_ready()
-        # The VMs learn of each other and divide the rates.
+        load = asyncio.create_task(write(deployment, record))
         await asyncio.sleep(3)
-        primary = deployment.group.instances[0]
-        if trouble:
-            # The primary runs one COMMIT and its answer is lost.
-            primary.loses = lambda kind, query_id: query_id == f"c{LOST_COMMIT}-0"
-        outcomes = []
-        caller: Caller | None = None
-        for number in range(TRANSACTIONS):
-            if caller is None:
-                caller = Caller(deployment.vms[number % VMS], record, "caller")
-                error = await caller.connect("tickets", "key-tenant0")
-                if error is not None:
-                    raise RuntimeError(error)
-            outcomes.append(await run_transaction(caller, number))
-            if caller.state != "I" or outcomes[-1][1][-1] == "CLOSED":
-                caller.close()
-                caller = None
-        kept = {write for _, writes, _ in deployment.group.commits for write in writes}
-        broken = False
-        for write, answers in outcomes:
-            promised = [a for a in answers if a.startswith(tuple(f"ERROR {p}" for p in PROMISES))]
-            if promised and write in kept:
+        loop = asyncio.get_running_loop()
+        partitioned: list[str] = []
+
+        def watch(name: str, data: bytes) -> None:
+            """Partition the first VM that orders a promotion, while its order is on the way."""
+            if not data.startswith(b"POST /promote") or partitioned or not trouble:
+                return
+            partitioned.append(name)
+            record.add(f"{name}: is partitioned from the platform for {PARTITION_S} s")
+            for link in (deployment.store_links[name], deployment.cloud_links[name]):
+                link.cut()
+                loop.call_later(PARTITION_S, link.heal)
+
+        for vm in deployment.vms:
+            link = deployment.cloud_links[vm.name]
+            link.on_bytes = lambda data, name=vm.name: watch(name, data)
+        await deployment.group.crash(deployment.group.instances[0])
+        await asyncio.sleep(OBSERVED_S)
+        load.cancel()
+        broken, highest = False, 0
+        for at, holder, token, instance in deployment.platform.orders:
+            if token < highest:
                 broken = True
-                record.add(f"broken: {write} is committed, and its caller was told: {answers}")
-                print(write, answers)
+                record.add(
+                    f"broken: at {at:.3f} {holder} orders {instance} with token {token},"
+                    f" after one with token {highest}"
+                )
+            highest = max(highest, token)
+        print(partitioned, deployment.platform.orders)
+        if trouble and not partitioned:
+            raise RuntimeError("no promotion was ordered")
         return broken
 
 
