--- a/src/tanagerfront/http_client.py
+++ b/src/tanagerfront/http_client.py
@@ -4,8 +4,9 @@
 
 import contextlib
 import socket
+import struct
 from collections.abc import AsyncIterator, Mapping, Sequence
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 import httptools
 import trio
@@ -16,6 +17,7 @@
     "Address",
     "HttpConnection",
     "HttpReply",
+    "drop_unsent_on_close",
     "enable_keepalive",
     "open_tcp",
     "parse_address",
@@ -30,6 +32,13 @@
 BODY_PAUSE_S = 0.6
 
 
+class SocketOptions(Protocol):
+    """A TCP socket, or a stream over one."""
+
+    def setsockopt(self, level: int, option: int, value: bytes, /) -> None:
+        """Set a socket option."""
+
+
 class Address(NamedTuple):
     """TCP address; the host is an IP address."""
 
@@ -80,13 +89,27 @@
                 stream.setsockopt(level, getattr(socket, name), value)
 
 
+def drop_unsent_on_close(sock: SocketOptions, drop: bool = True) -> None:
+    """Let the kernel drop bytes that are still to be delivered when the connection is closed.
+
+    Otherwise it goes on sending them after the close, and after the end of the process, so that a
+    request that was given up may be executed much later.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", int(drop), 0))
+
+
 async def open_tcp(address: Address, *, timeout_s: float) -> trio.SocketStream:
-    """Connect within `timeout_s` seconds; raises ConnectionLostError with executed `no`."""
+    """Connect within `timeout_s` seconds; raises ConnectionLostError with executed `no`.
+
+    Bytes that the peer has not received are dropped when the connection is closed.
+    """
     try:
         with trio.fail_after(timeout_s):
-            return await trio.open_tcp_stream(address.host, address.port)
+            stream = await trio.open_tcp_stream(address.host, address.port)
+        drop_unsent_on_close(stream)
     except (OSError, trio.TooSlowError) as error:
         raise ConnectionLostError(f"cannot connect to {address}", executed="no") from error
+    return stream
 
 
 class _ReplyParser:
@@ -130,11 +153,13 @@
 class HttpConnection:
     """Client connection that carries one exchange at a time; any failure closes it."""
 
-    def __init__(self, address: Address, stream: trio.abc.Stream) -> None:
+    def __init__(self, address: Address, stream: trio.SocketStream) -> None:
         self._address = address
         self._stream = stream
         self._usable = True
         self._busy = False
+        # Whether a request has been sent whose reply has not been read completely.
+        self._unanswered = False
         self._arriving_bytes = 0
 
     @property
@@ -153,10 +178,16 @@
         return self._usable and not self._busy
 
     @classmethod
-    async def open(cls, address: Address, *, timeout_s: float = 5.0) -> HttpConnection:
-        """Connect within `timeout_s` seconds; raises ConnectionLostError with executed `no`."""
+    async def open(
+        cls, address: Address, *, timeout_s: float = 5.0, user_timeout_ms: int = USER_TIMEOUT_MS
+    ) -> HttpConnection:
+        """Connect within `timeout_s` seconds; raises ConnectionLostError with executed `no`.
+
+        A request that the peer has not received within `user_timeout_ms` is not delivered any more,
+        even if this process is stopped meanwhile.
+        """
         stream = await open_tcp(address, timeout_s=timeout_s)
-        enable_keepalive(stream)
+        enable_keepalive(stream, user_timeout_ms=user_timeout_ms)
         return cls(address, stream)
 
     def _encode(
@@ -179,6 +210,7 @@
         min_body_bytes_per_s: float | None,
     ) -> None:
         deadline = scope.deadline
+        self._unanswered = True
         try:
             await self._stream.send_all(data)
             while not parser.done:
@@ -190,6 +222,7 @@
                 if min_body_bytes_per_s is not None:
                     latest = deadline + parser.content_length / min_body_bytes_per_s
                     scope.deadline = max(deadline, min(latest, trio.current_time() + BODY_PAUSE_S))
+            self._unanswered = False
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionLostError(f"connection to {self._address} was lost") from error
         except httptools.HttpParserError as error:
@@ -239,7 +272,7 @@
         Raises ConnectionLostError when no data arrives for `idle_timeout_s` seconds.
         """
         parser = _ReplyParser()
-        self._busy = True
+        self._busy = self._unanswered = True
         try:
             await self._stream.send_all(self._encode(method, path, body, ()))
             while not parser.done:
@@ -263,6 +296,9 @@
             await self.close()
 
     async def close(self) -> None:
-        """Close the connection without waiting for the peer."""
+        """Close the connection without waiting for the peer; withdraw an unanswered request."""
         self._usable = False
+        if not self._unanswered:
+            with contextlib.suppress(OSError):
+                drop_unsent_on_close(self._stream, False)
         await trio.aclose_forcefully(self._stream)
--- a/src/tanagerfront/platform/instance_wire.py
+++ b/src/tanagerfront/platform/instance_wire.py
@@ -44,7 +44,7 @@
         self._opened_at = trio.current_time()
         # None for an instance, and for a home that accepts only the first version.
         self._relay_version = relay_version
-        self._usable = True
+        self._usable = False
 
     @property
     def usable(self) -> bool:
@@ -64,7 +64,7 @@
         await self._stream.send(encode_connect(group, organisation, instance, self._relay_version))
         match await self._read_message():
             case Ready():
-                return
+                self._usable = True
             case Error(failure) if failure.code is FailureCode.CONNECTION_LIMIT:
                 raise TooManyConnectionsError(failure.text, executed="no")
             case Error(failure):
@@ -87,9 +87,12 @@
         return replies
 
     async def close(self) -> None:
-        """Close without waiting; the instance rolls back an open transaction."""
-        self._usable = False
-        await self._stream.close()
+        """Close without waiting; the instance rolls back an open transaction.
+
+        Statements without a reply are withdrawn if the instance has not received them.
+        """
+        answered, self._usable = self._usable, False
+        await self._stream.close(answered=answered)
 
     async def _read_reply(self) -> Reply:
         rows: list[bytes] = []
--- a/src/tanagerfront/platform/line_stream.py
+++ b/src/tanagerfront/platform/line_stream.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import select
 
 import trio
 
 from ..errors import ConnectionLostError, TooLargeError
+from ..http_client import drop_unsent_on_close
 from .lines import END, MAX_MESSAGE_BYTES
 
 __all__ = ["LineStream"]
@@ -70,8 +72,15 @@
                 scope.cancel()
                 return
 
-    async def close(self) -> None:
-        """Close without waiting for the peer."""
+    async def close(self, *, answered: bool = False) -> None:
+        """Close without waiting for the peer.
+
+        A connection that this process opened is reset, which withdraws what the peer has not
+        received, unless all that was sent is `answered`.
+        """
+        if answered:
+            with contextlib.suppress(OSError):
+                drop_unsent_on_close(self._stream, False)
         await trio.aclose_forcefully(self._stream)
 
     async def close_gracefully(self) -> None:
--- a/src/tanagerfront_standin/link.py
+++ b/src/tanagerfront_standin/link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import select
 
 import trio
 
@@ -23,16 +24,24 @@
 class _ForwardedConnection:
     """One forwarded connection; while `silent`, its bytes are not forwarded."""
 
-    def __init__(self, client: trio.abc.Stream) -> None:
+    def __init__(self, client: trio.SocketStream) -> None:
         self.client = client
         self.silent = False
 
 
+def _was_reset(source: trio.SocketStream) -> bool:
+    """Return whether the peer reset the connection, rather than closing it."""
+    poll = select.poll()
+    poll.register(source.socket.fileno(), 0)
+    return any(events & select.POLLERR for _, events in poll.poll(0))
+
+
 class TcpLink:
     """Forward connections from a local port to a target.
 
     While a direction is cut, its bytes are held back and then delivered once it is restored, as
-    with TCP retransmission after packet loss. Neither side sees an error.
+    with TCP retransmission after packet loss. Neither side sees an error. Bytes held back are lost
+    if their sender resets the connection; if it closes the connection, they are delivered.
     """
 
     def __init__(self, target: Address) -> None:
@@ -110,8 +119,8 @@
     async def _pump(
         self,
         connection: _ForwardedConnection,
-        source: trio.abc.Stream,
-        sink: trio.abc.Stream,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
         direction: Direction,
         scope: trio.CancelScope,
     ) -> None:
@@ -120,6 +129,8 @@
             while data := await source.receive_some(RECEIVE_BYTES):
                 await trio.sleep(self._delay_s)
                 await self._wait_until_forwarding(connection, direction)
+                if _was_reset(source):
+                    break
                 await sink.send_all(data)
             await self._wait_until_forwarding(connection, direction)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
