End an order to promote before the lease of its promoter may end

Callers could have seen their group's primary replaced by an order of a VM that was the promoter no longer.

Cause: lease and lock were tested before the connection to the platform was opened, which may take 1 s, and may take longer for a VM that is suspended; the lease could have 0.1 s left, while the order was awaited for 1 s. Once sent, it was in the hands of the kernel, which goes on for 10 s if the process is frozen.

Change: an order names the time until which the lease is valid. It is not sent unless its timeout ends before that, tested just before the send, and the kernel gives it up after the same timeout. The margin of 0.8 s between that time and the end of the lease in the store remains.

Tests: the three new ones in test_platform_store and test_session_failover use the new argument, so they can't run on the code before; with the test of the time or the kernel's timeout taken out, each of the two in PromotionTest fails. The other changed lines of tests pass the new argument on.

--- a/src/tanagerfront/confirmed_state.py
+++ b/src/tanagerfront/confirmed_state.py
@@ -107,7 +107,12 @@
     @property
     def lease_valid(self) -> bool:
         """Return whether the VM's lease is valid, so that other VMs still count it."""
-        return boottime_s() - self._lease_renewed_at < self._limits.lease_s
+        return boottime_s() < self.lease_valid_until
+
+    @property
+    def lease_valid_until(self) -> float:
+        """Return when the VM's lease becomes invalid if it is not renewed, by `boottime_s`."""
+        return self._lease_renewed_at + self._limits.lease_s
 
     @property
     def ready(self) -> bool:
--- a/src/tanagerfront/platform/control.py
+++ b/src/tanagerfront/platform/control.py
@@ -7,6 +7,7 @@
 from ..errors import ConnectionLostError
 from ..http_client import Address, HttpConnection
 from ..session_failover import PromotionOutcome
+from ..session_model import boottime_s
 
 __all__ = ["PromotionClient"]
 
@@ -19,17 +20,27 @@
     def __init__(self, address: Address) -> None:
         self._address = address
 
-    async def promote(self, group: str, instance: str, holder: str, token: int) -> PromotionOutcome:
+    async def promote(
+        self, group: str, instance: str, holder: str, token: int, valid_until: float
+    ) -> PromotionOutcome:
         """Order the promotion of an instance to primary of its group.
 
-        The order is idempotent and carries the fencing token of the promoter lock. The outcome is
+        The order is idempotent and carries the fencing token of the promoter lock. Before
+        `valid_until`, a time of `boottime_s`, it has been answered or is withdrawn. The outcome is
         UNKNOWN if the connection is lost before the reply.
         """
         body = msgspec.json.encode({"service": group, "id": instance})
         headers = (("X-Lease-Holder", holder), ("X-Fencing-Token", str(token)))
         try:
-            connection = await HttpConnection.open(self._address, timeout_s=PROMOTION_TIMEOUT_S)
+            connection = await HttpConnection.open(
+                self._address,
+                timeout_s=PROMOTION_TIMEOUT_S,
+                user_timeout_ms=int(PROMOTION_TIMEOUT_S * 1000),
+            )
             try:
+                # Connecting takes time, in which this VM may also have been suspended.
+                if boottime_s() + PROMOTION_TIMEOUT_S > valid_until:
+                    return PromotionOutcome.REJECTED
                 reply = await connection.request(
                     "POST", "/promote", body, headers=headers, timeout_s=PROMOTION_TIMEOUT_S
                 )
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -129,8 +129,13 @@
 class PromotionApi(Protocol):
     """Promotion call of the platform."""
 
-    async def promote(self, group: str, instance: str, holder: str, token: int) -> PromotionOutcome:
-        """Order the promotion of an instance with the promoter's fencing token."""
+    async def promote(
+        self, group: str, instance: str, holder: str, token: int, valid_until: float
+    ) -> PromotionOutcome:
+        """Order the promotion of an instance with the promoter's fencing token.
+
+        The order is answered or withdrawn before `valid_until`, a time of `boottime_s`.
+        """
 
 
 class ReachabilityVotes(NamedTuple):
@@ -764,7 +769,11 @@
         ):
             return PromotionOutcome.REJECTED
         outcome = await self._promotion_api.promote(
-            group.name, chosen.registration.id, self._own.name, token
+            group.name,
+            chosen.registration.id,
+            self._own.name,
+            token,
+            self._confirmed_state.lease_valid_until,
         )
         self._log.decision(
             "promotion_ordered",
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import socket
+import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from functools import partial
+from typing import Any
+from unittest import mock
 
 import msgspec
 import trio
@@ -27,12 +31,12 @@
     PeerRead,
     RegisteredVm,
 )
-from tanagerfront.http_client import Address
+from tanagerfront.http_client import Address, HttpConnection
 from tanagerfront.http_server import Request, Response, serve_http
 from tanagerfront.instance_directory import PrimaryRecord
 from tanagerfront.kv import WatchEvent
 from tanagerfront.platform.changes_wire import ChangesHandler
-from tanagerfront.platform.control import PromotionClient
+from tanagerfront.platform.control import PROMOTION_TIMEOUT_S, PromotionClient
 from tanagerfront.platform.fleet_store import PlatformFleetStore
 from tanagerfront.platform.store import (
     LeaseEndedError,
@@ -41,6 +45,7 @@
     encode_watch_response,
 )
 from tanagerfront.session_failover import PromotionOutcome
+from tanagerfront.session_model import boottime_s
 from tanagerfront_standin.platform_store import PlatformStore, StoreFaults
 
 REGISTRATION = {
@@ -444,17 +449,59 @@
     @trio_test
     async def test_replies_and_lost_connections_map_to_outcomes(self) -> None:
         async with running_store() as (standin, _client, address):
-            client = PromotionClient(address)
-            self.assertEqual(PromotionOutcome.ORDERED, await client.promote("g", "runs", "a", 7))
+            client, until = PromotionClient(address), boottime_s() + 60
             self.assertEqual(
-                PromotionOutcome.NOT_RUNNING, await client.promote("g", "gone", "a", 7)
+                PromotionOutcome.ORDERED, await client.promote("g", "runs", "a", 7, until)
+            )
+            self.assertEqual(
+                PromotionOutcome.NOT_RUNNING, await client.promote("g", "gone", "a", 7, until)
             )
             self.assertEqual(("g", "runs", "a", 7), standin.promotions[0])
             unreachable = PromotionClient(Address("127.0.0.1", 1))
             self.assertEqual(
-                PromotionOutcome.UNKNOWN, await unreachable.promote("g", "runs", "a", 7)
+                PromotionOutcome.UNKNOWN, await unreachable.promote("g", "runs", "a", 7, until)
             )
 
+    @trio_test
+    async def test_an_order_that_could_outlive_the_promoter_lock_is_not_sent(self) -> None:
+        # Guards against an order of a VM that was suspended while it connected, sent when the next
+        # promoter has acted.
+        async with running_store() as (standin, _client, address):
+            connecting_s = 0.2
+            connect = HttpConnection.open
+
+            async def connect_slowly(address: Address, **options: Any) -> HttpConnection:
+                await trio.sleep(connecting_s)
+                return await connect(address, **options)
+
+            with mock.patch.object(HttpConnection, "open", connect_slowly):
+                until = boottime_s() + PROMOTION_TIMEOUT_S + connecting_s / 2
+                self.assertEqual(
+                    PromotionOutcome.REJECTED,
+                    await PromotionClient(address).promote("g", "runs", "a", 7, until),
+                )
+            self.assertEqual([], standin.promotions)
+
+    @trio_test
+    async def test_a_frozen_process_delivers_no_order_after_its_timeout(self) -> None:
+        # Guards against an order that the kernel goes on sending while the promoter is frozen and
+        # can't withdraw it.
+        async with running_store() as (_standin, _client, address):
+            connect = HttpConnection.open
+            timeouts_ms: list[int] = []
+
+            async def connect_and_note(address: Address, **options: Any) -> HttpConnection:
+                connection = await connect(address, **options)
+                option = connection._stream.getsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 4
+                )
+                timeouts_ms.append(int.from_bytes(option, sys.byteorder))
+                return connection
+
+            with mock.patch.object(HttpConnection, "open", connect_and_note):
+                await PromotionClient(address).promote("g", "runs", "a", 7, boottime_s() + 60)
+            self.assertEqual([PROMOTION_TIMEOUT_S * 1000], timeouts_ms)
+
 
 class EvacuationTest(TestCase):
     @trio_test
--- a/tests/test_session_failover.py
+++ b/tests/test_session_failover.py
@@ -273,7 +273,9 @@
     async def _borrow(self, _request: TokenLoanRequest, _lender: str) -> int:
         return UNKNOWN_LENDER
 
-    async def promote(self, group: str, instance: str, holder: str, token: int) -> PromotionOutcome:
+    async def promote(
+        self, group: str, instance: str, holder: str, token: int, until: float
+    ) -> PromotionOutcome:
         self.orders.append((trio.current_time(), instance, token))
         outcome = (
             self.promotion_outcomes.pop(0) if self.promotion_outcomes else PromotionOutcome.ORDERED
@@ -470,9 +472,11 @@
         paused: set[str] = set()
         promote = promoter.promote
 
-        async def note_paused(group: str, name: str, holder: str, token: int) -> PromotionOutcome:
+        async def note_paused(
+            group: str, name: str, holder: str, token: int, until: float
+        ) -> PromotionOutcome:
             paused.update(promoter.control.paused)
-            return await promote(group, name, holder, token)
+            return await promote(group, name, holder, token, until)
 
         promoter.promote = note_paused  # type: ignore[method-assign]
         await promoter.run_with(promoter.fail_primary, 3)
@@ -559,7 +563,9 @@
         promoter.control.unresponsive.update(("r0", "r1"))
         promoter.control.term = 3
 
-        async def promote(_group: str, name: str, _holder: str, _token: int) -> PromotionOutcome:
+        async def promote(
+            _group: str, name: str, _holder: str, _token: int, _until: float
+        ) -> PromotionOutcome:
             promoter.orders.append((trio.current_time(), name, 0))
             return PromotionOutcome.ORDERED
 
@@ -596,7 +602,12 @@
                 return await report(entry)
 
             async def promote(
-                _group: str, name: str, _holder: str, _token: int, promoter: PromoterVm = promoter
+                _group: str,
+                name: str,
+                _holder: str,
+                _token: int,
+                _until: float,
+                promoter: PromoterVm = promoter,
             ) -> PromotionOutcome:
                 promoter.orders.append((trio.current_time(), name, 0))
                 promoter.store.record(InstanceChanged(registration(name, primary=True, port=2)))
@@ -622,9 +633,9 @@
         promote = promoter.promote
 
         async def promote_and_cut_off(
-            group: str, name: str, holder: str, token: int
+            group: str, name: str, holder: str, token: int, until: float
         ) -> PromotionOutcome:
-            outcome = await promote(group, name, holder, token)
+            outcome = await promote(group, name, holder, token, until)
             promoter.control.unresponsive.add(name)
             promoter.store.record(InstanceChanged(registration(name, primary=True, port=2)))
             return outcome
@@ -714,16 +725,18 @@
         promote = promoter.promote
         late = 3.0
 
-        async def promote_late(group: str, name: str, holder: str, token: int) -> PromotionOutcome:
-            nursery.start_soon(finish, group, name, holder, token)
+        async def promote_late(
+            group: str, name: str, holder: str, token: int, until: float
+        ) -> PromotionOutcome:
+            nursery.start_soon(finish, group, name, holder, token, until)
             # The other one reports first in the next attempt.
             promoter.control.delays = {name: 0.02}
             await trio.sleep(1.0)
             return PromotionOutcome.UNKNOWN
 
-        async def finish(group: str, name: str, holder: str, token: int) -> None:
+        async def finish(group: str, name: str, holder: str, token: int, until: float) -> None:
             await trio.sleep(late)
-            await promote(group, name, holder, token)
+            await promote(group, name, holder, token, until)
 
         promoter.promote = promote_late  # type: ignore[method-assign]
         async with trio.open_nursery() as nursery:
@@ -848,9 +861,9 @@
         promote = promoter.promote
 
         async def lose_first_order(
-            group: str, name: str, holder: str, token: int
+            group: str, name: str, holder: str, token: int, until: float
         ) -> PromotionOutcome:
-            outcome = await promote(group, name, holder, token)
+            outcome = await promote(group, name, holder, token, until)
             if len(promoter.orders) == 1:
                 promoter.control.primary_name = ""
             return outcome
@@ -869,6 +882,24 @@
         await promoter.run_with(promoter.fail_primary, 5)
         self.assertEqual([], promoter.orders)
 
+    @trio_test(mock_clock=True)
+    async def test_an_order_is_valid_for_no_longer_than_the_lease_of_the_lock(self) -> None:
+        # Guards against an order that is given up only after another VM has become the promoter.
+        promoter = PromoterVm()
+        promote = promoter.promote
+        remaining_s: list[float] = []
+
+        async def note_remaining(
+            group: str, name: str, holder: str, token: int, until: float
+        ) -> PromotionOutcome:
+            remaining_s.append(until - boottime_s())
+            return await promote(group, name, holder, token, until)
+
+        promoter.promote = note_remaining  # type: ignore[method-assign]
+        await promoter.run_with(promoter.fail_primary, 2)
+        self.assertEqual(1, len(remaining_s))
+        self.assertLessEqual(remaining_s[0], promoter.confirmed_state.limits.lease_s)
+
     @trio_test(mock_clock=True)
     async def test_a_promoter_that_lost_the_lock_ends_no_failover(self) -> None:
         # Guards against a promoter that resumes late and records its instance as primary, while its
@@ -876,8 +907,10 @@
         promoter = PromoterVm()
         promote = promoter.promote
 
-        async def lose_lock(group: str, name: str, holder: str, token: int) -> PromotionOutcome:
-            outcome = await promote(group, name, holder, token)
+        async def lose_lock(
+            group: str, name: str, holder: str, token: int, until: float
+        ) -> PromotionOutcome:
+            outcome = await promote(group, name, holder, token, until)
             promoter.store.record(PromoterLockAcquired(PromoterLock("b", "inc-b", 0)))
             return outcome
 
