Withdraw orders before a stopping VM releases its lease

Callers could have seen a primary replaced by the order of a VM that was stopped.

Cause: a VM that stops released its lease, and with it the promoter lock, while its failovers were still running; an order that was connecting or waiting for its answer stayed valid until the process ended, up to 0.5 s later. The next promoter takes the lock as soon as the lease has ended.

Change: the failovers are ended, and their orders withdrawn, before the lease is released. The next promoter resumes them.

Test: test_front, test_an_order_is_withdrawn_before_the_lease_is_released, with a real signal; it fails without the call of FailoverController.stop.

--- a/src/tanagerfront/front.py
+++ b/src/tanagerfront/front.py
@@ -396,6 +396,7 @@
             self._log.failure("statements_interrupted", count=interrupted)
         with trio.move_on_after(LAST_REPLIES_S):
             await self._callers.wait_closed()
+        await self._failover.stop()
         lease = self._sync.lease
         if lease is None:
             return
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -273,9 +273,32 @@
         self._due_since: dict[str, float] = {}
         # Groups whose primaries are being moved out of an evacuated failure domain.
         self._evacuating: set[str] = set()
+        self._stopped = False
+        self._run_scope = trio.CancelScope()
+        self._run_ended = trio.Event()
+        self._run_ended.set()
 
     async def run(self) -> None:
-        """Run until cancelled."""
+        """Run until cancelled or stopped."""
+        if self._stopped:
+            return
+        self._run_ended = trio.Event()
+        try:
+            with trio.CancelScope() as self._run_scope:
+                await self._run()
+        finally:
+            self._run_ended.set()
+
+    async def stop(self) -> None:
+        """End all failovers and withdraw their orders; another VM resumes them.
+
+        An order must not outlive the promoter lock, which ends when this VM releases its lease.
+        """
+        self._stopped = True
+        self._run_scope.cancel()
+        await self._run_ended.wait()
+
+    async def _run(self) -> None:
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -14,11 +14,13 @@
 from front_fakes import GROUP, FakeFleetStore, FakeInstance, RecordingLog, configuration
 from front_fakes import registration as instance_registration
 from support import TestCase, trio_test
+from tanagerfront.entry_id import EntryId
 from tanagerfront.fleet_store import ConfigurationChanged, InstanceChanged
 from tanagerfront.front import Front, FrontAdapters, FrontTimes, VmIdentity
 from tanagerfront.platform.caller_wire import CallerConnections
 from tanagerfront.platform.relay_wire import RelayConnections
-from tanagerfront.session_model import GroupOptions
+from tanagerfront.session_failover import InstanceReport, PromotionOutcome
+from tanagerfront.session_model import GroupOptions, InstanceRole
 from tanagerfront_standin.loopback import ReservedHost
 
 GRACE_S = 3.0
@@ -39,12 +41,31 @@
         await trio.sleep(SLOW_RELEASE_S)
 
 
+class UnansweredPromotions:
+    """The platform's promotion call without an answer; notes when an order is withdrawn."""
+
+    def __init__(self) -> None:
+        self.ordered = trio.Event()
+        self.withdrawn = trio.Event()
+
+    async def promote(
+        self, group: str, instance: str, holder: str, token: int, valid_until: float
+    ) -> PromotionOutcome:
+        self.ordered.set()
+        try:
+            await trio.sleep_forever()
+        finally:
+            self.withdrawn.set()
+
+
 class Bench:
     """A running VM with one instance, and what its callers saw."""
 
     def __init__(self, host: ReservedHost) -> None:
         self.store = SlowReleaseStore()
         self.instance = FakeInstance("p")
+        self.control = mock.AsyncMock()
+        self.promotions = UnansweredPromotions()
         self.callers = host.next_address()
         self.answered = 0
         self.cut: list[str] = []
@@ -59,8 +80,8 @@
             opener=self.instance.open,  # type: ignore[arg-type]
             relay=mock.AsyncMock(),
             can_connect=mock.AsyncMock(return_value=True),
-            instance_control=mock.AsyncMock(),
-            promotion_api=mock.AsyncMock(),
+            instance_control=self.control,
+            promotion_api=self.promotions,
             caller_server=CallerConnections,
             probe_path="/ready",
             load_times=lambda: None,
@@ -143,3 +164,19 @@
             await bench.store.releasing.wait()
             with ExpectedException(OSError):
                 await trio.open_tcp_stream(*bench.callers)
+
+    @trio_test
+    async def test_an_order_is_withdrawn_before_the_lease_is_released(self) -> None:
+        # Guards against an order that is delivered after that of the next promoter, which takes the
+        # lock as soon as the lease has ended.
+        async with running_bench() as bench:
+            report = InstanceReport(InstanceRole.REPLICA, 1, EntryId(1, 0))
+            for call in (bench.control.report, bench.control.pause, bench.control.step_down):
+                call.return_value = report
+            bench.store.record(InstanceChanged(instance_registration("r")))
+            leaving = instance_registration("p", primary=True, draining=True)
+            bench.store.record(InstanceChanged(leaving))
+            await bench.promotions.ordered.wait()
+            os.kill(os.getpid(), signal.SIGTERM)
+            await bench.store.releasing.wait()
+            self.assertTrue(bench.promotions.withdrawn.is_set())
