Let no late write replace that of a later step of a failover

Callers could have been sent to an instance that was ordered first and given up, while the group's primary was another one.

Cause: the store may execute a call without an answer seconds later if its condition still holds (PROTOCOL.md). The order of a failover and its end were written under the lock and the record, which stay the same while one promoter orders one instance after the other, so that the write about the first could be executed after that about the second.

Change: an order replaces the order that its promoter knows, and the end of a failover names the order that it ends. Each step thus voids the open writes of the steps before. The first order of a promoter after another one takes a second call, which the conflict answers with what it needs.

Tests: test_platform_store, two new ones. With the order left out of either condition the first fails, and of the second condition both. Changed lines of tests: record_order returns the revision or None in place of True or False.

--- a/src/tanagerfront/fleet_store.py
+++ b/src/tanagerfront/fleet_store.py
@@ -292,8 +292,13 @@
     async def acquire_promoter_lock(self, vm: RegisteredVm, lease: int) -> PromoterLock | None:
         """Acquire the promoter lock; return None if another VM holds it."""
 
-    async def record_order(self, lock: PromoterLock, record: PrimaryRecord, instance: str) -> bool:
-        """Record which instance a failover promotes; return False if lock or record has changed."""
+    async def record_order(
+        self, lock: PromoterLock, record: PrimaryRecord, instance: str
+    ) -> int | None:
+        """Record which instance a failover promotes, in place of one recorded before.
+
+        Return the revision of the order, None if lock or record has changed.
+        """
 
     async def ordered_instance(self, record: PrimaryRecord) -> str | None:
         """Return the instance that was recorded for a failover, None without one."""
@@ -302,9 +307,13 @@
         """Record that the fleet relies on the store in this era."""
 
     async def write_primary_record(
-        self, record: PrimaryRecord, lock: PromoterLock | None = None
+        self,
+        record: PrimaryRecord,
+        lock: PromoterLock | None = None,
+        order: int | None = None,
     ) -> PrimaryRecord | None:
         """Replace a record that is still at `record.revision`; return the new one, else None.
 
-        With a lock, also return None if the promoter lock has changed.
+        With a lock, also return None if the promoter lock has changed; with the revision of an
+        order, if another instance has been ordered since.
         """
--- a/src/tanagerfront/platform/fleet_store.py
+++ b/src/tanagerfront/platform/fleet_store.py
@@ -31,6 +31,7 @@
 from ..instance_directory import PrimaryRecord
 from ..kv import KeyValue, WatchEvent
 from ..session_model import FrontConfiguration
+from ..store_era import era_of
 from .changes_wire import PeerWatchClients
 from .documents import (
     CONFIGURATION_KEY,
@@ -90,6 +91,8 @@
         self._era = era or StoreEra()
         # The last configuration that was decoded: several calls may return the same one.
         self._configuration: FrontConfiguration | None = None
+        # The last known revisions of the orders to promote, by group.
+        self._order_revisions: dict[str, int] = {}
 
     @property
     def era(self) -> int:
@@ -273,21 +276,43 @@
             return None
         return PromoterLock(vm.name, vm.incarnation, token)
 
-    async def record_order(self, lock: PromoterLock, record: PrimaryRecord, instance: str) -> bool:
-        """Record which instance a failover promotes; return False if lock or record has changed."""
-        expected = {PROMOTER_KEY: lock.token, PRIMARY_PREFIX + record.group: record.revision}
+    async def record_order(
+        self, lock: PromoterLock, record: PrimaryRecord, instance: str
+    ) -> int | None:
+        """Record which instance a failover promotes, in place of one recorded before.
+
+        Return the revision of the order, None if lock or record has changed.
+        """
+        key = ORDER_PREFIX + record.group
         value = encode_record(OrderRecord(instance, record.term))
+        current = {PROMOTER_KEY: lock.token, PRIMARY_PREFIX + record.group: record.revision}
+        # A call that was given up may be executed after the next one, whose order it must not
+        # replace.
+        expected = current | {key: self._known_order_revision(record.group)}
         try:
-            await self._checks.swap(expected, {ORDER_PREFIX + record.group: value})
-        except SwapConflictError:
-            return False
-        return True
+            revision = await self._checks.swap(expected, {key: value})
+        except SwapConflictError as conflict:
+            found = {item.key: item.revision for item in conflict.items}
+            if any(found.get(name, 0) != revision for name, revision in current.items()):
+                return None
+            # The order of an earlier failover, or of another promoter.
+            try:
+                revision = await self._checks.swap(current | {key: found.get(key, 0)}, {key: value})
+            except SwapConflictError:
+                return None
+        self._order_revisions[record.group] = revision
+        return revision
+
+    def _known_order_revision(self, group: str) -> int:
+        revision = self._order_revisions.get(group, 0)
+        return revision if era_of(revision) == self.era else 0
 
     async def ordered_instance(self, record: PrimaryRecord) -> str | None:
         """Return the instance that was recorded for a failover, None without one."""
         found = await self._checks.get(ORDER_PREFIX + record.group)
         if found is None:
             return None
+        self._order_revisions[record.group] = found.revision
         try:
             order = decode_order(found.value)
         except ConfigurationError as error:
@@ -308,19 +333,27 @@
             return
 
     async def write_primary_record(
-        self, record: PrimaryRecord, lock: PromoterLock | None = None
+        self,
+        record: PrimaryRecord,
+        lock: PromoterLock | None = None,
+        order: int | None = None,
     ) -> PrimaryRecord | None:
         """Replace the record at `record.revision`; return it, or None if it was not current.
 
-        With a lock, also return None if the promoter lock has changed.
+        With a lock, also return None if the promoter lock has changed; with the revision of an
+        order, if another instance has been ordered since.
         """
         key = PRIMARY_PREFIX + record.group
-        locked = {PROMOTER_KEY: lock.token} if lock is not None else {}
+        expected = {key: record.revision}
+        if lock is not None:
+            expected[PROMOTER_KEY] = lock.token
+        if order is not None:
+            expected[ORDER_PREFIX + record.group] = order
         value = encode_primary_record(
             record.group, record.instance, record.term, moving=record.moving
         )
         try:
-            revision = await self._checks.swap({key: record.revision} | locked, {key: value})
+            revision = await self._checks.swap(expected, {key: value})
         except SwapConflictError:
             return None
         except KeyValueTimeoutError:
--- a/src/tanagerfront/session_failover.py
+++ b/src/tanagerfront/session_failover.py
@@ -500,10 +500,10 @@
             return
         chosen = successor.instance
         instance_id = chosen.registration.id
-        if not (
-            group.primary_record == record
-            and await self._store.record_order(lock, record, instance_id)
-        ):
+        order = None
+        if group.primary_record == record:
+            order = await self._store.record_order(lock, record, instance_id)
+        if order is None:
             # The store has been restored, and VMs may use the primary of an older record again.
             self._log.failure("primary_move_outdated", group=group.name, term=record.term)
             self._sync.request_check()
@@ -519,7 +519,7 @@
         # A promoter that has just started may not have known the term of the old primary.
         term = max(fence.leads_from, term)
         final = record._replace(instance=instance_id, term=term, moving=False)
-        if await self._write_primary_record(final, lock) is None:
+        if await self._write_primary_record(final, lock, order) is None:
             return
         self._log.decision(
             "primary_moved",
@@ -562,10 +562,10 @@
         return await self._write_primary_record(record, lock)
 
     async def _write_primary_record(
-        self, record: PrimaryRecord, lock: PromoterLock
+        self, record: PrimaryRecord, lock: PromoterLock, order: int | None = None
     ) -> PrimaryRecord | None:
-        """Write and announce a record; return None if the record or the lock has changed."""
-        written = await self._store.write_primary_record(record, lock)
+        """Write and announce a record; return None if record, lock or order has changed."""
+        written = await self._store.write_primary_record(record, lock, order)
         if written is None:
             self._log.failure("primary_record_refused", token=lock.token, **record._asdict())
             self._sync.request_check()
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -248,6 +248,7 @@
         self.configuration: FrontConfiguration | None = None
         self.primary_records: dict[str, PrimaryRecord] = {}
         self.orders: dict[str, tuple[int, str]] = {}
+        self.order_revisions: dict[str, int] = {}
         self.registrations: dict[str, InstanceRegistration] = {}
         self.vms: dict[str, RegisteredVm] = {}
         self.evacuations: dict[str, DomainEvacuated] = {}
@@ -332,12 +333,16 @@
     def on_restored(self, callback: Callable[[int], None]) -> None:
         pass
 
-    async def record_order(self, lock: PromoterLock, record: PrimaryRecord, instance: str) -> bool:
+    async def record_order(
+        self, lock: PromoterLock, record: PrimaryRecord, instance: str
+    ) -> int | None:
         self._call("record_order")
-        current = self.promoter_lock == lock and self.primary_records.get(record.group) == record
-        if current:
-            self.orders[record.group] = record.term, instance
-        return current
+        if self.promoter_lock != lock or self.primary_records.get(record.group) != record:
+            return None
+        self.orders[record.group] = record.term, instance
+        self.revision += 1
+        self.order_revisions[record.group] = self.revision
+        return self.revision
 
     async def ordered_instance(self, record: PrimaryRecord) -> str | None:
         self._call("ordered_instance")
@@ -437,9 +442,14 @@
         return self.promoter_lock if self.promoter_lock.vm == vm.name else None
 
     async def write_primary_record(
-        self, record: PrimaryRecord, lock: PromoterLock | None = None
+        self,
+        record: PrimaryRecord,
+        lock: PromoterLock | None = None,
+        order: int | None = None,
     ) -> PrimaryRecord | None:
         self._call("write_primary_record")
+        if order is not None and self.order_revisions[record.group] != order:
+            return None
         current = self.primary_records.get(record.group)
         if (current.revision if current else 0) != record.revision:
             return None
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -12,6 +12,7 @@
 
 import msgspec
 import trio
+from testtools import ExpectedException
 
 from front_fakes import RecordingLog, vm
 from support import TestCase, trio_test
@@ -218,16 +219,65 @@
             record = await fleet.write_primary_record(PrimaryRecord("orders", "p", 2, True, 0))
             assert lock is not None and record is not None
             self.assertIsNone(await fleet.ordered_instance(record))
-            self.assertTrue(await fleet.record_order(lock, record, "r0"))
+            self.assertIsNotNone(await fleet.record_order(lock, record, "r0"))
             self.assertEqual("r0", await fleet.ordered_instance(record))
             self.assertIsNone(await fleet.ordered_instance(record._replace(term=3)))
             for outdated in (
                 (lock._replace(token=lock.token + 1), record),
                 (lock, record._replace(revision=record.revision + 1)),
             ):
-                self.assertFalse(await fleet.record_order(*outdated, "r1"))
+                self.assertIsNone(await fleet.record_order(*outdated, "r1"))
             self.assertEqual("r0", await fleet.ordered_instance(record))
 
+    @trio_test
+    async def test_writes_of_a_failover_that_were_given_up_change_nothing_later(self) -> None:
+        # Guards against a record that names the instance ordered first, or an order that names it,
+        # because the store executes the call after the same promoter has ordered another instance.
+        async with running_store() as (_standin, client, address):
+            fleet = self._fleet(address)
+            lease = await fleet.register(vm("a"), 5.0)
+            lock = await fleet.acquire_promoter_lock(vm("a"), lease)
+            record = await fleet.write_primary_record(PrimaryRecord("orders", "p", 2, True, 0))
+            assert lock is not None and record is not None
+            given_up: list[tuple[Any, ...]] = []
+
+            async def give_up(_client: StoreClient, *call: Any) -> int:
+                given_up.append(call)
+                raise KeyValueTimeoutError("no answer")
+
+            unanswered = mock.patch.object(StoreClient, "swap", give_up)
+            with unanswered, ExpectedException(KeyValueTimeoutError):
+                await fleet.record_order(lock, record, "r0")
+            first = await fleet.record_order(lock, record, "r1")
+            final = record._replace(instance="r1", moving=False)
+            with unanswered, ExpectedException(KeyValueTimeoutError):
+                await fleet.write_primary_record(final, lock, first)
+            second = await fleet.record_order(lock, record, "r2")
+            for call in given_up:
+                with ExpectedException(SwapConflictError):
+                    await client.swap(*call)
+            self.assertEqual("r2", await fleet.ordered_instance(record))
+            written = await fleet.write_primary_record(
+                record._replace(instance="r2", moving=False), lock, second
+            )
+            self.assertIsNotNone(written)
+
+    @trio_test
+    async def test_the_first_order_of_a_promoter_replaces_that_of_an_earlier_failover(self) -> None:
+        # Guards against a group without a primary because an order is in the store already.
+        async with running_store() as (_standin, _client, address):
+            fleet, later = self._fleet(address), self._fleet(address)
+            lease = await fleet.register(vm("a"), 5.0)
+            lock = await fleet.acquire_promoter_lock(vm("a"), lease)
+            record = await fleet.write_primary_record(PrimaryRecord("orders", "p", 2, True, 0))
+            assert lock is not None and record is not None
+            first = await fleet.record_order(lock, record, "r0")
+            second = await later.record_order(lock, record, "r1")
+            assert first is not None and second is not None
+            self.assertGreater(second, first)
+            self.assertIsNone(await fleet.write_primary_record(record, lock, first))
+            self.assertIsNotNone(await fleet.record_order(lock, record, "r0"))
+
     @trio_test
     async def test_a_former_promoter_writes_no_record(self) -> None:
         # Guards against a failover that a promoter begins or ends beside its successor, also when
