Withdraw calls to a VM when their stream is given up

Callers of the HTTP interface were told that the outcome of a write is unknown, and the write could take effect minutes later.

Cause: a stream between two VMs that is silent for 2 s was closed in the ordinary way. Its requests were in the kernel, without a time limit, and the home executed them when the partition ended; the Cancel that follows a request helps only on a stream that is still open.

Change: a stream with anything unanswered is aborted, a killed process resets its streams, and the kernel gives up bytes that are unacknowledged for the 2 s after which the stream is replaced.

Test: test_withdrawal, test_a_call_to_a_vm_that_was_given_up_is_not_delivered_later.

--- a/src/tanagerfront/_peers_link.py
+++ b/src/tanagerfront/_peers_link.py
@@ -11,6 +11,7 @@
 from grpclib.client import Channel
 from grpclib.const import Cardinality
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.protocol import H2Protocol
 
 from ._peers_impl import (
     EXCHANGE_METHOD,
@@ -25,7 +26,7 @@
 )
 from .decoding import DECODING_ERRORS
 from .errors import ConnectionLostError, OverloadedError, PeerUnreachableError
-from .http_client import Address
+from .http_client import Address, drop_unsent_on_close, set_user_timeout
 from .messages import Cancel, Frame, Message
 
 __all__ = ["PeerLink"]
@@ -43,6 +44,29 @@
 _log = logging.getLogger(__name__)
 
 
+class _PeerChannel(Channel):
+    """Channel that can withdraw what the peer has not received, also if the process is killed."""
+
+    _transport: asyncio.Transport | None = None
+
+    async def _create_connection(self) -> H2Protocol:
+        protocol = await super()._create_connection()
+        self._transport = protocol.connection._transport
+        sock = self._transport.get_extra_info("socket")
+        drop_unsent_on_close(sock)
+        set_user_timeout(sock, int(SILENCE_TIMEOUT_S * 1000))
+        return protocol
+
+    def end(self, *, answered: bool) -> None:
+        """Close the connection; withdraw what was sent unless the peer has `answered` all of it."""
+        if self._transport is not None and not self._transport.is_closing():
+            if answered:
+                drop_unsent_on_close(self._transport.get_extra_info("socket"), False)
+            else:
+                self._transport.abort()
+        self.close()
+
+
 class PeerLink:
     """Client side of the stream to one peer, opened on demand and replaced after a failure."""
 
@@ -117,7 +141,7 @@
             self._fail_queued()
 
     async def _run_stream(self) -> None:
-        channel = Channel(*self._address, codec=self._codec, config=GRPC_CONFIGURATION)
+        channel = _PeerChannel(*self._address, codec=self._codec, config=GRPC_CONFIGURATION)
         request = channel.request(
             EXCHANGE_METHOD,
             Cardinality.STREAM_STREAM,
@@ -135,7 +159,7 @@
                 raise StreamTerminatedError("stream closed by the peer or idle")
         finally:
             self._connected = False
-            channel.close()
+            channel.end(answered=self._unanswered_since is None)
 
     async def _connect(self, stream: Any) -> bool:
         try:
--- a/src/tanagerfront/http_client.py
+++ b/src/tanagerfront/http_client.py
@@ -21,6 +21,7 @@
     "enable_keepalive",
     "open_tcp",
     "parse_address",
+    "set_user_timeout",
 ]
 
 RECEIVE_BYTES = 65536
@@ -35,7 +36,7 @@
 class SocketOptions(Protocol):
     """A TCP socket, or a stream over one."""
 
-    def setsockopt(self, level: int, option: int, value: bytes, /) -> None:
+    def setsockopt(self, level: int, option: int, value: int | bytes, /) -> None:
         """Set a socket option."""
 
 
@@ -76,17 +77,26 @@
     interval_s: int = KEEPALIVE_INTERVAL_S,
 ) -> None:
     """Let the kernel detect a peer that disappeared without a reset, also on an idle connection."""
-    options = (
+    _set_options(
+        stream,
         (socket.SOL_SOCKET, "SO_KEEPALIVE", 1),
         (socket.IPPROTO_TCP, "TCP_KEEPIDLE", idle_s),
         (socket.IPPROTO_TCP, "TCP_KEEPINTVL", interval_s),
         (socket.IPPROTO_TCP, "TCP_KEEPCNT", KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, "TCP_USER_TIMEOUT", user_timeout_ms),
     )
+    set_user_timeout(stream, user_timeout_ms)
+
+
+def set_user_timeout(sock: SocketOptions, timeout_ms: int) -> None:
+    """Let the kernel give the connection up when sent bytes stay unacknowledged for this long."""
+    _set_options(sock, (socket.IPPROTO_TCP, "TCP_USER_TIMEOUT", timeout_ms))
+
+
+def _set_options(sock: SocketOptions, *options: tuple[int, str, int]) -> None:
     for level, name, value in options:
         if hasattr(socket, name):
             with contextlib.suppress(OSError):
-                stream.setsockopt(level, getattr(socket, name), value)
+                sock.setsockopt(level, getattr(socket, name), value)
 
 
 def drop_unsent_on_close(sock: SocketOptions, drop: bool = True) -> None:
--- a/tests/test_withdrawal.py
+++ b/tests/test_withdrawal.py
@@ -15,6 +15,8 @@
 from tanagerfront.errors import ConnectionLostError, TanagerfrontError
 from tanagerfront.http_client import Address, HttpConnection
 from tanagerfront.instance_pool import InstanceStatement
+from tanagerfront.messages import Message, ServiceProbe, ServiceProbeReply
+from tanagerfront.peers import PeerNetwork
 from tanagerfront.platform.instance_control import LineInstanceControl
 from tanagerfront.platform.instance_wire import open_instance
 from tanagerfront.platform.store import StoreClient
@@ -138,6 +140,37 @@
                 await LineInstanceControl().step_down(entry, 7)
             self.assertEqual(b"QUERY - STEPDOWN 7\r\n", target.received)
 
+    @trio_test
+    async def test_a_call_to_a_vm_that_was_given_up_is_not_delivered_later(self) -> None:
+        # Guards against a write that a home executes seconds after its entry VM has told the caller
+        # that the outcome is unknown.
+        received: list[str] = []
+
+        async def receive(_vm: str, probe: ServiceProbe) -> Message:
+            received.append(probe.vm)
+            return ServiceProbeReply(0.0)
+
+        async with trio.open_nursery() as nursery:
+            local = Address("127.0.0.1", 0)
+            first, second = PeerNetwork("a", local), PeerNetwork("b", local)
+            await nursery.start(first.run)
+            await nursery.start(second.run)
+            second.register(ServiceProbe, receive)
+            link = TcpLink(second.listen_address)
+            first.set_peers({"b": await nursery.start(link.run)})
+            await first.call("b", ServiceProbe("answered"), 5)
+            link.cut()
+            with contextlib.suppress(ConnectionLostError):
+                await first.call("b", ServiceProbe("given up"), GIVEN_UP_S)
+            # The silent stream is replaced.
+            with contextlib.suppress(ConnectionLostError):
+                await first.call("b", ServiceProbe("lost"), 10)
+            await restore(link)
+            self.assertEqual(["answered"], received)
+            await first.call("b", ServiceProbe("later"), 5)
+            self.assertEqual(["answered", "later"], received)
+            nursery.cancel_scope.cancel()
+
     @trio_test
     async def test_a_connection_without_an_open_request_is_closed_and_not_reset(self) -> None:
         # Guards against connections that an instance counts for seconds after they were closed,
