Cut promoters off in the soak while their orders are on the way

The soak knew no link that holds bytes back between a VM and the platform while the VM is killed, stopped or gives its call up. It cuts the link of a VM that orders a promotion before the order arrives, may end the VM meanwhile, and restores the link 1 to 7 s later (--order-cuts N). It also checks that no statement reaches an instance more than 0.3 s after its caller was answered or has left, unless a VM was frozen at the time.

--- a/src/tanagerfront_lab/cli.py
+++ b/src/tanagerfront_lab/cli.py
@@ -268,6 +268,7 @@
     odd_entries: int = 0,
     groups: int = 1,
     promoter_kills: int = 0,
+    order_cuts: int = 0,
     timeout_ms: int = 900,
     random_faults: bool = True,
     keep: Path | None = None,
@@ -283,6 +284,7 @@
     odd_entries: How many malformed entries of instances another writer leaves in the store.
     groups: How many groups of instances there are.
     promoter_kills: How often primaries are replaced while the promoter's process is ended.
+    order_cuts: How often a promoter is cut off while its order is on the way.
     timeout_ms: Limit for a statement.
     random_faults: Inject faults at random times.
     keep: Directory for settings and logs of the VMs.
@@ -299,6 +301,7 @@
             odd_entries=odd_entries,
             groups=groups,
             promoter_kills=promoter_kills,
+            order_cuts=order_cuts,
             timeout_ms=timeout_ms,
             random_faults=random_faults,
         )
--- a/src/tanagerfront_lab/soak.py
+++ b/src/tanagerfront_lab/soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import itertools
 import os
 import random
@@ -91,6 +92,9 @@
     # How often primaries of several groups are replaced while the promoter is killed or stopped.
     # Old primaries may be slow, or refuse control statements, and go on until they notice.
     promoter_kills: int = 0
+    # How often a promoter is cut off from the platform while its order is on the way. It may be
+    # killed or stopped meanwhile.
+    order_cuts: int = 0
     timeout_ms: int = 900
     random_faults: bool = True
 
@@ -509,6 +513,55 @@
         await fault(primary, rng.uniform(0.5, 3.0))
         primary.slow_s = 0.0
 
+    async def run_order_cuts(self) -> None:
+        """Cut promoters off from the platform while an order of theirs is on the way."""
+        rng = random.Random(f"{self.options.seed}/order-cuts")
+        interval_s = self.options.seconds / (self.options.order_cuts + 1)
+        async with trio.open_nursery() as nursery:
+            for _ in range(self.options.order_cuts):
+                await trio.sleep(interval_s / 2)
+                primary = rng.choice(self.groups).primary
+                if primary is not None:
+                    nursery.start_soon(self._crash, primary, rng.uniform(3.0, 8.0))
+                with trio.move_on_after(interval_s / 2):
+                    vm = await self._cut_next_order()
+                    nursery.start_soon(self._end_while_cut_off, vm, rng)
+
+    async def _cut_next_order(self) -> _Vm:
+        """Cut off the VM that orders the next promotion, before the order arrives."""
+        ordered = trio.Event()
+        ordering: list[_Vm] = []
+
+        def cut(vm: _Vm, data: bytes) -> None:
+            if data.startswith(b"POST /promote") and not ordering:
+                ordering.append(vm)
+                self.store_links[vm.name].cut()
+                ordered.set()
+
+        for vm in self.vms:
+            self.store_links[vm.name].on_data = functools.partial(cut, vm)
+        try:
+            await ordered.wait()
+        finally:
+            for link in self.store_links.values():
+                link.on_data = lambda data: None
+        return ordering[0]
+
+    async def _end_while_cut_off(self, vm: _Vm, rng: random.Random) -> None:
+        """Kill or stop a VM that was cut off, or leave it to itself, then restore its link."""
+        restored_at = trio.current_time() + rng.uniform(1.0, 7.0)
+        signal_number = rng.choice([None, None, signal.SIGKILL, signal.SIGTERM])
+        self.faults.append(f"cut_order {vm.name} {signal_number.name if signal_number else ''}")
+        if signal_number is not None:
+            await trio.sleep(rng.uniform(0.0, 1.5))
+            vm.send_signal(signal_number)
+        await trio.sleep_until(restored_at)
+        self.store_links[vm.name].restore()
+        if signal_number is not None:
+            await vm.wait_stopped()
+            if vm.process is not None and vm.process.poll() is not None:
+                vm.start()
+
     async def _release(self, instance: LineInstance, seconds: float) -> None:
         """Let an instance drain and end; another one takes over its address and log."""
         old_name = instance.name
@@ -644,7 +697,10 @@
         texts = [f"WRITE {item} {attempt.data}" if is_write else f"READ {item}"]
         if transaction:
             texts = ["BEGIN" if is_write else "BEGIN READ", *texts, "COMMIT"]
-        return await self.run(attempt, texts)
+        try:
+            return await self.run(attempt, texts)
+        finally:
+            attempt.ended_at = trio.current_time()
 
     async def run(self, attempt: Attempt, texts: Sequence[str]) -> bool:
         """Send queries and record the outcome; return whether the session can be used again."""
@@ -718,6 +774,7 @@
         history.check_promotions(group.commits, group.promotions)
         for number, instance in enumerate(group.instances):
             history.violations += instance.violations
+            history.check_late_arrivals(instance.name, instance.arrivals)
             history.check_reads(instance.reads, log, MAX_STALENESS_S)
             history.check_evacuations(
                 FAILURE_DOMAINS[number], instance.arrivals, EVACUATION_LIMIT_S
@@ -736,6 +793,7 @@
             clients.start_soon(soak.run_odd_entries)
             async with trio.open_nursery() as faults:
                 faults.start_soon(soak.run_promoter_kills)
+                faults.start_soon(soak.run_order_cuts)
                 if options.random_faults:
                     await soak.run_faults(faults_end)
             await trio.sleep_until(faults_end)
--- a/src/tanagerfront_lab/soak_history.py
+++ b/src/tanagerfront_lab/soak_history.py
@@ -17,6 +17,8 @@
 UNWRITTEN = "-"
 # A VM that was frozen, or cut off from an instance, within this time may have sent a write late.
 DISRUPTION_SLACK_S = 0.3
+# A statement may reach an instance this long after its caller was answered or has left.
+LATE_ARRIVAL_S = 0.3
 
 
 class Origin(NamedTuple):
@@ -43,6 +45,8 @@
     origin: Origin = Origin()
     # When the success of the operation arrived, None without one.
     succeeded_at: float | None = None
+    # When the caller was answered or gave up, None before that.
+    ended_at: float | None = None
 
 
 def _is_older(found: str, acknowledged: str) -> bool:
@@ -139,6 +143,29 @@
                 if ordered_at + bound_s < arrived_at < returned_at:
                     self.record_violation(f"{query_id} ran in {domain}, which was evacuated")
 
+    def check_late_arrivals(self, instance: str, arrivals: Sequence[Arrival]) -> None:
+        """Check that no statement reached an instance long after it was answered or given up.
+
+        Frozen VMs can withdraw nothing, also when they relay statements of others.
+        """
+        for query_id, arrived_at in arrivals:
+            attempt = self._attempts.get(query_id)
+            if attempt is None or attempt.ended_at is None:
+                continue
+            if arrived_at <= attempt.ended_at + LATE_ARRIVAL_S:
+                continue
+            since = attempt.started_at - DISRUPTION_SLACK_S
+            if any(
+                subject.startswith("vm-") and start < arrived_at and since < end
+                for subject, start, end in self.disruptions
+            ):
+                continue
+            self.record_violation(
+                f"{query_id} ({attempt.origin.group}) was sent to {attempt.origin.vm} at "
+                f"{attempt.started_at:.3f}, ended at {attempt.ended_at:.3f} and reached "
+                f"{instance} at {arrived_at:.3f}"
+            )
+
     def _was_disrupted(self, attempt: Attempt, instance: str, until: float) -> bool:
         since = attempt.started_at - DISRUPTION_SLACK_S
         return any(
--- a/src/tanagerfront_standin/link.py
+++ b/src/tanagerfront_standin/link.py
@@ -4,6 +4,7 @@
 
 import enum
 import select
+from collections.abc import Callable
 
 import trio
 
@@ -51,6 +52,8 @@
         self._delay_s = 0.0
         self._connections: set[_ForwardedConnection] = set()
         self._changed = trio.Event()
+        # Called with the bytes from a client before they are forwarded.
+        self.on_data: Callable[[bytes], None] = lambda data: None
 
     async def run(self, *, task_status: trio.TaskStatus[Address]) -> None:
         """Forward until cancelled; report the local address to the nursery once listening."""
@@ -127,6 +130,8 @@
         """Copy one direction until either side closes, then cancel both directions."""
         try:
             while data := await source.receive_some(RECEIVE_BYTES):
+                if direction is Direction.TO_TARGET:
+                    self.on_data(bytes(data))
                 await trio.sleep(self._delay_s)
                 await self._wait_until_forwarding(connection, direction)
                 if _was_reset(source):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -42,6 +42,14 @@
         self.assertEqual((), result.violations)
         self.assertGreater(result.served, 100)
 
+    def test_short_run_with_promoters_cut_off_violates_no_guarantee(self) -> None:
+        # Guards against orders, calls and statements that are executed after their sender has given
+        # them up or was ended, while the link that held them back was cut.
+        options = SoakOptions(seed=12, seconds=20.0, vms=3, clients=6, order_cuts=3)
+        result = run_soak(options)
+        self.assertEqual((), result.violations)
+        self.assertGreater(result.served, 100)
+
     def test_seeds_that_failed_before_pass(self) -> None:
         for seed in REGRESSIONS:
             self.assertEqual((), run_soak(SoakOptions(seed)).violations, f"seed {seed}")
@@ -101,6 +109,18 @@
         history.check_evacuations("adum", arrivals, 5.0)
         self.assertEqual(["q2 ran in adum, which was evacuated"], history.violations)
 
+    def test_a_statement_that_arrives_after_its_caller_has_left_is_found(self) -> None:
+        for frozen, found in (("i-1", 1), ("vm-2", 0)):
+            history = SoakHistory()
+            attempt = history.start_attempt("x", "primary", "k", True, 1.0, Origin("", "vm-1"))
+            history.check_late_arrivals("i-1", [Arrival(attempt.id, 3.0)])
+            attempt.ended_at = 2.0
+            history.check_late_arrivals("i-1", [Arrival(attempt.id, 2.1)])
+            self.assertEqual([], history.violations)
+            history.disruptions.append((frozen, 1.5, 1.9))
+            history.check_late_arrivals("i-1", [Arrival(attempt.id, 2.5)])
+            self.assertEqual(found, len(history.violations))
+
     def test_write_acknowledged_after_a_promotion_is_found(self) -> None:
         history = SoakHistory()
         query_id, commit = self._write(history)
