--- a/src/tanagerfront_standin/link.py
+++ b/src/tanagerfront_standin/link.py
@@ -31,9 +31,12 @@
 
 
 def _was_reset(source: trio.SocketStream) -> bool:
-    """Return whether the peer reset the connection, rather than closing it."""
+    """Return whether either side reset the connection, rather than the peer closing it."""
+    descriptor = source.socket.fileno()
+    if descriptor < 0:
+        return True
     poll = select.poll()
-    poll.register(source.socket.fileno(), 0)
+    poll.register(descriptor, 0)
     return any(events & select.POLLERR for _, events in poll.poll(0))
 
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -8,7 +8,7 @@
 import trio
 
 from support import TestCase, trio_test
-from tanagerfront.http_client import Address
+from tanagerfront.http_client import Address, drop_unsent_on_close
 from tanagerfront_standin.link import Direction, TcpLink
 
 ECHO_TIMEOUT_S = 0.15
@@ -88,6 +88,26 @@
             self.assertIsNone(await exchange(stream, b"2"))
             self.assertEqual(b"1", echo.received)
 
+    @trio_test
+    async def test_bytes_held_back_are_lost_with_their_connection(self) -> None:
+        # Guards against a link that ends, or delivers what it held back, when their connection is
+        # reset by their sender or by the fault injection; a close delivers them.
+        async with open_link() as (link, address, echo):
+            for ending in ("reset by the link", "reset", "close"):
+                stream = await trio.open_tcp_stream(*address)
+                self.assertEqual(b"1", await exchange(stream, b"1"))
+                link.cut()
+                await stream.send_all(ending.encode())
+                await trio.sleep(ECHO_TIMEOUT_S)
+                if ending == "reset by the link":
+                    await link.reset_existing()
+                if ending == "reset":
+                    drop_unsent_on_close(stream)
+                await stream.aclose()
+                link.restore()
+                await trio.sleep(ECHO_TIMEOUT_S)
+            self.assertEqual(b"111close", echo.received)
+
     @trio_test
     async def test_silenced_connections_stay_silent_while_new_ones_work(self) -> None:
         # Guards against silenced connections that forward again when a cut is restored.
