Send no write for a caller that has left

Callers could see a value that they had given up replace one that they wrote afterwards through another VM.

Cause: a VM that was frozen, or whose statement waited for a connection or a primary, executed what it then read, with a deadline that began at the reading. Whether the caller was still there was not looked at before its answer failed.

Change: before a write, or the COMMIT of a transaction that wrote, is sent, the caller's connection is tested (one poll). If the caller has closed it, the statement is refused as not run, and a transaction is rolled back.

Test: test_caller_wire, test_no_write_is_sent_for_a_caller_that_has_left.

--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -99,9 +100,15 @@
 class CallerSession:
     """One caller's session, from its connection to its end."""
 
-    def __init__(self, services: SessionServices, connect: Connect) -> None:
+    def __init__(
+        self,
+        services: SessionServices,
+        connect: Connect,
+        caller_left: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._services = services
         self._connect = connect
+        self._caller_left = caller_left
         self._values: dict[str, str] = {}
         self._prepared: dict[str, tuple[bool, str]] = {}
         self._transaction: _Transaction | None = None
@@ -302,6 +309,8 @@
         group = self._services.directory.group(caller.route.group)
         write = group.writes.begin() if writes else None
         try:
+            if writes:
+                self._require_caller(FailureCode.OVERLOADED)
             deadline = attempts.deadline if writes else attempts.read_attempt_deadline()
             statement = self._instance_statement(query, attempts.statement_urgency(writes=writes))
             reply = await self._send(
@@ -369,6 +378,8 @@
         commits = transaction.wrote and isinstance(query.statement, Commit)
         write = group.writes.begin() if commits else None
         try:
+            if commits:
+                self._require_caller(FailureCode.ABORTED)
             reply = await self._send(
                 self._instance_statement(query, urgency), connection, instance, urgency.deadline
             )
@@ -384,6 +395,14 @@
             self._require_valid_write(query, instance, write)
         return reply, instance, connection
 
+    def _require_caller(self, code: FailureCode) -> None:
+        """Raise RefusedError with a code before a write is sent whose caller has left.
+
+        It may have waited in a VM that was frozen, and its caller may have written again elsewhere.
+        """
+        if self._caller_left():
+            raise RefusedError(code, "the caller left before its write was sent")
+
     def _require_valid_write(self, query: Query, instance: Instance, write: PrimaryWrite) -> None:
         """Raise RefusedError if a write may have succeeded after another instance was promoted."""
         valid = (
--- a/src/tanagerfront/platform/caller_wire.py
+++ b/src/tanagerfront/platform/caller_wire.py
@@ -140,7 +140,9 @@
         with trio.move_on_after(FIRST_CONFIRMATION_TIMEOUT_S):
             await self._services.confirmed_state.first_confirmation.wait()
         try:
-            return CallerSession(self._services, message)
+            return CallerSession(
+                self._services, message, caller_left=lambda: self._stream.closed_by_peer
+            )
         except RefusedError as error:
             self._services.log.decision(
                 "connection_refused",
--- a/tests/test_caller_wire.py
+++ b/tests/test_caller_wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -15,7 +16,7 @@
 from tanagerfront.instance_pool import InstanceStatement
 from tanagerfront.platform.caller_wire import CallerConnections
 from tanagerfront.platform.line_stream import LineStream
-from tanagerfront.session_model import Reply
+from tanagerfront.session_model import Reply, Rollback
 from tanagerfront.shutdown import MIN_IDLE_S, Shutdown
 from test_caller_session import Vm, start_vm
 
@@ -53,10 +54,10 @@
     def __init__(self, vm: Vm, address: tuple[str, int]) -> None:
         self.vm = vm
         self.connections = CallerConnections(vm.services)
-        self._address = address
+        self.address = address
 
     async def connect(self) -> WireCaller:
-        return WireCaller(LineStream(await trio.open_tcp_stream(*self._address)))
+        return WireCaller(LineStream(await trio.open_tcp_stream(*self.address)))
 
     async def open_session(self) -> WireCaller:
         caller = await self.connect()
@@ -79,6 +80,36 @@
         nursery.cancel_scope.cancel()
 
 
+class LeavingCallerTest(TestCase):
+    async def _leave(self, stopping: StoppingVm, *texts: str) -> None:
+        """Send statements and leave before the VM reads them, as if it had been frozen."""
+        caller = await trio.open_tcp_stream(*stopping.address)
+        await caller.send_all(b"CONNECT primary secret\r\n")
+        await caller.receive_some()
+        *first, last = texts
+        for text in first:
+            await caller.send_all(f"QUERY q {text}\r\n".encode())
+            await caller.receive_some()
+        # Without a checkpoint in between, the VM reads the statement when its caller has left.
+        os.write(caller.socket.fileno(), f"QUERY q {last}\r\n".encode())
+        caller.socket.close()
+        await trio.sleep(0.2)
+
+    @trio_test
+    async def test_no_write_is_sent_for_a_caller_that_has_left(self) -> None:
+        # Guards against a write that a VM makes after it was frozen, when its caller has given up
+        # and written again through another VM.
+        async with stopping_vm() as stopping:
+            await self._leave(stopping, "WRITE 1 old")
+            await self._leave(stopping, "BEGIN", "WRITE 1 old", "COMMIT")
+            self.assertEqual(["WRITE 1 old"], stopping.vm.primary.caller_statements)
+            rolled_back = [statement.statement for _, statement in stopping.vm.primary.received]
+            self.assertIn(Rollback(), rolled_back)
+            caller = await stopping.open_session()
+            await caller.ask("QUERY q WRITE 1 new")
+            self.assertEqual("WRITE 1 new", stopping.vm.primary.caller_statements[-1])
+
+
 class ObservedStream:
     """A VM's end of a connection, whose next transfer can coincide with an event."""
 
