Send no statement after its deadline

A cancel scope whose deadline has passed is cancelled by the event loop only, so that bytes which need no wait go out first.

Change: the deadline is tested before the statement is sent, and the statement refused as not run.

Test: test_caller_session, test_no_write_is_sent_after_its_deadline; it fails without the test of the deadline.

--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -677,6 +677,9 @@
         deadline: float,
     ) -> Reply:
         """Run a caller's statement after those that set up the session; see `_run` for errors."""
+        if trio.current_time() >= deadline:
+            # This VM was frozen; a scope whose deadline has passed lets the first bytes through.
+            raise OverloadedError("the deadline passed before the statement was sent")
         statements = connection.session_statements(self._values, self._prepared, statement)
         replies = await self._run(instance, connection, statements, deadline)
         return replies[-1]
--- a/tests/test_caller_session.py
+++ b/tests/test_caller_session.py
@@ -328,6 +328,27 @@
         self.assertEqual(FailureCode.TIMEOUT, code)
         self.assertAlmostEqual(1.0, trio.current_time() - started_at, delta=0.05)
 
+    @trio_test(mock_clock=True)
+    async def test_no_write_is_sent_after_its_deadline(self) -> None:
+        # Guards against a write that a VM makes when it has been frozen between the choice of a
+        # connection and the send.
+        vm = await start_vm()
+        session = vm.session(RouteKind.PRIMARY).session
+        acquire = session._acquire_connection
+
+        async def acquire_and_freeze(*arguments: Any) -> Any:
+            placement = await acquire(*arguments)
+            await trio.sleep(5.0)
+            return placement
+
+        session._acquire_connection = acquire_and_freeze  # type: ignore[method-assign]
+        query = decode_caller_line(b"QUERY q WRITE 1 x", trio.current_time())
+        assert isinstance(query, Query)
+        reply = await session.execute(query)
+        assert reply.failure is not None
+        self.assertEqual(FailureCode.OVERLOADED, reply.failure.code)
+        self.assertEqual([], vm.primary.received)
+
     @trio_test(mock_clock=True)
     async def test_a_read_without_a_reply_is_retried_at_another_instance(self) -> None:
         vm = await start_vm()
