Let the kernel give up calls to the store with their sender

Callers of a group whose promoter is frozen could have waited longer for a primary.

Cause: bytes of a call to the store that a partition held up were sent again for 10 s, also for a process that was frozen after 0.1 s. A renewal that arrives then prolongs the lease of that VM, and of the promoter lock that it holds.

Change: the user timeout of these connections is the timeout of their calls.

Test: test_platform_store, PromotionTest, extended by a call to the store and renamed for it; it fails without the change.

--- a/src/tanagerfront/platform/store.py
+++ b/src/tanagerfront/platform/store.py
@@ -328,7 +328,9 @@
         try:
             if self._connection is None or not self._connection.usable:
                 self._connection = await HttpConnection.open(
-                    self._address, timeout_s=self._timeout_s
+                    self._address,
+                    timeout_s=self._timeout_s,
+                    user_timeout_ms=int(self._timeout_s * 1000),
                 )
             return await self._connection.request(
                 method,
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -533,10 +533,10 @@
             self.assertEqual([], standin.promotions)
 
     @trio_test
-    async def test_a_frozen_process_delivers_no_order_after_its_timeout(self) -> None:
-        # Guards against an order that the kernel goes on sending while the promoter is frozen and
-        # can't withdraw it.
-        async with running_store() as (_standin, _client, address):
+    async def test_a_frozen_process_delivers_nothing_after_the_timeout_of_its_call(self) -> None:
+        # Guards against an order or a renewal of a lease that the kernel goes on sending while the
+        # VM is frozen and can't withdraw it.
+        async with running_store() as (_standin, client, address):
             connect = HttpConnection.open
             timeouts_ms: list[int] = []
 
@@ -550,7 +550,8 @@
 
             with mock.patch.object(HttpConnection, "open", connect_and_note):
                 await PromotionClient(address).promote("g", "runs", "a", 7, boottime_s() + 60)
-            self.assertEqual([PROMOTION_TIMEOUT_S * 1000], timeouts_ms)
+                await client.keep_alive(await client.grant(5.0))
+            self.assertEqual([PROMOTION_TIMEOUT_S * 1000, 300], timeouts_ms)
 
 
 class EvacuationTest(TestCase):
