--- a/src/tanagerfront_lab/soak.py
+++ b/src/tanagerfront_lab/soak.py
@@ -556,14 +556,17 @@
         restored_at = trio.current_time() + rng.uniform(3.0, 8.0)
         signal_number = rng.choice([None, None, signal.SIGKILL, signal.SIGTERM])
         self.faults.append(f"cut_order {vm.name} {signal_number.name if signal_number else ''}")
+        process = None
         if signal_number is not None:
             await trio.sleep(rng.uniform(0.0, 1.5))
+            process = vm.process
             vm.send_signal(signal_number)
         await trio.sleep_until(restored_at)
         self.store_links[vm.name].restore()
-        if signal_number is not None:
-            await vm.wait_stopped()
-            if vm.process is not None and vm.process.poll() is not None:
+        if process is not None:
+            await trio.to_thread.run_sync(process.wait)
+            # Another fault may have started the VM again.
+            if vm.process is process:
                 vm.start()
 
     async def _release(self, instance: LineInstance, seconds: float) -> None:
