Send no write of the HTTP interface for a caller that has left

Change: before a batch that writes or a commit is sent to a home, the caller's connection is tested; CanceledError, which no code raised, ends the request as not run. Probes of instances close their connection and don't reset it.

Test: test_withdrawal, LeavingCallerTest, over real sockets; without the test of the connection the batch is sent.

--- a/src/tanagerfront/caller_connections.py
+++ b/src/tanagerfront/caller_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 from typing import Protocol
 
 import trio
@@ -9,6 +10,7 @@
 from .entry import CallerHandler
 from .entry_services import EntryServices, new_request_id
 from .errors import BadRequestError, OverloadedError
+from .http_client import has_event
 from .http_server import ConnectionHandler, Request, Response
 from .problems import problem_response
 
@@ -26,6 +28,10 @@
         """Set the number of open connections of a kind."""
 
 
+def _closed_by_caller(stream: trio.abc.Stream) -> bool:
+    return isinstance(stream, trio.SocketStream) and has_event(stream, select.POLLRDHUP)
+
+
 class _RefusingHandler(ConnectionHandler):
     """Refuse the first request on a connection above the limit, then close it."""
 
@@ -43,7 +49,7 @@
     def __init__(
         self, connections: CallerConnections, services: EntryServices, stream: trio.abc.Stream
     ) -> None:
-        super().__init__(services, lambda: connections.closing)
+        super().__init__(services, lambda: connections.closing, lambda: _closed_by_caller(stream))
         self._connections = connections
         self._stream = stream
         self._last_request_at = trio.current_time()
--- a/src/tanagerfront/entry.py
+++ b/src/tanagerfront/entry.py
@@ -14,6 +14,7 @@
 from .entry_work import Batch, batch_from_body, batch_from_route, checked_statements, require_group
 from .errors import (
     BadRequestError,
+    CanceledError,
     DeadlineExceededError,
     DrainingError,
     ForbiddenError,
@@ -39,9 +40,15 @@
 class CallerHandler(ConnectionHandler):
     """Serve the requests of one caller connection."""
 
-    def __init__(self, services: EntryServices, close_requested: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        services: EntryServices,
+        close_requested: Callable[[], bool],
+        caller_left: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._services = services
         self._close_requested = close_requested
+        self._caller_left = caller_left
         self._transaction: Transaction | None = None
         self._in_progress = False
         self._requests_refused = False
@@ -169,6 +176,8 @@
         request = batch.execute_request(call, services.authenticator.configuration().version)
 
         async def execute(lifetime_s: float | None) -> ExecuteReply:
+            if batch.mode != "read":
+                self._require_caller()
             return await services.execution.execute(
                 msgspec.structs.replace(
                     request, timeout_s=call.remaining_s, token_lifetime_s=lifetime_s
@@ -209,6 +218,7 @@
     async def _commit(self, call: Call) -> tuple[bytes, _Session]:
         transaction = self._require_transaction(call)
         _check_bodyless_step(call)
+        self._require_caller()
         call.executed = "unknown"
         reply = await transaction.commit(StepOptions(call.remaining_s))
         call.executed = "yes"
@@ -221,6 +231,14 @@
         await transaction.rollback()
         return _transaction_body("rolled back"), call.session
 
+    def _require_caller(self) -> None:
+        """Raise CanceledError before a write or commit is sent whose caller has left.
+
+        It may have waited in a VM that was frozen, and its caller may have written again elsewhere.
+        """
+        if self._caller_left():
+            raise CanceledError("the caller left before its write was sent", executed="no")
+
     def _require_transaction(self, call: Call) -> Transaction:
         """Return the connection's open transaction.
 
--- a/src/tanagerfront/http_client.py
+++ b/src/tanagerfront/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 import struct
 from collections.abc import AsyncIterator, Mapping, Sequence
@@ -19,6 +20,7 @@
     "HttpReply",
     "drop_unsent_on_close",
     "enable_keepalive",
+    "has_event",
     "open_tcp",
     "parse_address",
     "set_user_timeout",
@@ -108,6 +110,13 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", int(drop), 0))
 
 
+def has_event(stream: trio.SocketStream, events: int) -> bool:
+    """Return whether an event of `select.poll`, or an error, is pending on a connection."""
+    poll = select.poll()
+    poll.register(stream.socket.fileno(), events)
+    return bool(poll.poll(0))
+
+
 async def open_tcp(address: Address, *, timeout_s: float) -> trio.SocketStream:
     """Connect within `timeout_s` seconds; raises ConnectionLostError with executed `no`.
 
--- a/src/tanagerfront/platform/instance_wire.py
+++ b/src/tanagerfront/platform/instance_wire.py
@@ -168,5 +168,5 @@
         stream = await open_tcp(address, timeout_s=TCP_CONNECT_TIMEOUT_S)
     except ConnectionLostError:
         return False
-    await LineStream(stream).close()
+    await LineStream(stream).close(answered=True)
     return True
--- a/src/tanagerfront/platform/line_stream.py
+++ b/src/tanagerfront/platform/line_stream.py
@@ -8,7 +8,7 @@
 import trio
 
 from ..errors import ConnectionLostError, TooLargeError
-from ..http_client import drop_unsent_on_close
+from ..http_client import drop_unsent_on_close, has_event
 from .lines import END, MAX_MESSAGE_BYTES
 
 __all__ = ["LineStream"]
@@ -28,17 +28,12 @@
     @property
     def idle(self) -> bool:
         """Return whether the connection is open and no data from the peer is unread."""
-        return not self._buffer and not self._has_event(select.POLLIN)
+        return not self._buffer and not has_event(self._stream, select.POLLIN)
 
     @property
     def closed_by_peer(self) -> bool:
         """Return whether the peer has closed the connection and none of its data is buffered."""
-        return not self._buffer and self._has_event(select.POLLRDHUP)
-
-    def _has_event(self, events: int) -> bool:
-        poll = select.poll()
-        poll.register(self._stream.socket.fileno(), events)
-        return bool(poll.poll(0))
+        return not self._buffer and has_event(self._stream, select.POLLRDHUP)
 
     async def send(self, data: bytes) -> None:
         """Send bytes; raises ConnectionLostError."""
--- a/tests/test_withdrawal.py
+++ b/tests/test_withdrawal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import os
 import subprocess
 import sys
 from collections.abc import AsyncIterator
@@ -12,6 +13,7 @@
 
 from front_fakes import registration
 from support import TestCase, trio_test
+from tanagerfront.drain import DrainTiming
 from tanagerfront.errors import ConnectionLostError, TanagerfrontError
 from tanagerfront.http_client import Address, HttpConnection
 from tanagerfront.instance_pool import InstanceStatement
@@ -22,6 +24,7 @@
 from tanagerfront.platform.store import StoreClient
 from tanagerfront.session_model import Verbatim
 from tanagerfront_standin.link import TcpLink
+from test_drain import AUTHORIZATION, READ, DrainBench
 
 # Longer than bytes that were held back need to arrive once their link is restored.
 DELIVERY_S = 0.3
@@ -75,6 +78,33 @@
     await trio.sleep(DELIVERY_S)
 
 
+class LeavingCallerTest(TestCase):
+    @trio_test
+    async def test_no_write_is_sent_for_a_caller_of_the_http_interface_that_has_left(self) -> None:
+        # Guards against a write or a commit that a VM makes after it was frozen, when its caller
+        # has given up and written again through another VM.
+        vm = DrainBench(DrainTiming(delay_s=0, limit_s=5))
+        write = b'{"statements": [{"sql": "DELETE FROM t"}], "mode": "write"}'
+        async with vm.serving():
+            for path, body in (("/batch", write), ("/transaction", b""), ("/batch", READ)):
+                caller = await trio.open_tcp_stream(*vm.address)
+                # Without a checkpoint in between, the VM reads the request of a caller that left.
+                os.write(caller.socket.fileno(), _request(f"/v1/groups/orders-1{path}", body))
+                if path == "/transaction":
+                    await caller.receive_some()
+                    os.write(caller.socket.fileno(), _request("/v1/transaction/commit", b""))
+                caller.socket.close()
+                await trio.sleep(DELIVERY_S)
+        self.assertEqual(["read"], [request.mode for request in vm.bench.home.requests])
+        self.assertNotIn("commit", vm.bench.home.actions)
+
+
+def _request(path: str, body: bytes) -> bytes:
+    [(name, value)] = AUTHORIZATION
+    head = f"POST {path} HTTP/1.1\r\n{name}: {value}\r\ncontent-length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
 class WithdrawalTest(TestCase):
     @trio_test
     async def test_a_request_that_was_given_up_is_not_delivered_later(self) -> None:
