--- a/src/tanagerfront_standin/line_group.py
+++ b/src/tanagerfront_standin/line_group.py
@@ -111,8 +111,8 @@
 
     @property
     def running(self) -> bool:
-        """Return whether the instance accepts connections."""
-        return self._scope is not None
+        """Return whether the instance accepts connections, and is not about to crash."""
+        return self._scope is not None and not self._scope.cancel_called
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Accept connections until `crash` is called."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-from support import TestCase
+import trio
+
+from support import TestCase, trio_test
 from tanagerfront.entry_id import EntryId
 from tanagerfront_lab.soak import SoakOptions, run_soak
 from tanagerfront_lab.soak_history import Origin, SoakHistory
-from tanagerfront_standin.line_group import Arrival, Commit, Promotion, ReadRun
+from tanagerfront_standin.line_group import Arrival, Commit, LineGroup, Promotion, ReadRun
+from tanagerfront_standin.loopback import ReservedHost
 
 # Seeds that failed before, each with its cause. None so far.
 REGRESSIONS: tuple[int, ...] = ()
@@ -55,6 +58,25 @@
             self.assertEqual((), run_soak(SoakOptions(seed)).violations, f"seed {seed}")
 
 
+class InstanceTest(TestCase):
+    @trio_test
+    async def test_a_crashed_instance_counts_as_not_running_at_once(self) -> None:
+        # Guards against two faults that crash an instance at the same moment and then both start
+        # it, which ends the run because its address is in use.
+        with ReservedHost() as host:
+            group = LineGroup("orders", host)
+            async with trio.open_nursery() as nursery:
+                await nursery.start(group.run)
+                instance = group.instances[0]
+                self.assertTrue(instance.running)
+                instance.crash()
+                self.assertFalse(instance.running)
+                await trio.sleep(0.1)
+                await group.restart(instance)
+                self.assertTrue(instance.running)
+                nursery.cancel_scope.cancel()
+
+
 class HistoryTest(TestCase):
     # Guards against a soak that passes because its checks do not detect violations.
 
