--- a/src/tanagerfront/entry.py
+++ b/src/tanagerfront/entry.py
@@ -237,7 +237,7 @@
         It may have waited in a VM that was frozen, and its caller may have written again elsewhere.
         """
         if self._caller_left():
-            raise CanceledError("the caller left before its write was sent", executed="no")
+            raise CanceledError("the caller left before its write was sent")
 
     def _require_transaction(self, call: Call) -> Transaction:
         """Return the connection's open transaction.
--- a/src/tanagerfront/errors.py
+++ b/src/tanagerfront/errors.py
@@ -179,11 +179,10 @@
 
 
 class CanceledError(TanagerfrontError):
-    """The caller disconnected before the request completed."""
+    """The caller disconnected before its request was sent."""
 
     problem_type = "canceled"
     status = 499
-    default_executed = "unknown"
 
 
 class OutcomeUnknownError(TanagerfrontError):
