Answer TIMEOUT to a statement whose deadline passed before the send

A single statement ends with TIMEOUT, as it did before, and isn't tried at another instance any more; in a transaction it is ABORTED. Nothing is sent.

--- a/src/tanagerfront/caller_session.py
+++ b/src/tanagerfront/caller_session.py
@@ -312,6 +312,7 @@
             if writes:
                 self._require_caller(FailureCode.OVERLOADED)
             deadline = attempts.deadline if writes else attempts.read_attempt_deadline()
+            _require_time(deadline, FailureCode.TIMEOUT)
             statement = self._instance_statement(query, attempts.statement_urgency(writes=writes))
             reply = await self._send(
                 statement._replace(after=after), connection, instance, deadline
@@ -380,6 +381,7 @@
         try:
             if commits:
                 self._require_caller(FailureCode.ABORTED)
+            _require_time(urgency.deadline, FailureCode.ABORTED)
             reply = await self._send(
                 self._instance_statement(query, urgency), connection, instance, urgency.deadline
             )
@@ -677,9 +679,6 @@
         deadline: float,
     ) -> Reply:
         """Run a caller's statement after those that set up the session; see `_run` for errors."""
-        if trio.current_time() >= deadline:
-            # This VM was frozen; a scope whose deadline has passed lets the first bytes through.
-            raise OverloadedError("the deadline passed before the statement was sent")
         statements = connection.session_statements(self._values, self._prepared, statement)
         replies = await self._run(instance, connection, statements, deadline)
         return replies[-1]
@@ -730,6 +729,15 @@
             )
 
 
+def _require_time(deadline: float, code: FailureCode) -> None:
+    """Raise RefusedError with a code if a statement's deadline has passed before it is sent.
+
+    A cancel scope whose deadline has passed lets the first bytes through.
+    """
+    if trio.current_time() >= deadline:
+        raise RefusedError(code, "the deadline passed before the statement was sent")
+
+
 def _is_refused_by_home(reply: Reply) -> bool:
     """Return whether the queue of an instance's home refused a statement, not the instance itself.
 
