--- a/review/11/case.py
+++ b/review/11/case.py
@@ -140,9 +140,7 @@
 
 async def play(record: Record, trouble: bool) -> list[str]:
     """Play the case; return what broke the rule."""
-    services = [
-        Service(f"svc{number}", ZONES, slots=3, max_connections=57) for number in range(3)
-    ]
+    services = [Service(f"svc{number}", ZONES, slots=3, max_connections=57) for number in range(3)]
     shedding = services[0].primary
     async with Deployment(services, configuration, VMS, grown=True).running() as deployment:
         await asyncio.sleep(2.0)
@@ -170,8 +168,11 @@
     runs = [run for service in services for run in service.runs]
     for run in runs:
         values, shape = expected[run.query_id]
-        record.write(f"{run.instance} runs {run.query_id} {run.text} on {run.connection}, "
-                     f"values {run.values}, shape {run.shape!r}", run.at)
+        record.write(
+            f"{run.instance} runs {run.query_id} {run.text} on {run.connection}, "
+            f"values {run.values}, shape {run.shape!r}",
+            run.at,
+        )
         if run.values != values:
             verdicts.append(
                 f"{run.query_id} ran with the values {run.values}, acknowledged were {values}"
@@ -179,10 +180,14 @@
         if run.shape != shape:
             verdicts.append(f"{run.query_id} ran the shape {run.shape!r}, prepared was {shape!r}")
     unknown = [query_id for client in clients for query_id in client.unknown_names]
-    verdicts += [f"{query_id}: a name is unknown whose preparing was acknowledged" for query_id in unknown]
+    verdicts += [
+        f"{query_id}: a name is unknown whose preparing was acknowledged" for query_id in unknown
+    ]
     record.write(f"{len(runs)} statements ran, {len(shedding.refused)} requests were shed")
-    print(f"{len(runs)} statements ran, {len(shedding.refused)} requests were shed, "
-          f"{len(unknown)} prepared names were unknown")
+    print(
+        f"{len(runs)} statements ran, {len(shedding.refused)} requests were shed, "
+        f"{len(unknown)} prepared names were unknown"
+    )
     return verdicts
 
 
--- a/review/standins_3/instances.py
+++ b/review/standins_3/instances.py
@@ -26,7 +26,7 @@
     transaction: int
 
 
-class Refused(Exception):
+class RefusedError(Exception):
     """A statement is answered with ERROR; it did not run."""
 
 
@@ -84,9 +84,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         try:
-            with contextlib.suppress(
-                OSError, asyncio.IncompleteReadError, asyncio.CancelledError
-            ):
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
                 await _Connection(self, reader, writer).serve()
         finally:
             self.connections -= 1
@@ -135,7 +133,7 @@
             await self._hang_by_chance(query_id, text)
             try:
                 rows, signature = await self._run(query_id, text)
-            except Refused as error:
+            except RefusedError as error:
                 if self._state == "T":
                     self._state = "E"
                 await self._answer([f"ERROR {error}"])
@@ -162,19 +160,19 @@
         instance = self._instance
         if instance.rng.random() < instance.refused_share:
             instance.refused.append((time.monotonic(), query_id, text))
-            raise Refused(f"BUSY {instance.name}")
+            raise RefusedError(f"BUSY {instance.name}")
         if text.startswith("AFTER "):
             _, position, text = text.split(" ", 2)
             wanted = tuple(int(part) for part in position.split("."))
             if tuple(int(part) for part in instance.position.split(".")) < wanted:
-                raise Refused(f"LAGGING {instance.name}")
+                raise RefusedError(f"LAGGING {instance.name}")
         verb, *rest = text.split(" ")
         if self._state == "E" and verb not in ("ROLLBACK", "COMMIT"):
-            raise Refused("MALFORMED the transaction has failed")
+            raise RefusedError("MALFORMED the transaction has failed")
         match verb:
             case "BEGIN":
                 if not rest and not instance.is_primary:
-                    raise Refused(f"READONLY {instance.name}")
+                    raise RefusedError(f"READONLY {instance.name}")
                 self._state, self._writes = "T", []
                 self._transaction = next(self._transactions)
                 return [], "-"
@@ -197,7 +195,7 @@
                 return [], "-"
             case "EXECUTE":
                 if rest[0] not in self._prepared:
-                    raise Refused(f"NOSTMT {rest[0]}")
+                    raise RefusedError(f"NOSTMT {rest[0]}")
                 kind, shape = self._prepared[rest[0]]
                 return await self._access(query_id, text, kind, rest[1:], shape)
             case "READ" | "WRITE":
@@ -207,14 +205,14 @@
                 term = instance.service.term
                 row = f"{role} {term} {instance.position} {term} 0 0 {instance.connections}"
                 return [row], "-"
-        raise Refused(f"MALFORMED {verb}")
+        raise RefusedError(f"MALFORMED {verb}")
 
     async def _access(
         self, query_id: str, text: str, kind: str, rest: list[str], shape: str
     ) -> tuple[list[str], str]:
         instance = self._instance
         if kind == "WRITE" and not instance.is_primary:
-            raise Refused(f"READONLY {instance.name}")
+            raise RefusedError(f"READONLY {instance.name}")
         async with instance.slots:
             await asyncio.sleep(instance.service.work_s)
         instance.service.runs.append(
@@ -245,7 +243,7 @@
             await asyncio.sleep(self._instance.service.work_s)
         self._state, self._writes, self._transaction = "I", [], 0
         if failed:
-            raise Refused("ABORTED the transaction had failed")
+            raise RefusedError("ABORTED the transaction had failed")
         if writes:
             self._instance.service.commit(writes)
         return [], self._instance.signature()
--- a/review/standins_3/store.py
+++ b/review/standins_3/store.py
@@ -170,7 +170,9 @@
     ) -> tuple[int, dict[str, Any]]:
         deadline = time.monotonic() + wait_s
         while True:
-            found = [e for e in self.events if e["revision"] > after and e["key"].startswith(prefix)]
+            found = [
+                e for e in self.events if e["revision"] > after and e["key"].startswith(prefix)
+            ]
             left_s = deadline - time.monotonic()
             if found or left_s <= 0:
                 return 200, {"events": found, "at_revision": self.revision}
